--- /dev/null
+++ b/lib/pkg/rlbcommon/common.go
@@ -0,0 +1,45 @@
+// Package rlbcommon holds what every component of a program is given: the
+// logger and the settings.
+package rlbcommon
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+
+	jsonhandler "github.com/apex/log/handlers/json"
+)
+
+// Common is shared by the components of one program.
+type Common struct {
+	Log      *log.Entry
+	Settings *rlbsettings.Settings
+}
+
+// New returns a Common that logs JSON lines to w, each with the instance.
+func New(w io.Writer, settings *rlbsettings.Settings) (*Common, error) {
+	level, err := log.ParseLevel(settings.Text(rlbsettings.LogLevel))
+	if err != nil {
+		return nil, fmt.Errorf("log level %q: %w", settings.Text(rlbsettings.LogLevel), err)
+	}
+	logger := &log.Logger{Handler: jsonhandler.New(w), Level: level}
+	entry := logger.WithField("instance", settings.Text(rlbsettings.InstanceID))
+	return &Common{Log: entry, Settings: settings}, nil
+}
+
+// Ready is the line a program prints on standard output when it serves.
+type Ready struct {
+	Ready    bool              `json:"ready"`
+	Program  string            `json:"program"`
+	Instance string            `json:"instance"`
+	Listen   map[string]string `json:"listen"` // purpose to IP:port
+}
+
+// PrintReady writes r as one JSON line.
+func PrintReady(w io.Writer, r Ready) error {
+	r.Ready = true
+	return json.NewEncoder(w).Encode(r)
+}
--- /dev/null
+++ b/lib/pkg/rlbcommon/program.go
@@ -0,0 +1,81 @@
+package rlbcommon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/spf13/cobra"
+)
+
+// ProgramOpts describe a daemon's command line.
+type ProgramOpts struct {
+	Name  string
+	Short string
+	For   rlbsettings.Program
+	// Run serves until stop ends, then shuts down gracefully.
+	Run func(stop context.Context, common *Common, out io.Writer) error
+}
+
+// NewCommand returns the command line of a daemon: --settings FILE and --set
+// section.key=value. SIGTERM and SIGINT begin the shutdown; further ones change
+// nothing, so that an impatient supervisor cuts off no request.
+func NewCommand(opts ProgramOpts) *cobra.Command {
+	var path string
+	var overrides []string
+	cmd := &cobra.Command{
+		Use: opts.Name, Short: opts.Short, SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := LoadSettings(path, overrides, opts.For)
+			if err != nil {
+				return err
+			}
+			common, err := New(cmd.ErrOrStderr(), settings)
+			if err != nil {
+				return err
+			}
+			stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer release()
+			return opts.Run(stop, common, cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "INI file with the settings; without it the defaults hold")
+	cmd.Flags().StringArrayVar(&overrides, "set", nil, "one setting as section.key=value; may be given more than once")
+	return cmd
+}
+
+// LoadSettings reads a program's settings file and applies the overrides.
+func LoadSettings(path string, overrides []string, program rlbsettings.Program) (*rlbsettings.Settings, error) {
+	settings, err := rlbsettings.Load(path, program)
+	if err != nil {
+		return nil, err
+	}
+	for _, assignment := range overrides {
+		if err := settings.Override(assignment); err != nil {
+			return nil, err
+		}
+	}
+	return settings, nil
+}
+
+// Execute runs a daemon's command and ends the process with 1 on an error.
+func Execute(cmd *cobra.Command) {
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// Listen listens on the address of a settings key.
+func Listen(settings *rlbsettings.Settings, key *rlbsettings.Key) (net.Listener, error) {
+	listener, err := net.Listen("tcp", settings.Text(key))
+	if err != nil {
+		return nil, fmt.Errorf("listen on [%s] %s: %w", key.Section, key.Name, err)
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/lib/pkg/rlblease/lease.go
@@ -0,0 +1,180 @@
+// Package rlblease decides who holds a lease, by conditional writes of one
+// object. No clock is shared: a contender takes a lease over when the object
+// has not changed for the lease's time on the contender's own clock, and a
+// holder counts its deadline from before it sent the renewal. It does no I/O.
+package rlblease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+)
+
+// renewals is how often a holder renews within the lease's time.
+const renewals = 3
+
+// Record is the value of a lease's object.
+type Record struct {
+	Holder  string `json:"holder"` // empty: given up
+	Fence   uint64 `json:"fence"`  // rises with each change of holder
+	Renewal uint64 `json:"renewal"`
+}
+
+// Opts are the terms of a lease.
+type Opts struct {
+	Holder string        // this process, unique to its life
+	TTL    time.Duration // after which a lease that is not renewed lapses
+	Margin time.Duration // before its deadline at which the holder stops using it
+}
+
+// Lease is one lease as one process sees it. It is not safe for concurrent use.
+type Lease struct {
+	opts     Opts
+	record   Record
+	version  rlbobject.Version
+	known    bool      // record and version were read
+	changed  time.Time // when the version was first seen
+	deadline time.Time // until which this process holds it; zero: it does not
+	flight   *flight   // the latest write, until it is known whether it took effect
+	waiting  bool      // for the answer of flight
+	next     time.Time // of the next step
+}
+
+// flight is a write.
+type flight struct {
+	record Record
+	sent   time.Time
+}
+
+// Step is what a lease wants done.
+type Step int
+
+// The steps.
+const (
+	StepNone Step = iota
+	StepRead
+	StepWrite
+)
+
+// New returns a lease of which nothing is known.
+func New(opts Opts) *Lease { return &Lease{opts: opts} }
+
+// Held returns the fencing number if this process may use the lease at now.
+func (l *Lease) Held(now time.Time) (fence uint64, held bool) {
+	if !now.Before(l.deadline.Add(-l.opts.Margin)) {
+		return 0, false
+	}
+	return l.record.Fence, true
+}
+
+// Holder returns who holds the lease by the latest record.
+func (l *Lease) Holder() string { return l.record.Holder }
+
+// Next returns the step to do at now. Contend says whether this process wants
+// the lease. StepWrite returns the value and the version it replaces.
+func (l *Lease) Next(now time.Time, contend bool) (Step, []byte, rlbobject.Version, error) {
+	if l.waiting || now.Before(l.next) {
+		return StepNone, nil, 0, nil
+	}
+	mine := l.known && l.record.Holder == l.opts.Holder
+	switch {
+	case !l.known:
+		l.next = now.Add(l.opts.TTL / renewals)
+		return StepRead, nil, 0, nil
+	case mine && contend:
+		return l.write(now, Record{l.opts.Holder, l.record.Fence, l.record.Renewal + 1})
+	case mine:
+		return l.write(now, Record{"", l.record.Fence, l.record.Renewal + 1})
+	case contend && l.lapsed(now):
+		return l.write(now, Record{l.opts.Holder, l.record.Fence + 1, 0})
+	case contend:
+		l.next = now.Add(l.opts.TTL / renewals)
+		return StepRead, nil, 0, nil
+	default:
+		return StepNone, nil, 0, nil
+	}
+}
+
+// lapsed reports whether nobody holds the lease any more.
+func (l *Lease) lapsed(now time.Time) bool {
+	return l.record.Holder == "" || now.Sub(l.changed) >= l.opts.TTL
+}
+
+func (l *Lease) write(now time.Time, record Record) (Step, []byte, rlbobject.Version, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return StepNone, nil, 0, rlberror.New("encode lease", KindEncoding, err)
+	}
+	if record.Holder == "" {
+		l.deadline = time.Time{} // given up before others can know of it
+	}
+	l.flight, l.waiting = &flight{record, now}, true
+	l.next = now.Add(l.opts.TTL / renewals)
+	return StepWrite, value, l.version, nil
+}
+
+// Read takes the object as read at now; version 0: there is none.
+func (l *Lease) Read(now time.Time, version rlbobject.Version, value []byte) error {
+	var record Record
+	if version != 0 {
+		if err := json.Unmarshal(value, &record); err != nil {
+			return rlberror.New("decode lease", KindEncoding, err)
+		}
+	}
+	if version < l.version {
+		return nil // a stale read
+	}
+	if !l.known || version != l.version {
+		l.changed = now
+	}
+	f := l.flight
+	l.flight = nil
+	l.record, l.version, l.known = record, version, true
+	switch {
+	case record.Holder != l.opts.Holder:
+		l.deadline = time.Time{}
+	case f != nil && record == f.record:
+		l.hold(f)
+	}
+	return nil
+}
+
+// hold counts the deadline of a write that took effect.
+func (l *Lease) hold(f *flight) {
+	if f.record.Holder == l.opts.Holder {
+		l.deadline = f.sent.Add(l.opts.TTL)
+	}
+}
+
+// Written notes that the write took effect at now.
+func (l *Lease) Written(now time.Time, version rlbobject.Version) {
+	f := l.flight
+	l.flight, l.waiting = nil, false
+	l.record, l.version, l.changed = f.record, version, now
+	l.hold(f)
+}
+
+// Refused notes that the write did not take effect. After a conflict the
+// object must be read again.
+func (l *Lease) Refused(conflict bool) {
+	l.flight, l.waiting = nil, false
+	if conflict {
+		l.reread()
+	}
+}
+
+// Lost notes that the write had no answer: the object must be read again, and
+// tells. Until then the old deadline stands.
+func (l *Lease) Lost() {
+	l.waiting = false
+	l.reread()
+}
+
+// reread makes the next step a read, at once. A flight stays: the read tells
+// whether it took effect.
+func (l *Lease) reread() {
+	l.next = time.Time{}
+	l.known = false
+}
--- /dev/null
+++ b/lib/pkg/rlblink/server.go
@@ -0,0 +1,189 @@
+package rlblink
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Backend is what a server serves.
+type Backend interface {
+	// Delta returns what changed since the cursor and moves it.
+	Delta(cursor *rlbworld.Cursor) rlbworld.Update
+	// Report takes the rows that a client collected itself.
+	Report(update rlbworld.Update)
+	// Answer carries out a call.
+	Answer(ctx context.Context, method Method, body []byte) (any, error)
+}
+
+// ServerOpts are the parts of a server.
+type ServerOpts struct {
+	Log      *log.Entry
+	Backend  Backend
+	Interval time.Duration // between two updates
+	Silence  time.Duration // after which a link without messages ends
+}
+
+// Server accepts links.
+type Server struct {
+	opts   ServerOpts
+	mu     sync.Mutex
+	links  map[*rlbwire.Conn]struct{}
+	closed bool
+	group  sync.WaitGroup
+}
+
+// NewServer returns a server that accepts links from listener, and its
+// clean-up function, which ends the links and waits for them.
+func NewServer(ctx context.Context, listener net.Listener, opts ServerOpts) (*Server, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Server{opts: opts, links: map[*rlbwire.Conn]struct{}{}}
+	s.group.Add(1)
+	go s.accept(ctx, listener)
+	return s, func() {
+		cancel()
+		_ = listener.Close()
+		s.closeAll()
+		s.group.Wait()
+	}
+}
+
+func (s *Server) accept(ctx context.Context, listener net.Listener) {
+	defer s.group.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		wire := rlbwire.NewConn(conn, s.opts.Silence)
+		if !s.add(wire) {
+			_ = wire.Close()
+			return
+		}
+		go s.serve(ctx, wire)
+	}
+}
+
+func (s *Server) add(wire *rlbwire.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.links[wire] = struct{}{}
+	s.group.Add(1)
+	return true
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for wire := range s.links {
+		_ = wire.Close()
+	}
+}
+
+func (s *Server) serve(ctx context.Context, wire *rlbwire.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer s.group.Done()
+	defer func() {
+		cancel()
+		_ = wire.Close()
+		s.mu.Lock()
+		delete(s.links, wire)
+		s.mu.Unlock()
+	}()
+	hello, err := receiveHello(wire)
+	if err != nil {
+		s.opts.Log.WithError(err).Warn("link refused")
+		return
+	}
+	s.group.Add(1)
+	go s.tell(ctx, wire, hello)
+	for {
+		frame, err := wire.Receive()
+		if err != nil {
+			return
+		}
+		if err := s.take(ctx, wire, frame); err != nil {
+			s.opts.Log.WithError(err).WithField("node", hello.Node.ID).Warn("link ended")
+			return
+		}
+	}
+}
+
+func receiveHello(wire *rlbwire.Conn) (Hello, error) {
+	var hello Hello
+	frame, err := wire.Receive()
+	if err != nil {
+		return hello, err
+	}
+	if err := frame.Decode(&hello); err != nil {
+		return hello, err
+	}
+	if frame.Type != TypeHello || hello.Protocol != Protocol {
+		return hello, rlberror.Newf("open link", KindRefused, "message type %d, protocol %d, want %d", frame.Type, hello.Protocol, Protocol)
+	}
+	return hello, nil
+}
+
+// tell sends updates until the link ends.
+func (s *Server) tell(ctx context.Context, wire *rlbwire.Conn, hello Hello) {
+	defer s.group.Done()
+	cursor := rlbworld.NewCursor(hello.Scope)
+	ticker := time.NewTicker(s.opts.Interval)
+	defer ticker.Stop()
+	for {
+		if err := wire.Send(TypeUpdate, 0, s.opts.Backend.Delta(cursor)); err != nil {
+			_ = wire.Close()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) take(ctx context.Context, wire *rlbwire.Conn, frame rlbwire.Frame) error {
+	switch frame.Type {
+	case TypeReport:
+		var update rlbworld.Update
+		if err := frame.Decode(&update); err != nil {
+			return err
+		}
+		s.opts.Backend.Report(update)
+	case TypeCall:
+		var call Call
+		if err := frame.Decode(&call); err != nil {
+			return err
+		}
+		s.group.Add(1)
+		go s.answer(ctx, wire, frame.Call, call)
+	}
+	return nil
+}
+
+func (s *Server) answer(ctx context.Context, wire *rlbwire.Conn, number uint64, call Call) {
+	defer s.group.Done()
+	answer, err := s.opts.Backend.Answer(ctx, call.Method, call.Body)
+	if err != nil {
+		_ = wire.Send(TypeError, number, Refusal{err.Error()}) // a broken link ends by itself
+		return
+	}
+	body, err := msgpack.Marshal(answer)
+	if err != nil {
+		_ = wire.Send(TypeError, number, Refusal{err.Error()})
+		return
+	}
+	_ = wire.Send(TypeAnswer, number, body)
+}
--- /dev/null
+++ b/lib/pkg/rlbnote/state.go
@@ -0,0 +1,159 @@
+package rlbnote
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+)
+
+// maxRecords is how many accepted notes the state remembers, so that a publish
+// whose answer was lost can be found by its id.
+const maxRecords = 64
+
+// State is what is in force after a series of notes. States are values: Apply
+// returns a new one and never changes the old.
+type State struct {
+	Version  uint64             `json:"version" msgpack:"v"`
+	Models   map[string]Model   `json:"models" msgpack:"m"`
+	Adapters map[string]Adapter `json:"adapters" msgpack:"a"`
+	Services map[string]Service `json:"services" msgpack:"s"`
+	Recent   []Record           `json:"recent" msgpack:"r"` // newest last
+	Last     Note               `json:"last" msgpack:"l"`   // the note that made this version
+}
+
+// Newer reports whether this state replaces old: versions only rise.
+func (s State) Newer(old State) bool { return s.Version > old.Version }
+
+// Accepted returns the record of the note with the given id.
+func (s State) Accepted(id string) (Record, bool) {
+	for _, r := range s.Recent {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
+// Resolve returns the model, and the adapter if any, that a request's model
+// name stands for: a model's name or an adapter's.
+func (s State) Resolve(name string) (Model, *Adapter, bool) {
+	if m, found := s.Models[name]; found {
+		return m, nil, true
+	}
+	if a, found := s.Adapters[name]; found {
+		m, found := s.Models[a.Model]
+		return m, &a, found
+	}
+	return Model{}, nil, false
+}
+
+// ServiceFor returns the plain service with the longest prefix of path.
+func (s State) ServiceFor(path string) (service Service, found bool) {
+	for _, candidate := range s.Services {
+		if strings.HasPrefix(path, candidate.Prefix) && len(candidate.Prefix) > len(service.Prefix) {
+			service, found = candidate, true
+		}
+	}
+	return service, found
+}
+
+// Apply returns the state after note, published at the given time.
+func (s State) Apply(note Note, published time.Time) (State, error) {
+	if note.Base != s.Version {
+		return s, rlberror.Newf("apply note", KindStale, "the note builds on version %d, but %d is in force", note.Base, s.Version)
+	}
+	if note.ID == "" {
+		return s, rlberror.Newf("apply note", KindInvalid, "the note has no id")
+	}
+	next := State{
+		Version:  s.Version + 1,
+		Models:   maps.Clone(s.Models),
+		Adapters: maps.Clone(s.Adapters),
+		Services: maps.Clone(s.Services),
+		Recent:   append([]Record(nil), s.Recent...),
+		Last:     note,
+	}
+	e := editor{}
+	next.Models = edit(&e, "model", next.Models, Model.key, note.Add.Models, note.Change.Models, note.Withdraw.Models)
+	next.Adapters = edit(&e, "adapter", next.Adapters, Adapter.key, note.Add.Adapters, note.Change.Adapters, note.Withdraw.Adapters)
+	next.Services = edit(&e, "service", next.Services, Service.key, note.Add.Services, note.Change.Services, note.Withdraw.Services)
+	e.checkReferences(next)
+	if len(e.problems) > 0 {
+		return s, rlberror.New("apply note", KindInvalid, errors.Join(e.problems...))
+	}
+	next.Recent = append(next.Recent, Record{next.Version, note.ID, published})
+	if excess := len(next.Recent) - maxRecords; excess > 0 {
+		next.Recent = next.Recent[excess:]
+	}
+	return next, nil
+}
+
+func (m Model) key() string   { return m.Name }
+func (a Adapter) key() string { return a.Name }
+func (s Service) key() string { return s.Name }
+
+// editor collects the problems of applying one note.
+type editor struct{ problems []error }
+
+func (e *editor) fail(format string, args ...any) {
+	e.problems = append(e.problems, fmt.Errorf(format, args...))
+}
+
+func edit[T any](e *editor, what string, all map[string]T, key func(T) string, add, change []T, withdraw []string) map[string]T {
+	if all == nil {
+		all = map[string]T{}
+	}
+	touched := map[string]bool{}
+	touch := func(name string) {
+		if touched[name] {
+			e.fail("%s %s stands twice in the note", what, name)
+		}
+		touched[name] = true
+	}
+	for _, item := range add {
+		name := key(item)
+		touch(name)
+		if _, found := all[name]; found {
+			e.fail("%s %s is added but already in force; list it under change", what, name)
+		}
+		all[name] = item
+	}
+	for _, item := range change {
+		name := key(item)
+		touch(name)
+		if _, found := all[name]; !found {
+			e.fail("%s %s is changed but not in force; list it under add", what, name)
+		}
+		all[name] = item
+	}
+	for _, name := range withdraw {
+		touch(name)
+		if _, found := all[name]; !found {
+			e.fail("%s %s is withdrawn but not in force", what, name)
+		}
+		delete(all, name)
+	}
+	return all
+}
+
+func (e *editor) checkReferences(s State) {
+	for name, a := range s.Adapters {
+		if _, found := s.Models[a.Model]; !found {
+			e.fail("adapter %s needs model %s, which is not in force", name, a.Model)
+		}
+		if _, found := s.Models[name]; found {
+			e.fail("adapter %s has the name of a model", name)
+		}
+	}
+	prefixes := map[string]string{}
+	for name, service := range s.Services {
+		if other, found := prefixes[service.Prefix]; found {
+			e.fail("services %s and %s have the same prefix %s", min(name, other), max(name, other), service.Prefix)
+		}
+		prefixes[service.Prefix] = name
+	}
+}
--- /dev/null
+++ b/lib/pkg/rlbobject/client.go
@@ -0,0 +1,175 @@
+package rlbobject
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+)
+
+const (
+	connectTimeout = 500 * time.Millisecond
+	idleTimeout    = 30 * time.Second
+	idlePerHost    = 16
+	maxWatchWait   = 30 * time.Second
+)
+
+// Client calls the object API over HTTP.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+	reads   metrics.Meter
+	writes  metrics.Meter
+}
+
+// NewClient returns a client of the API at address (IP:port) whose calls wait
+// at most timeout, and its clean-up function. Calls are counted in registry.
+func NewClient(address string, timeout time.Duration, registry metrics.Registry) (*Client, func()) {
+	client, closeIdle := rlbhttp.NewClient(connectTimeout, idleTimeout, idlePerHost)
+	c := &Client{
+		base:    "http://" + address + "/objects/",
+		http:    client,
+		timeout: timeout,
+		reads:   metrics.GetOrRegisterMeter("object_reads", registry),
+		writes:  metrics.GetOrRegisterMeter("object_writes", registry),
+	}
+	return c, func() {
+		c.reads.Stop()
+		c.writes.Stop()
+		closeIdle()
+	}
+}
+
+// Get implements API.
+func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
+	c.reads.Mark(1)
+	answer, err := c.call(ctx, http.MethodGet, key.String(), nil, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := parseVersion(answer.Header.Get("ETag"))
+	if err != nil {
+		return Object{}, rlberror.New("get "+key.String(), KindInvalid, err)
+	}
+	return Object{Name: key.Name, Version: version, Value: answer.Body}, nil
+}
+
+// Put implements API.
+func (c *Client) Put(ctx context.Context, key Key, value []byte, given Version) (Version, error) {
+	if len(value) > int(MaxValue) {
+		return 0, rlberror.Newf("put "+key.String(), KindTooLarge, "%d bytes", len(value))
+	}
+	c.writes.Mark(1)
+	answer, err := c.call(ctx, http.MethodPut, key.String(), condition(given), value)
+	if err != nil {
+		return 0, err
+	}
+	version, err := parseVersion(answer.Header.Get("ETag"))
+	if err != nil {
+		return 0, rlberror.New("put "+key.String(), KindUnknown, err)
+	}
+	return version, nil
+}
+
+// Delete implements API.
+func (c *Client) Delete(ctx context.Context, key Key, given Version) error {
+	c.writes.Mark(1)
+	_, err := c.call(ctx, http.MethodDelete, key.String(), condition(given), nil)
+	return err
+}
+
+// List implements API.
+func (c *Client) List(ctx context.Context, kind string) (Changes, error) {
+	c.reads.Mark(1)
+	return c.changes(ctx, kind)
+}
+
+// Watch implements API.
+func (c *Client) Watch(ctx context.Context, kind string, after Version, deadline time.Time) (Changes, error) {
+	c.reads.Mark(1)
+	wait := min(time.Until(deadline), maxWatchWait)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(c.timeout))
+	defer cancel()
+	return c.changes(ctx, fmt.Sprintf("%s?after=%d&wait=%d", kind, after, wait.Milliseconds()))
+}
+
+func (c *Client) changes(ctx context.Context, path string) (Changes, error) {
+	var changes Changes
+	answer, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return changes, err
+	}
+	if err := json.Unmarshal(answer.Body, &changes); err != nil {
+		return changes, rlberror.New("list "+path, KindInvalid, err)
+	}
+	return changes, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte) (rlbhttp.Answer, error) {
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+	}
+	answer, err := rlbhttp.Raw(ctx, c.http, method, c.base+path, header, body)
+	if err == nil {
+		return answer, nil
+	}
+	return answer, rlberror.New(strings.ToLower(method)+" "+path, kindOf(answer.Status, err), err)
+}
+
+func kindOf(status int, err error) Kind {
+	switch kind, _ := rlberror.KindOf[rlbhttp.Kind](err); kind {
+	case rlbhttp.KindNotSent:
+		return KindUnavailable
+	case rlbhttp.KindStatus:
+		return kindOfStatus(status)
+	default:
+		return KindUnknown
+	}
+}
+
+func kindOfStatus(status int) Kind {
+	switch status {
+	case http.StatusNotFound:
+		return KindNotFound
+	case http.StatusPreconditionFailed:
+		return KindConflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return KindUnavailable
+	case http.StatusRequestEntityTooLarge:
+		return KindTooLarge
+	case http.StatusGone:
+		return KindExpired
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return KindUnknown
+	default:
+		return KindInvalid
+	}
+}
+
+func condition(given Version) http.Header {
+	if given == 0 {
+		return http.Header{"If-None-Match": {"*"}}
+	}
+	return http.Header{"If-Match": {FormatVersion(given)}}
+}
+
+// FormatVersion writes a version as an entity tag.
+func FormatVersion(v Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
+
+func parseVersion(tag string) (Version, error) {
+	n, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("entity tag %q is no version: %w", tag, err)
+	}
+	return Version(n), nil
+}
--- /dev/null
+++ b/lib/pkg/rlboperator/client.go
@@ -0,0 +1,116 @@
+package rlboperator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+)
+
+// Error is this package's error.
+type Error = rlberror.Error[Kind]
+
+// Client asks the first controller that answers.
+type Client struct {
+	addresses []string
+	http      *http.Client
+	scheme    string
+}
+
+// NewClient returns a client of the controllers at the given operator
+// addresses, tried in turn.
+func NewClient(addresses []string, client *http.Client, scheme string) *Client {
+	return &Client{addresses, client, scheme}
+}
+
+// Publish publishes a note. Its id makes it safe to try each controller.
+func (c *Client) Publish(ctx context.Context, name string, text []byte) (Accepted, *Rejection, error) {
+	var accepted Accepted
+	rejection, err := c.send(ctx, "/operator/note", name, text, &accepted)
+	return accepted, rejection, err
+}
+
+// Validate checks a note without publishing it.
+func (c *Client) Validate(ctx context.Context, name string, text []byte) (Checked, *Rejection, error) {
+	var checked Checked
+	rejection, err := c.send(ctx, "/operator/note/validate", name, text, &checked)
+	return checked, rejection, err
+}
+
+// Note returns the release state in force.
+func (c *Client) Note(ctx context.Context) (rlbnote.State, error) {
+	var state rlbnote.State
+	return state, c.get(ctx, "/operator/note", &state)
+}
+
+// History returns the last n accepted notes, newest first.
+func (c *Client) History(ctx context.Context, n int) ([]Past, error) {
+	var past []Past
+	return past, c.get(ctx, "/operator/note/history?n="+strconv.Itoa(n), &past)
+}
+
+// Status returns what a controller knows.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	return status, c.get(ctx, "/operator/status", &status)
+}
+
+// Explain returns the events about a word, from every controller that answers.
+func (c *Client) Explain(ctx context.Context, word string) ([]Event, error) {
+	var all []Event
+	var last error
+	answered := false
+	for _, address := range c.addresses {
+		var events []Event
+		if last = c.getFrom(ctx, address, "/operator/explain?about="+url.QueryEscape(word), &events); last == nil {
+			answered = true
+			all = append(all, events...)
+		}
+	}
+	if !answered {
+		return nil, rlberror.New("explain", KindUnavailable, last)
+	}
+	return all, nil
+}
+
+func (c *Client) get(ctx context.Context, path string, out any) error {
+	var last error
+	for _, address := range c.addresses {
+		if last = c.getFrom(ctx, address, path, out); last == nil {
+			return nil
+		}
+	}
+	return rlberror.New("get "+path, KindUnavailable, last)
+}
+
+func (c *Client) getFrom(ctx context.Context, address, path string, out any) error {
+	_, err := rlbhttp.Call(ctx, c.http, http.MethodGet, c.scheme+"://"+address+path, nil, out)
+	return err
+}
+
+// send posts a note's text. A rejection is an answer; without any answer the
+// next controller is tried.
+func (c *Client) send(ctx context.Context, path, name string, text []byte, out any) (*Rejection, error) {
+	var last error
+	kind := KindUnavailable
+	for _, address := range c.addresses {
+		answer, err := rlbhttp.Raw(ctx, c.http, http.MethodPost, c.scheme+"://"+address+path, http.Header{HeaderName: {name}}, text)
+		if err == nil {
+			return nil, json.Unmarshal(answer.Body, out)
+		}
+		var rejection Rejection
+		if json.Unmarshal(answer.Body, &rejection) == nil && rejection.Kind != "" {
+			return &rejection, nil
+		}
+		if !rlberror.Is(err, rlbhttp.KindNotSent) {
+			kind = KindUnsure
+		}
+		last = err
+	}
+	return nil, rlberror.New("send note", kind, last)
+}
--- /dev/null
+++ b/lib/pkg/rlbplace/demand.go
@@ -0,0 +1,71 @@
+package rlbplace
+
+import "github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+
+// pressure is the relief that one more replica of a model brings, and the loss
+// that one fewer means: with d requests in flight, s slots a replica and r
+// replicas, the waiting grows with (d/s)^2 / r.
+func (p *planner) pressure(name string) float64 {
+	d := p.in.Demand[name] / p.opts.Slots
+	return d * d
+}
+
+func relief(pressure float64, replicas int) float64 {
+	return pressure/float64(replicas) - pressure/float64(replicas+1)
+}
+
+// lossOf returns what one replica fewer of a model costs.
+func (p *planner) lossOf(name string) float64 {
+	m := p.in.Note.Models[name]
+	n := p.ready(m)
+	if n < 2 {
+		return p.pressure(name)
+	}
+	return relief(p.pressure(name), n-1)
+}
+
+// followDemand adds replicas where the relief is worth the moves: into free
+// memory for one move, in place of a less wanted replica for two and its loss.
+func (p *planner) followDemand() {
+	for _, m := range p.models() {
+		n := p.replicas(m)
+		if n == 0 || p.growing(m) {
+			continue
+		}
+		gain := relief(p.pressure(m.Name), n)
+		if gain <= p.opts.MoveWeight {
+			continue
+		}
+		if i := p.roomiest(m); i >= 0 {
+			p.load(i, m, "demand")
+			continue
+		}
+		p.replace(m, gain)
+	}
+}
+
+// growing reports whether a replica of the model is on its way: its effect is
+// awaited before the next.
+func (p *planner) growing(m rlbnote.Model) bool { return p.replicas(m) > p.ready(m) }
+
+func (p *planner) replace(m rlbnote.Model, gain float64) {
+	const moves = 2 // an unload and a load
+	best, cost := -1, gain-moves*p.opts.MoveWeight
+	for i, e := range p.engines {
+		if e.Leaving || !matches(e, m.Role) || holds(e, m.Name, m.Version) {
+			continue
+		}
+		chosen, _, enough := p.victims(e, m.Memory)
+		if !enough || len(chosen) != 1 || chosen[0].Name == m.Name {
+			continue
+		}
+		if loss := p.lossOf(chosen[0].Name); loss < cost {
+			best, cost = i, loss
+		}
+	}
+	if best < 0 {
+		return
+	}
+	chosen, _, _ := p.victims(p.engines[best], m.Memory)
+	p.unload(best, chosen[0], true, "makes room for "+m.Name)
+}
--- /dev/null
+++ b/lib/pkg/rlbplace/plan.go
@@ -0,0 +1,249 @@
+package rlbplace
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+)
+
+// planner builds one plan. Its engines are copies that proposals are applied
+// to, so that a plan never proposes two loads into the same memory.
+type planner struct {
+	in        Input
+	opts      Opts
+	engines   []Engine
+	proposals []Proposal
+	loading   int
+}
+
+// Plan returns the changes to begin now, the most urgent first. Equal inputs
+// give equal plans.
+func Plan(in Input, opts Opts) []Proposal {
+	p := &planner{in: in, opts: opts, engines: slices.Clone(in.Engines)}
+	for i := range p.engines {
+		p.engines[i].Residents = slices.Clone(p.engines[i].Residents)
+		for _, r := range p.engines[i].Residents {
+			if r.Phase == rlbengine.PhaseLoading {
+				p.loading++
+			}
+		}
+	}
+	p.unloadReplaced()
+	p.placeMissing()
+	p.followDemand()
+	return p.proposals
+}
+
+// models returns the models in force, the most wanted first.
+func (p *planner) models() []rlbnote.Model {
+	names := slices.Sorted(maps.Keys(p.in.Note.Models))
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(p.in.Demand[b], p.in.Demand[a]) })
+	all := make([]rlbnote.Model, 0, len(names))
+	for _, name := range names {
+		all = append(all, p.in.Note.Models[name])
+	}
+	return all
+}
+
+// unloadReplaced unloads versions that are not in force. The version that a
+// changed model replaces stays until a replica of the new one is guarded.
+func (p *planner) unloadReplaced() {
+	for i := range p.engines {
+		for _, r := range p.engines[i].Residents {
+			m, inForce := p.in.Note.Models[r.Name]
+			if r.Phase == rlbengine.PhaseUnloading || inForce && m.Version == r.Version || !p.in.Settled {
+				continue
+			}
+			if inForce && !p.in.Guards.Guarded(m.Name, m.Version) {
+				continue
+			}
+			p.unload(i, r, false, "not in force")
+		}
+	}
+}
+
+// placeMissing loads every model in force that has no replica.
+func (p *planner) placeMissing() {
+	for _, m := range p.models() {
+		if p.replicas(m) > 0 {
+			continue
+		}
+		if i := p.roomiest(m); i >= 0 {
+			p.load(i, m, "no replica")
+			continue
+		}
+		p.makeRoom(m)
+	}
+}
+
+func (p *planner) replicas(m rlbnote.Model) int {
+	n := 0
+	for _, e := range p.engines {
+		if !e.Leaving && holds(e, m.Name, m.Version) {
+			n++
+		}
+	}
+	return n
+}
+
+func free(e Engine) rlbunit.Bytes { return e.Memory - e.Reserved }
+
+// roomiest returns the engine with the most free memory that can take the
+// model, or -1. Failure domains without a replica go first.
+func (p *planner) roomiest(m rlbnote.Model) int {
+	best := -1
+	for i, e := range p.engines {
+		if !p.canLoad(e, m) {
+			continue
+		}
+		if best < 0 || p.better(e, p.engines[best], m) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *planner) canLoad(e Engine, m rlbnote.Model) bool {
+	present := slices.ContainsFunc(e.Residents, func(r rlbengine.Resident) bool { return r.Name == m.Name && r.Version == m.Version })
+	return !e.Leaving && matches(e, m.Role) && !present && free(e) >= m.Memory
+}
+
+func (p *planner) better(a, b Engine, m rlbnote.Model) bool {
+	if inA, inB := p.inDomain(a.Domain, m), p.inDomain(b.Domain, m); inA != inB {
+		return inA < inB
+	}
+	if free(a) != free(b) {
+		return free(a) > free(b)
+	}
+	return a.ID < b.ID
+}
+
+func (p *planner) inDomain(domain string, m rlbnote.Model) int {
+	n := 0
+	for _, e := range p.engines {
+		if e.Domain == domain && !e.Leaving && holds(e, m.Name, m.Version) {
+			n++
+		}
+	}
+	return n
+}
+
+// makeRoom frees memory for a model that fits nowhere: by unloading replicas
+// of models that have others, or by moving a model elsewhere first.
+func (p *planner) makeRoom(m rlbnote.Model) {
+	best, cost := -1, 0.0
+	var victims []rlbengine.Resident
+	for i, e := range p.engines {
+		if e.Leaving || !matches(e, m.Role) || e.Memory < m.Memory {
+			continue
+		}
+		chosen, loss, enough := p.victims(e, m.Memory)
+		if enough && (best < 0 || loss < cost) {
+			best, cost, victims = i, loss, chosen
+		}
+	}
+	if best < 0 {
+		p.moveAway(m)
+		return
+	}
+	for _, r := range victims {
+		p.unload(best, r, true, "makes room for "+m.Name)
+	}
+}
+
+// victims returns the residents of an engine whose unloading would free memory
+// for need, the least wanted first, with the demand that they serve.
+func (p *planner) victims(e Engine, need rlbunit.Bytes) (chosen []rlbengine.Resident, loss float64, enough bool) {
+	missing := need - free(e)
+	for _, r := range e.Residents {
+		if r.Phase == rlbengine.PhaseUnloading {
+			missing -= r.Memory // comes free by itself
+		}
+	}
+	redundant := p.redundant(e)
+	for _, r := range redundant {
+		if missing <= 0 {
+			break
+		}
+		chosen = append(chosen, r)
+		missing -= r.Memory
+		loss += 1 + p.lossOf(r.Name)
+	}
+	return chosen, loss, missing <= 0
+}
+
+// redundant returns the ready replicas on an engine of models with others.
+func (p *planner) redundant(e Engine) []rlbengine.Resident {
+	var all []rlbengine.Resident
+	for _, r := range e.Residents {
+		m, inForce := p.in.Note.Models[r.Name]
+		if inForce && m.Version == r.Version && r.Phase == rlbengine.PhaseReady && p.ready(m) > 1 {
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b rlbengine.Resident) int { return cmp.Compare(p.lossOf(a.Name), p.lossOf(b.Name)) })
+	return all
+}
+
+func (p *planner) ready(m rlbnote.Model) int {
+	n := 0
+	for _, e := range p.engines {
+		if !e.Leaving && ready(e, m.Name, m.Version) {
+			n++
+		}
+	}
+	return n
+}
+
+// moveAway loads a second replica of some model elsewhere, so that its first
+// can be unloaded later to make room.
+func (p *planner) moveAway(m rlbnote.Model) {
+	for _, e := range p.engines {
+		if e.Leaving || !matches(e, m.Role) || e.Memory < m.Memory {
+			continue
+		}
+		for _, r := range e.Residents {
+			other, inForce := p.in.Note.Models[r.Name]
+			if !inForce || other.Version != r.Version || p.replicas(other) > 1 || r.Memory+free(e) < m.Memory {
+				continue
+			}
+			if to := p.roomiest(other); to >= 0 {
+				p.load(to, other, "moves away for "+m.Name)
+				return
+			}
+		}
+	}
+}
+
+func (p *planner) load(i int, m rlbnote.Model, reason string) {
+	if p.loading >= p.opts.LoadsAtOnce {
+		return
+	}
+	p.loading++
+	e := &p.engines[i]
+	e.Reserved += m.Memory
+	e.Residents = append(e.Residents, rlbengine.Resident{Name: m.Name, Version: m.Version, Phase: rlbengine.PhaseLoading, Memory: m.Memory})
+	p.proposals = append(p.proposals, Proposal{
+		Endpoint: e.ID, Action: rlbengine.ActionLoad, Name: m.Name, Version: m.Version, Memory: m.Memory, Reason: reason,
+	})
+}
+
+func (p *planner) unload(i int, r rlbengine.Resident, current bool, reason string) {
+	e := &p.engines[i]
+	at := slices.IndexFunc(e.Residents, func(x rlbengine.Resident) bool { return x.Name == r.Name && x.Version == r.Version })
+	e.Residents = slices.Clone(e.Residents)
+	e.Residents[at].Phase = rlbengine.PhaseUnloading // its memory is free only once the engine says so
+	p.proposals = append(p.proposals, Proposal{
+		Endpoint: e.ID, Action: rlbengine.ActionUnload, Name: r.Name, Version: r.Version, Memory: r.Memory, Current: current, Reason: reason,
+	})
+}
+
+// String returns the proposal as one line.
+func (p Proposal) String() string {
+	return fmt.Sprintf("%s %s@%s on %s: %s", p.Action, p.Name, p.Version, p.Endpoint, p.Reason)
+}
--- /dev/null
+++ b/lib/pkg/rlbrelay/event_reader.go
@@ -0,0 +1,133 @@
+package rlbrelay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+)
+
+// Sizes of an event reader's buffer in bytes.
+const (
+	initialBuffer = 16 << 10
+	maxEvent      = 1 << 20
+)
+
+// ErrTooLarge is returned for an event longer than the reader's limit.
+var ErrTooLarge = errors.New("event is longer than 1 MiB")
+
+// Event is one server-sent event. Its slices are valid until the next call of
+// the reader.
+type Event struct {
+	ID   []byte
+	Data []byte // of the last data line
+	Raw  []byte // the whole event with its closing empty line
+}
+
+// EventReader splits a stream into server-sent events without allocating.
+type EventReader struct {
+	source io.Reader
+	buffer []byte
+	start  int // of the unread bytes
+	end    int
+}
+
+// NewEventReader returns a reader of source.
+func NewEventReader(source io.Reader) *EventReader {
+	return &EventReader{source: source, buffer: make([]byte, initialBuffer)}
+}
+
+// Reset makes the reader read source and forget what it holds.
+func (r *EventReader) Reset(source io.Reader) {
+	r.source, r.start, r.end = source, 0, 0
+}
+
+// Pending reports whether a further event can be returned without reading.
+func (r *EventReader) Pending() bool {
+	return eventLength(r.buffer[r.start:r.end], 0) > 0
+}
+
+// Next returns the next event. A stream that ends within an event returns
+// io.ErrUnexpectedEOF, one that ends between events io.EOF.
+func (r *EventReader) Next() (Event, error) {
+	searched := 0
+	for {
+		unread := r.buffer[r.start:r.end]
+		if n := eventLength(unread, searched); n > 0 {
+			r.start += n
+			return parseEvent(unread[:n]), nil
+		}
+		searched = len(unread)
+		if err := r.fill(); err != nil {
+			if err == io.EOF && r.end > r.start {
+				return Event{}, io.ErrUnexpectedEOF
+			}
+			return Event{}, err
+		}
+	}
+}
+
+func (r *EventReader) fill() error {
+	if r.start > 0 {
+		copy(r.buffer, r.buffer[r.start:r.end])
+		r.end -= r.start
+		r.start = 0
+	}
+	if r.end == len(r.buffer) {
+		if len(r.buffer) >= maxEvent {
+			return ErrTooLarge
+		}
+		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
+	}
+	n, err := r.source.Read(r.buffer[r.end:])
+	r.end += n
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// eventLength returns the length of the first event in b, with its closing
+// empty line, or 0 if b does not hold it whole. The first searched bytes are
+// known to hold no end.
+func eventLength(b []byte, searched int) int {
+	const longestEnd = 3 // bytes of an end that may stand before searched
+	at := max(0, searched-longestEnd)
+	for {
+		newline := bytes.IndexByte(b[at:], '\n')
+		if newline < 0 {
+			return 0
+		}
+		at += newline + 1
+		switch {
+		case at < len(b) && b[at] == '\n':
+			return at + 1
+		case at+1 < len(b) && b[at] == '\r' && b[at+1] == '\n':
+			return at + len("\r\n")
+		}
+	}
+}
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+)
+
+func parseEvent(raw []byte) Event {
+	event := Event{Raw: raw}
+	for rest := raw; len(rest) > 0; {
+		line := rest
+		if newline := bytes.IndexByte(rest, '\n'); newline >= 0 {
+			line, rest = rest[:newline], rest[newline+1:]
+		} else {
+			rest = nil
+		}
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		switch {
+		case bytes.HasPrefix(line, idField):
+			event.ID = bytes.TrimPrefix(line[len(idField):], []byte{' '})
+		case bytes.HasPrefix(line, dataField):
+			event.Data = bytes.TrimPrefix(line[len(dataField):], []byte{' '})
+		}
+	}
+	return event
+}
--- /dev/null
+++ b/lib/pkg/rlbroute/endpoint.go
@@ -0,0 +1,119 @@
+package rlbroute
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// reportTrust is the age up to which a load report counts in full; it counts
+// for nothing at twice that age.
+const reportTrust = 3 * time.Second
+
+// EndpointOpts are the fixed properties of an endpoint.
+type EndpointOpts struct {
+	ID            string
+	Address       string // IP:port for requests
+	FailureDomain string
+	Incarnation   uint64
+	Distance      time.Duration // one way
+	Slots         int           // requests it batches at once
+}
+
+// Endpoint is one endpoint as a gateway sees it. It is safe for concurrent use.
+type Endpoint struct {
+	opts     EndpointOpts
+	hash     uint64
+	inFlight atomic.Int64
+	suspects atomic.Int64 // requests in flight that were on a crashed endpoint before
+	avoid    atomic.Int64 // Unix time in nanoseconds until which others are preferred
+	report   atomic.Pointer[report]
+}
+
+// report is a load report with what this gateway had in flight at its arrival.
+type report struct {
+	others   int // requests of other gateways
+	adapters map[string]struct{}
+	at       time.Time
+}
+
+// NewEndpoint returns an idle endpoint.
+func NewEndpoint(opts EndpointOpts) *Endpoint {
+	e := &Endpoint{opts: opts, hash: xxhash.Sum64String(opts.ID)}
+	e.report.Store(&report{})
+	return e
+}
+
+// ID returns the endpoint's name.
+func (e *Endpoint) ID() string { return e.opts.ID }
+
+// Opts returns the fixed properties.
+func (e *Endpoint) Opts() EndpointOpts { return e.opts }
+
+// Address returns IP:port for requests.
+func (e *Endpoint) Address() string { return e.opts.Address }
+
+// Incarnation returns the number of the endpoint's start.
+func (e *Endpoint) Incarnation() uint64 { return e.opts.Incarnation }
+
+// Hash implements Candidate.
+func (e *Endpoint) Hash() uint64 { return e.hash }
+
+// InFlight implements Candidate.
+func (e *Endpoint) InFlight() int { return int(e.inFlight.Load()) }
+
+// Slots implements Candidate.
+func (e *Endpoint) Slots() int { return e.opts.Slots }
+
+// Distance implements Candidate.
+func (e *Endpoint) Distance() time.Duration { return e.opts.Distance }
+
+// Others implements Candidate.
+func (e *Endpoint) Others(now time.Time) int {
+	r := e.report.Load()
+	age := now.Sub(r.at)
+	if age <= reportTrust {
+		return r.others
+	}
+	left := max(0, 2*reportTrust-age)
+	return int(float64(r.others) * float64(left) / float64(reportTrust))
+}
+
+// HasAdapter implements Candidate.
+func (e *Endpoint) HasAdapter(label string) bool {
+	_, found := e.report.Load().adapters[label]
+	return found
+}
+
+// Report takes a load report that came at now.
+func (e *Endpoint) Report(requests int, adapters []string, now time.Time) {
+	r := &report{others: max(0, requests-e.InFlight()), adapters: make(map[string]struct{}, len(adapters)), at: now}
+	for _, label := range adapters {
+		r.adapters[label] = struct{}{}
+	}
+	e.report.Store(r)
+}
+
+// Enter counts a request in and returns the function that counts it out. A
+// suspect is a request that was on a crashed endpoint before.
+func (e *Endpoint) Enter(suspect bool) (leave func()) {
+	e.inFlight.Add(1)
+	if !suspect {
+		return func() { e.inFlight.Add(-1) }
+	}
+	e.suspects.Add(1)
+	return func() {
+		e.inFlight.Add(-1)
+		e.suspects.Add(-1)
+	}
+}
+
+// Suspects returns the number of suspects in flight.
+func (e *Endpoint) Suspects() int { return int(e.suspects.Load()) }
+
+// Avoid prefers other endpoints until a deadline.
+func (e *Endpoint) Avoid(until time.Time) { e.avoid.Store(until.UnixNano()) }
+
+// Avoided reports whether others are preferred at now.
+func (e *Endpoint) Avoided(now time.Time) bool { return now.UnixNano() < e.avoid.Load() }
--- /dev/null
+++ b/lib/pkg/rlbroute/exchange.go
@@ -0,0 +1,89 @@
+package rlbroute
+
+import "time"
+
+// ExchangeOpts are the limits of one request.
+type ExchangeOpts struct {
+	Once        bool // runs at most once
+	Deadline    time.Time
+	MaxAttempts int
+	Budget      *RetryBudget // shared by the gateway's requests
+}
+
+// Exchange is one request on its way, across its attempts.
+type Exchange struct {
+	opts     ExchangeOpts
+	stage    Stage
+	exposed  bool // an earlier attempt may have run
+	failed   bool // an earlier attempt ran and failed
+	attempts int
+}
+
+// NewExchange returns the exchange of a request that was not sent yet.
+func NewExchange(opts ExchangeOpts) *Exchange { return &Exchange{opts: opts} }
+
+// Stage returns how far the present attempt is.
+func (x *Exchange) Stage() Stage { return x.stage }
+
+// Attempts returns the number of attempts begun.
+func (x *Exchange) Attempts() int { return x.attempts }
+
+// Begin begins an attempt. Once the caller has a part of the answer, the
+// exchange stays at StageAnswering.
+func (x *Exchange) Begin() {
+	x.attempts++
+	if x.stage == StageSent {
+		x.stage = StageUnsent
+	}
+}
+
+// Sent notes that the endpoint may have the request.
+func (x *Exchange) Sent() { x.stage = max(x.stage, StageSent) }
+
+// Answering notes that the caller has a part of the answer.
+func (x *Exchange) Answering() { x.stage = StageAnswering }
+
+// Fault returns what follows a fault of the present attempt at now.
+func (x *Exchange) Fault(now time.Time, fault Fault) Decision {
+	d := Decide(fault, x.stage, x.opts.Once)
+	if x.stage != StageUnsent && fault != FaultRefused && fault != FaultNotSent {
+		x.exposed = true
+	}
+	if fault == FaultFailed {
+		x.failed = true
+	}
+	if (d.Action == ActionRetry || d.Action == ActionResume) && !x.mayRetry(now) {
+		d.Action = ActionEnd
+	}
+	if d.Action == ActionEnd {
+		d.Outcome = x.honest(d.Outcome)
+	}
+	return d
+}
+
+func (x *Exchange) mayRetry(now time.Time) bool {
+	if x.attempts >= x.opts.MaxAttempts || !now.Before(x.opts.Deadline) {
+		return false
+	}
+	return x.opts.Budget.Take()
+}
+
+// honest corrects an outcome by what earlier attempts did: a request that may
+// have run is never called not run.
+func (x *Exchange) honest(outcome Outcome) Outcome {
+	switch {
+	case outcome == NotRun && x.failed:
+		return Failed
+	case outcome == NotRun && x.exposed:
+		return Unknown
+	default:
+		return outcome
+	}
+}
+
+// Unsent takes Sent back: the connection shows that no byte left.
+func (x *Exchange) Unsent() {
+	if x.stage == StageSent {
+		x.stage = StageUnsent
+	}
+}
--- /dev/null
+++ b/lib/pkg/rlbsettings/check.go
@@ -0,0 +1,132 @@
+package rlbsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+)
+
+func find(section, name string) (*Key, error) {
+	nearest, least := (*Key)(nil), 1<<30
+	for _, key := range Keys {
+		if key.Section == section && key.Name == name {
+			return key, nil
+		}
+		distance := levenshtein.ComputeDistance(section+"."+name, key.Section+"."+key.Name)
+		if distance < least {
+			nearest, least = key, distance
+		}
+	}
+	return nil, fmt.Errorf("unknown key %s; the nearest known one is %s in [%s]", name, nearest.Name, nearest.Section)
+}
+
+// check reports what is wrong with value for this key.
+func (k *Key) check(value string) error {
+	switch k.Type {
+	case TypeDuration:
+		return checkRange(k, value, parseDuration)
+	case TypeInt:
+		return checkRange(k, value, parseInt)
+	case TypeRatio:
+		return checkRange(k, value, parseRatio)
+	case TypeBytes:
+		return checkRange(k, value, rlbunit.ParseBytes)
+	case TypeAddress:
+		return checkAddress(k, value)
+	case TypeBool:
+		return checkBool(k, value)
+	default:
+		return nil
+	}
+}
+
+func parseDuration(s string) (time.Duration, error) {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a duration with a known unit; write ns, us, ms, s, m or h, such as 500ms", s)
+	}
+	return d, nil
+}
+
+func parseInt(s string) (int64, error) {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a whole number", s)
+	}
+	return n, nil
+}
+
+func parseRatio(s string) (float64, error) {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a number", s)
+	}
+	return f, nil
+}
+
+func checkRange[T int64 | float64 | time.Duration | rlbunit.Bytes](k *Key, value string, parse func(string) (T, error)) error {
+	v, err := parse(value)
+	if err != nil {
+		return fmt.Errorf("%s: %w", k.Name, err)
+	}
+	if k.Min != "" {
+		if least, _ := parse(k.Min); v < least {
+			return fmt.Errorf("%s: %s is below the least value %s", k.Name, value, k.Min)
+		}
+	}
+	if k.Max != "" {
+		if most, _ := parse(k.Max); v > most {
+			return fmt.Errorf("%s: %s is above the greatest value %s", k.Name, value, k.Max)
+		}
+	}
+	return nil
+}
+
+func checkAddress(k *Key, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("%s: %q is not an IP address with a port, such as 127.0.0.1:7000", k.Name, value)
+	}
+	return nil
+}
+
+func checkBool(k *Key, value string) error {
+	if value != "true" && value != "false" {
+		return fmt.Errorf("%s: %q is neither true nor false", k.Name, value)
+	}
+	return nil
+}
+
+// position is a line and a column, both from 1.
+type position struct{ line, column int }
+
+// positions maps section and key to where the key stands.
+type positions map[[2]string]position
+
+func locate(text []byte) positions {
+	at := positions{}
+	section := "DEFAULT"
+	for i, line := range strings.Split(string(text), "\n") {
+		trimmed := strings.TrimSpace(line)
+		if strings.HasPrefix(trimmed, "[") && strings.HasSuffix(trimmed, "]") {
+			section = strings.TrimSpace(trimmed[1 : len(trimmed)-1])
+			continue
+		}
+		name, _, found := strings.Cut(line, "=")
+		if !found {
+			continue
+		}
+		indent := len(name) - len(strings.TrimLeft(name, " \t"))
+		at[[2]string{section, strings.TrimSpace(name)}] = position{i + 1, indent + 1}
+	}
+	return at
+}
+
+func (p positions) wrap(name, section, key string, err error) error {
+	at := p[[2]string{section, key}]
+	return fmt.Errorf("%s:%d:%d: [%s] %w", name, at.line, at.column, section, err)
+}
--- /dev/null
+++ b/lib/pkg/rlbsettings/keys.go
@@ -0,0 +1,85 @@
+package rlbsettings
+
+// The keys, by section. Programs read a value by passing one of these.
+var (
+	InstanceID     = &Key{"instance", "id", TypeText, "", "", "", "Name of this instance, unique in the fleet.", ForGateway | ForController | ForStandin}
+	InstanceDomain = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin}
+	InstanceRegion = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController}
+
+	LogLevel = &Key{"log", "level", TypeText, "info", "", "", "Least severe level that is logged: debug, info, warn, error.", ForGateway | ForController | ForStandin}
+
+	PlatformObjects   = &Key{"platform", "objects", TypeAddress, "127.0.0.1:7400", "", "", "Address of the platform's object API.", ForController}
+	PlatformInstances = &Key{"platform", "instances", TypeAddress, "127.0.0.1:7400", "", "", "Address of the platform's instance list.", ForController}
+	PlatformWeights   = &Key{"platform", "weights", TypeAddress, "127.0.0.1:7400", "", "", "Address of the weight store.", ForController | ForStandin}
+	PlatformTimeout   = &Key{"platform", "timeout", TypeDuration, "2s", "10ms", "1m", "Longest wait for one answer of the platform.", ForController}
+
+	GatewayListen       = &Key{"gateway", "listen", TypeAddress, "127.0.0.1:7000", "", "", "Address for callers.", ForGateway}
+	GatewayControllers  = &Key{"gateway", "controllers", TypeList, "127.0.0.1:7100", "", "", "Control addresses of controllers, the local one first.", ForGateway}
+	GatewayMaxBody      = &Key{"gateway", "max_body", TypeBytes, "1MiB", "1KiB", "64MiB", "Longest request body.", ForGateway}
+	GatewayMaxHeader    = &Key{"gateway", "max_header", TypeBytes, "32KiB", "4KiB", "1MiB", "Longest request header.", ForGateway}
+	GatewayMaxAnswer    = &Key{"gateway", "max_answer", TypeBytes, "16MiB", "64KiB", "256MiB", "Longest answer that is not a stream.", ForGateway}
+	GatewayDeadline     = &Key{"gateway", "deadline", TypeDuration, "60s", "100ms", "24h", "Time a request may take when its caller states none.", ForGateway}
+	GatewayMaxDeadline  = &Key{"gateway", "max_deadline", TypeDuration, "12h", "1s", "24h", "Longest time a caller may state.", ForGateway}
+	GatewayConnect      = &Key{"gateway", "connect_timeout", TypeDuration, "500ms", "10ms", "10s", "Longest wait for a connection to an endpoint.", ForGateway}
+	GatewayFirstToken   = &Key{"gateway", "first_token_timeout", TypeDuration, "10s", "100ms", "1h", "Longest wait for the first byte of an answer.", ForGateway}
+	GatewayNextToken    = &Key{"gateway", "next_token_timeout", TypeDuration, "3s", "50ms", "1m", "Longest silence within a stream.", ForGateway}
+	GatewayDrain        = &Key{"gateway", "drain", TypeDuration, "10m", "1s", "24h", "Longest time a shutdown waits for requests in progress.", ForGateway}
+	GatewayPolicy       = &Key{"gateway", "policy", TypeText, "cost", "", "", "Routing policy: cost, least-in-flight, two-choices, round-robin, random, prefix-hash.", ForGateway}
+	GatewayMaxAttempts  = &Key{"gateway", "max_attempts", TypeInt, "4", "1", "16", "Most attempts for one request.", ForGateway}
+	GatewayRetryShare   = &Key{"gateway", "retry_share", TypeRatio, "0.1", "0", "1", "Retries allowed as a share of requests.", ForGateway}
+	GatewayMaxInFlight  = &Key{"gateway", "max_in_flight", TypeInt, "20000", "1", "1000000", "Most requests in progress in one gateway.", ForGateway}
+	GatewayEndpointLoad = &Key{"gateway", "endpoint_in_flight", TypeInt, "256", "1", "100000", "Most requests of one gateway in progress on one endpoint.", ForGateway}
+	GatewayTLSCert      = &Key{"gateway", "tls_cert", TypeText, "", "", "", "PEM file with the certificate for callers; empty: plain HTTP.", ForGateway}
+	GatewayTLSKey       = &Key{"gateway", "tls_key", TypeText, "", "", "", "PEM file with the key of tls_cert.", ForGateway}
+
+	ControllerListen    = &Key{"controller", "listen", TypeAddress, "127.0.0.1:7100", "", "", "Control address, for gateways and controllers.", ForController}
+	ControllerOperators = &Key{"controller", "operators", TypeAddress, "127.0.0.1:7200", "", "", "Address for operators.", ForController}
+	ControllerPeers     = &Key{"controller", "peers", TypeList, "", "", "", "Control addresses known at the start; others come from the instance list.", ForController}
+	ControllerTick      = &Key{"controller", "tick", TypeDuration, "250ms", "10ms", "5s", "Time between two runs of the systems.", ForController}
+	ControllerPoll      = &Key{"controller", "poll", TypeDuration, "1s", "50ms", "30s", "Time between two load reports of an endpoint.", ForController}
+	ControllerLeaseTTL  = &Key{"controller", "lease_ttl", TypeDuration, "5s", "500ms", "2m", "Time after which a lease that is not renewed lapses.", ForController}
+	ControllerMargin    = &Key{"controller", "lease_margin", TypeDuration, "1s", "50ms", "1m", "Time before its deadline at which a holder stops using its lease.", ForController}
+	ControllerLoadRate  = &Key{"controller", "loads_a_second", TypeRatio, "1", "0.01", "1000", "Loads the weight store allows to start each second.", ForController}
+	ControllerLoadSlots = &Key{"controller", "loads_at_once", TypeInt, "8", "1", "10000", "Loads the weight store serves at once at full speed.", ForController}
+	ControllerMoves     = &Key{"controller", "move_weight", TypeRatio, "0.2", "0", "100", "Cost of one move in replica-loads of relief; higher means fewer moves.", ForController}
+	ControllerWatchers  = &Key{"controller", "watchers", TypeInt, "2", "1", "16", "Controllers of each failure domain that watch the object API.", ForController}
+	ControllerRetention = &Key{"controller", "claim_retention", TypeDuration, "6h", "1m", "720h", "Time for which an idempotency key is kept; a dated key older than that is refused.", ForGateway | ForController}
+	ControllerCommit    = &Key{"controller", "claim_commit", TypeDuration, "5ms", "0s", "1s", "Longest time a claim waits for others to share its write.", ForController}
+	ControllerShards    = &Key{"controller", "claim_shards", TypeInt, "16", "1", "4096", "Shards of idempotency keys; the same in the whole fleet.", ForController}
+
+	KeysCert = &Key{"keys", "cert", TypeText, "", "", "", "PEM file with this instance's certificate for control links; empty: plain TCP.", ForGateway | ForController | ForCtl}
+	KeysKey  = &Key{"keys", "key", TypeText, "", "", "", "PEM file with the key of cert.", ForGateway | ForController | ForCtl}
+	KeysCA   = &Key{"keys", "ca", TypeText, "", "", "", "PEM file with the authority that signs control and operator certificates.", ForGateway | ForController | ForCtl}
+
+	CtlControllers = &Key{"ctl", "controllers", TypeList, "127.0.0.1:7200", "", "", "Operator addresses of controllers, tried in turn.", ForCtl}
+	CtlTimeout     = &Key{"ctl", "timeout", TypeDuration, "10s", "100ms", "10m", "Longest wait for a controller.", ForCtl}
+
+	StandinListen     = &Key{"standin", "listen", TypeAddress, "127.0.0.1:7400", "", "", "Address the stand-in serves on.", ForStandin}
+	StandinMemory     = &Key{"standin", "memory", TypeBytes, "80GiB", "1MiB", "1048576GiB", "Accelerator memory of the endpoint.", ForStandin}
+	StandinRole       = &Key{"standin", "role", TypeText, "", "", "", "Role of the endpoint, as in a note.", ForStandin}
+	StandinFencing    = &Key{"standin", "fencing", TypeBool, "true", "", "", "Whether the endpoint refuses old fencing numbers.", ForStandin}
+	StandinSlots      = &Key{"standin", "slots", TypeInt, "32", "1", "10000", "Requests the endpoint batches at once.", ForStandin}
+	StandinPrefill    = &Key{"standin", "prefill_rate", TypeInt, "8000", "1", "100000000", "Prompt tokens processed a second.", ForStandin}
+	StandinStep       = &Key{"standin", "step", TypeDuration, "20ms", "0s", "10s", "Time of one decoding step with an empty batch.", ForStandin}
+	StandinStepSlot   = &Key{"standin", "step_per_request", TypeDuration, "500us", "0s", "1s", "Time each request in the batch adds to a decoding step.", ForStandin}
+	StandinInstances  = &Key{"standin", "instances", TypeList, "", "", "", "Instance list: id|kind|address|control|failure_domain|role|fencing, in one item each.", ForStandin}
+	StandinLag        = &Key{"standin", "list_lag", TypeDuration, "2s", "0s", "10m", "Lag of the instance list.", ForStandin}
+	StandinLoadRate   = &Key{"standin", "loads_a_second", TypeRatio, "1", "0.01", "1000", "Loads the weight store starts each second.", ForStandin}
+	StandinLoadTime   = &Key{"standin", "load_time", TypeDuration, "300ms", "0s", "10m", "Time of one load at full speed.", ForStandin}
+	StandinLoadSlots  = &Key{"standin", "loads_at_once", TypeInt, "8", "1", "10000", "Loads served at once at full speed.", ForStandin}
+	StandinModelBytes = &Key{"standin", "model_memory", TypeBytes, "14GiB", "1MiB", "1048576GiB", "Memory of a model whose name states none (name-20g states 20 GiB).", ForStandin}
+)
+
+// Keys is the table of all keys in the order of the documentation.
+var Keys = []*Key{
+	InstanceID, InstanceDomain, InstanceRegion, LogLevel,
+	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
+	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
+	GatewayConnect, GatewayFirstToken, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayMaxAttempts, GatewayRetryShare,
+	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
+	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
+	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
+	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
+	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefill, StandinStep, StandinStepSlot,
+	StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes,
+}
--- /dev/null
+++ b/lib/pkg/rlbtable/replica.go
@@ -0,0 +1,29 @@
+package rlbtable
+
+// Row is a row that knows which of two versions of itself is the newer.
+type Row[R any] interface {
+	// Newer reports whether this row replaces old.
+	Newer(old R) bool
+}
+
+// Replica is a table whose rows only ever move to newer versions, whatever the
+// order in which copies arrive.
+type Replica[K comparable, R Row[R]] struct {
+	*Table[K, R]
+}
+
+// NewReplica returns an empty replica.
+func NewReplica[K comparable, R Row[R]]() Replica[K, R] {
+	return Replica[K, R]{New[K, R]()}
+}
+
+// Merge stores row if it is new or newer, and reports whether it did. A row
+// deleted here returns only in a newer version.
+func (r Replica[K, R]) Merge(key K, row R) bool {
+	element, found := r.entries[key]
+	if found && !row.Newer(element.Value.(*entry[K, R]).row) {
+		return false
+	}
+	r.Put(key, row)
+	return true
+}
--- /dev/null
+++ b/lib/pkg/rlbtable/table.go
@@ -0,0 +1,140 @@
+// Package rlbtable holds entities in tables that number each change, so that
+// a reader fetches only what changed since the revision it knows.
+package rlbtable
+
+import "container/list"
+
+// maxTombstones is how many deleted rows a table remembers before a reader
+// that is further behind must read everything again.
+const maxTombstones = 4096
+
+// Revision numbers the changes of one table in one process.
+type Revision uint64
+
+// Table maps keys to rows. It is not safe for concurrent use.
+type Table[K comparable, R any] struct {
+	entries    map[K]*list.Element // of *entry[K, R]
+	order      *list.List          // oldest change first
+	revision   Revision
+	floor      Revision // tombstones at or below are forgotten
+	tombstones int
+}
+
+type entry[K comparable, R any] struct {
+	key      K
+	row      R
+	revision Revision
+	deleted  bool
+}
+
+// Change is one row's latest change.
+type Change[K comparable, R any] struct {
+	Key     K
+	Row     R
+	Deleted bool
+}
+
+// New returns an empty table.
+func New[K comparable, R any]() *Table[K, R] {
+	return &Table[K, R]{entries: map[K]*list.Element{}, order: list.New()}
+}
+
+// Revision returns the number of the latest change.
+func (t *Table[K, R]) Revision() Revision { return t.revision }
+
+// Len returns the number of rows.
+func (t *Table[K, R]) Len() int { return len(t.entries) - t.tombstones }
+
+// Get returns the row of key.
+func (t *Table[K, R]) Get(key K) (row R, ok bool) {
+	element, found := t.entries[key]
+	if !found {
+		return row, false
+	}
+	e := element.Value.(*entry[K, R])
+	return e.row, !e.deleted
+}
+
+// Put stores the row of key as the latest change.
+func (t *Table[K, R]) Put(key K, row R) { t.change(key, row, false) }
+
+// Delete removes the row of key and remembers that it did.
+func (t *Table[K, R]) Delete(key K) {
+	if row, ok := t.Get(key); ok {
+		t.change(key, row, true)
+	}
+}
+
+func (t *Table[K, R]) change(key K, row R, deleted bool) {
+	t.revision++
+	element, found := t.entries[key]
+	if !found {
+		element = t.order.PushBack(&entry[K, R]{key: key})
+		t.entries[key] = element
+	}
+	e := element.Value.(*entry[K, R])
+	t.tombstones += count(deleted) - count(e.deleted)
+	e.row, e.deleted, e.revision = row, deleted, t.revision
+	t.order.MoveToBack(element)
+	t.forget()
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// forget drops the oldest tombstones beyond maxTombstones.
+func (t *Table[K, R]) forget() {
+	for element := t.order.Front(); element != nil && t.tombstones > maxTombstones; {
+		next := element.Next()
+		if e := element.Value.(*entry[K, R]); e.deleted {
+			t.order.Remove(element)
+			delete(t.entries, e.key)
+			t.tombstones--
+			t.floor = e.revision
+		}
+		element = next
+	}
+}
+
+// All calls yield for each row until yield returns false.
+func (t *Table[K, R]) All(yield func(K, R) bool) {
+	for element := t.order.Front(); element != nil; element = element.Next() {
+		e := element.Value.(*entry[K, R])
+		if !e.deleted && !yield(e.key, e.row) {
+			return
+		}
+	}
+}
+
+// Since returns the rows changed after revision, oldest change first. Full is
+// true when the table no longer knows which rows were deleted since: the
+// changes then hold every row and the reader drops the others.
+func (t *Table[K, R]) Since(revision Revision) (changes []Change[K, R], full bool) {
+	full = revision < t.floor
+	if full {
+		revision = 0
+	}
+	element := t.order.Back()
+	for element != nil && element.Value.(*entry[K, R]).revision > revision {
+		element = element.Prev()
+	}
+	for element = t.after(element); element != nil; element = element.Next() {
+		e := element.Value.(*entry[K, R])
+		if full && e.deleted {
+			continue
+		}
+		changes = append(changes, Change[K, R]{e.key, e.row, e.deleted})
+	}
+	return changes, full
+}
+
+func (t *Table[K, R]) after(element *list.Element) *list.Element {
+	if element == nil {
+		return t.order.Front()
+	}
+	return element.Next()
+}
--- /dev/null
+++ b/lib/pkg/rlbwire/conn.go
@@ -0,0 +1,163 @@
+// Package rlbwire frames msgpack messages over TCP between the system's own
+// processes: a length of four bytes, big endian, then a Frame.
+package rlbwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxFrame is the longest frame in bytes.
+const MaxFrame = 16 << 20
+
+const (
+	lengthBytes = 4
+	bufferBytes = 32 << 10
+)
+
+// Type tells what a frame's body is.
+type Type uint8
+
+// Frame is one message. Call pairs an answer with its question; 0: neither.
+type Frame struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Type     Type
+	Call     uint64
+	Body     msgpack.RawMessage
+}
+
+// Decode reads the frame's body into v.
+func (f Frame) Decode(v any) error {
+	if err := msgpack.Unmarshal(f.Body, v); err != nil {
+		return rlberror.New("decode body", KindMalformed, err)
+	}
+	return nil
+}
+
+// Kind is the kind of a failure.
+type Kind int
+
+// The kinds of failures.
+const (
+	KindClosed    Kind = iota // the connection ended or broke
+	KindSilent                // nothing came within the silence limit
+	KindMalformed             // the bytes are no frame
+	KindTooLarge              // the frame is longer than MaxFrame
+)
+
+// String names the kind.
+func (k Kind) String() string {
+	return [...]string{"connection closed", "connection silent", "malformed frame", "frame too large"}[k]
+}
+
+// Error is this package's error.
+type Error = rlberror.Error[Kind]
+
+// Conn sends and receives frames. Send may be called from several goroutines,
+// Receive from one.
+type Conn struct {
+	conn    net.Conn
+	silence time.Duration
+	reader  *bufio.Reader
+	mu      sync.Mutex
+	writer  *bufio.Writer
+	sent    uint64
+}
+
+// NewConn returns a Conn over conn. A peer that sends nothing for silence, or
+// takes nothing for as long, ends it.
+func NewConn(conn net.Conn, silence time.Duration) *Conn {
+	return &Conn{
+		conn:    conn,
+		silence: silence,
+		reader:  bufio.NewReaderSize(conn, bufferBytes),
+		writer:  bufio.NewWriterSize(conn, bufferBytes),
+	}
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.conn.Close() }
+
+// Sent returns the number of bytes sent.
+func (c *Conn) Sent() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent
+}
+
+// Send writes one message.
+func (c *Conn) Send(t Type, call uint64, body any) error {
+	encoded, err := msgpack.Marshal(body)
+	if err != nil {
+		return rlberror.New("encode body", KindMalformed, err)
+	}
+	frame, err := msgpack.Marshal(&Frame{Type: t, Call: call, Body: encoded})
+	if err != nil {
+		return rlberror.New("encode frame", KindMalformed, err)
+	}
+	if len(frame) > MaxFrame {
+		return rlberror.Newf("send", KindTooLarge, "%d bytes", len(frame))
+	}
+	return c.write(frame)
+}
+
+func (c *Conn) write(frame []byte) error {
+	var length [lengthBytes]byte
+	binary.BigEndian.PutUint32(length[:], uint32(len(frame)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent += uint64(lengthBytes + len(frame))
+	if err := c.conn.SetWriteDeadline(time.Now().Add(c.silence)); err != nil {
+		return rlberror.New("send", KindClosed, err)
+	}
+	_, _ = c.writer.Write(length[:]) // a failed write fails the flush too
+	_, _ = c.writer.Write(frame)
+	if err := c.writer.Flush(); err != nil {
+		return rlberror.New("send", kindOf(err), err)
+	}
+	return nil
+}
+
+// Receive reads the next message.
+func (c *Conn) Receive() (Frame, error) {
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return Frame{}, rlberror.New("receive", KindClosed, err)
+	}
+	return ReadFrame(c.reader)
+}
+
+// ReadFrame reads one frame from r.
+func ReadFrame(r io.Reader) (Frame, error) {
+	var frame Frame
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return frame, rlberror.New("receive", kindOf(err), err)
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n > MaxFrame {
+		return frame, rlberror.Newf("receive", KindTooLarge, "%d bytes", n)
+	}
+	var buffer bytes.Buffer // grows with what arrives, not with what is announced
+	if _, err := io.CopyN(&buffer, r, int64(n)); err != nil {
+		return frame, rlberror.New("receive", kindOf(err), err)
+	}
+	if err := msgpack.Unmarshal(buffer.Bytes(), &frame); err != nil {
+		return frame, rlberror.New("receive", KindMalformed, err)
+	}
+	return frame, nil
+}
+
+func kindOf(err error) Kind {
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return KindSilent
+	}
+	return KindClosed
+}
--- /dev/null
+++ b/lib/pkg/rlbworld/rows.go
@@ -0,0 +1,138 @@
+// Package rlbworld holds what an instance knows of the fleet, as tables whose
+// rows only move to newer versions, and the updates by which instances tell
+// each other what changed. It does no I/O.
+package rlbworld
+
+import (
+	"reflect"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+)
+
+// Instance is an entry of the platform's list. Its version is the revision of
+// the list in which it last differed.
+type Instance struct {
+	rlbinstance.Instance `msgpack:",inline"`
+	Revision             uint64 `json:"revision" msgpack:"v"`
+	Removed              bool   `json:"removed,omitempty" msgpack:"x,omitempty"` // no longer in the list
+}
+
+// Newer implements rlbtable.Row.
+func (i Instance) Newer(old Instance) bool { return i.Revision > old.Revision }
+
+// Serves reports whether the instance may be given new work.
+func (i Instance) Serves() bool { return !i.Leaving && !i.Removed }
+
+// Engine is what an engine holds. Its version is the engine's own.
+type Engine struct {
+	ID          string               `json:"id" msgpack:"i"`
+	Incarnation uint64               `json:"incarnation" msgpack:"c"`
+	Sequence    uint64               `json:"sequence" msgpack:"s"`
+	Memory      rlbunit.Bytes        `json:"memory" msgpack:"m"`
+	Residents   []rlbengine.Resident `json:"residents" msgpack:"r"`
+	Draining    bool                 `json:"draining,omitempty" msgpack:"d,omitempty"`
+}
+
+// Newer implements rlbtable.Row.
+func (e Engine) Newer(old Engine) bool {
+	if e.Incarnation != old.Incarnation {
+		return e.Incarnation > old.Incarnation
+	}
+	return e.Sequence > old.Sequence
+}
+
+// Ready reports whether the engine serves the version of a model.
+func (e Engine) Ready(name, version string) bool {
+	for _, r := range e.Residents {
+		if r.Name == name && r.Version == version {
+			return r.Phase == rlbengine.PhaseReady
+		}
+	}
+	return false
+}
+
+// Load is how busy an engine is. Its version is the engine's report number.
+type Load struct {
+	ID             string `json:"id" msgpack:"i"`
+	Incarnation    uint64 `json:"incarnation" msgpack:"c"`
+	Report         uint64 `json:"report" msgpack:"n"`
+	rlbengine.Load `msgpack:",inline"`
+}
+
+// Newer implements rlbtable.Row.
+func (l Load) Newer(old Load) bool {
+	if l.Incarnation != old.Incarnation {
+		return l.Incarnation > old.Incarnation
+	}
+	return l.Report > old.Report
+}
+
+// Same reports whether the load equals old but for the report number.
+func (l Load) Same(old Load) bool {
+	l.Report = old.Report
+	return reflect.DeepEqual(l, old)
+}
+
+// NodeType says which program a node runs.
+type NodeType string
+
+// The types of nodes.
+const (
+	NodeGateway    NodeType = "gateway"
+	NodeController NodeType = "controller"
+)
+
+// NodeKey names a node: one program on one entry instance.
+type NodeKey struct {
+	Type NodeType `json:"type" msgpack:"t"`
+	ID   string   `json:"id" msgpack:"i"`
+}
+
+// Demand is the work asked for a model at one gateway, as a moving average.
+type Demand struct {
+	Model    string  `json:"model" msgpack:"m"`
+	Requests float64 `json:"requests" msgpack:"r"` // a second
+	InFlight int     `json:"in_flight" msgpack:"f"`
+	Refused  float64 `json:"refused,omitempty" msgpack:"x,omitempty"` // a second
+}
+
+// Node is a heartbeat of one of the system's own processes. Its version is the
+// time of its start and the number of its heartbeat.
+type Node struct {
+	NodeKey       `msgpack:",inline"`
+	Epoch         int64    `json:"epoch" msgpack:"e"` // start, Unix time in nanoseconds
+	Beat          uint64   `json:"beat" msgpack:"b"`
+	FailureDomain string   `json:"failure_domain" msgpack:"f"`
+	Address       string   `json:"address" msgpack:"a"` // control address of a controller, callers' of a gateway
+	NoteVersion   uint64   `json:"note_version" msgpack:"n"`
+	Leases        []string `json:"leases,omitempty" msgpack:"l,omitempty"`
+	Demand        []Demand `json:"demand,omitempty" msgpack:"d,omitempty"`
+	Draining      bool     `json:"draining,omitempty" msgpack:"x,omitempty"`
+}
+
+// Newer implements rlbtable.Row.
+func (n Node) Newer(old Node) bool {
+	if n.Epoch != old.Epoch {
+		return n.Epoch > old.Epoch
+	}
+	return n.Beat > old.Beat
+}
+
+// StrikeKey names a strike: a request, by the fingerprint of its content, was
+// running on an endpoint when that endpoint crashed.
+type StrikeKey struct {
+	Fingerprint uint64 `json:"fingerprint" msgpack:"p"`
+	Endpoint    string `json:"endpoint" msgpack:"e"`
+	Incarnation uint64 `json:"incarnation" msgpack:"c"`
+}
+
+// Strike is a strike until a deadline.
+type Strike struct {
+	StrikeKey `msgpack:",inline"`
+	Deadline  int64 `json:"deadline" msgpack:"d"` // Unix time in seconds
+}
+
+// Newer implements rlbtable.Row.
+func (s Strike) Newer(old Strike) bool { return s.Deadline > old.Deadline }
--- /dev/null
+++ b/lib/pkg/rlbworld/world.go
@@ -0,0 +1,145 @@
+package rlbworld
+
+import (
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbtable"
+)
+
+// World is one instance's knowledge of the fleet. It is not safe for
+// concurrent use.
+type World struct {
+	note      rlbnote.State
+	instances rlbtable.Replica[string, Instance]
+	engines   rlbtable.Replica[string, Engine]
+	loads     rlbtable.Replica[string, Load]
+	nodes     rlbtable.Replica[NodeKey, Node]
+	strikes   rlbtable.Replica[StrikeKey, Strike]
+	heard     map[NodeKey]time.Time // when a node's latest heartbeat came, on this instance's clock
+	reported  map[string]time.Time  // when an engine's latest report came
+}
+
+// New returns an empty world.
+func New() *World {
+	return &World{
+		instances: rlbtable.NewReplica[string, Instance](),
+		engines:   rlbtable.NewReplica[string, Engine](),
+		loads:     rlbtable.NewReplica[string, Load](),
+		nodes:     rlbtable.NewReplica[NodeKey, Node](),
+		strikes:   rlbtable.NewReplica[StrikeKey, Strike](),
+		heard:     map[NodeKey]time.Time{},
+		reported:  map[string]time.Time{},
+	}
+}
+
+// Note returns the release state in force here.
+func (w *World) Note() rlbnote.State { return w.note }
+
+// Instances returns the table of the platform's list.
+func (w *World) Instances() *rlbtable.Table[string, Instance] { return w.instances.Table }
+
+// Engines returns the table of what engines hold.
+func (w *World) Engines() *rlbtable.Table[string, Engine] { return w.engines.Table }
+
+// Loads returns the table of how busy engines are.
+func (w *World) Loads() *rlbtable.Table[string, Load] { return w.loads.Table }
+
+// Nodes returns the table of the system's own processes.
+func (w *World) Nodes() *rlbtable.Table[NodeKey, Node] { return w.nodes.Table }
+
+// Strikes returns the table of strikes.
+func (w *World) Strikes() *rlbtable.Table[StrikeKey, Strike] { return w.strikes.Table }
+
+// Heard returns when the node's latest heartbeat came.
+func (w *World) Heard(key NodeKey) time.Time { return w.heard[key] }
+
+// Reported returns when the engine's latest report came.
+func (w *World) Reported(id string) time.Time { return w.reported[id] }
+
+// MergeNote takes a release state if it is newer, and reports whether it did.
+func (w *World) MergeNote(state rlbnote.State) bool {
+	if !state.Newer(w.note) {
+		return false
+	}
+	w.note = state
+	return true
+}
+
+// MergeList takes a list read from the platform. Entries that are missing from
+// it are marked as removed. A list older than what is known changes nothing.
+func (w *World) MergeList(list rlbinstance.List) {
+	present := map[string]bool{}
+	for _, instance := range list.Instances {
+		present[instance.ID] = true
+		old, known := w.instances.Get(instance.ID)
+		if known && old.Instance == instance && !old.Removed {
+			continue
+		}
+		w.instances.Merge(instance.ID, Instance{Instance: instance, Revision: list.Revision})
+	}
+	var missing []Instance
+	w.instances.All(func(id string, row Instance) bool {
+		if !present[id] && !row.Removed {
+			missing = append(missing, row)
+		}
+		return true
+	})
+	for _, row := range missing {
+		row.Removed, row.Revision = true, list.Revision
+		w.instances.Merge(row.ID, row)
+	}
+}
+
+// MergeState takes an engine's report read at now.
+func (w *World) MergeState(state rlbengine.State, now time.Time) {
+	w.reported[state.ID] = now
+	w.engines.Merge(state.ID, Engine{
+		ID:          state.ID,
+		Incarnation: state.Incarnation,
+		Sequence:    state.Sequence,
+		Memory:      state.Memory,
+		Residents:   state.Residents,
+		Draining:    state.Draining,
+	})
+	load := Load{ID: state.ID, Incarnation: state.Incarnation, Report: state.Report, Load: state.Load}
+	if old, known := w.loads.Get(state.ID); known && load.Same(old) {
+		return // an unchanged load is not told again
+	}
+	w.loads.Merge(state.ID, load)
+}
+
+// MergeNode takes a heartbeat that came at now.
+func (w *World) MergeNode(node Node, now time.Time) {
+	if w.nodes.Merge(node.NodeKey, node) {
+		w.heard[node.NodeKey] = now
+	}
+}
+
+// MergeStrike takes a strike, and reports whether it was new.
+func (w *World) MergeStrike(strike Strike) bool {
+	return w.strikes.Merge(strike.StrikeKey, strike)
+}
+
+// Expire drops strikes past their deadline and nodes not heard of since the
+// given time.
+func (w *World) Expire(now time.Time, silentSince time.Time) {
+	var lapsed []StrikeKey
+	w.strikes.All(func(key StrikeKey, s Strike) bool {
+		if s.Deadline <= now.Unix() {
+			lapsed = append(lapsed, key)
+		}
+		return true
+	})
+	for _, key := range lapsed {
+		w.strikes.Delete(key)
+	}
+	for key, at := range w.heard {
+		if at.Before(silentSince) {
+			w.nodes.Delete(key)
+			delete(w.heard, key)
+		}
+	}
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbconsole/console.go
@@ -0,0 +1,155 @@
+// Package rlbconsole serves operators over HTTP.
+package rlbconsole
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
+	"github.com/rhubarblb/rhubarblb/rlb-controller/pkg/rlbcontrol"
+)
+
+// defaultHistory is how many notes the history shows.
+const defaultHistory = 20
+
+// Console serves operators.
+type Console struct {
+	controller *rlbcontrol.Controller
+	metrics    metrics.Registry
+}
+
+// New returns a console of a controller.
+func New(controller *rlbcontrol.Controller, registry metrics.Registry) *Console {
+	return &Console{controller, registry}
+}
+
+// Handler returns the HTTP handler.
+func (c *Console) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /operator/note", c.publish)
+	mux.HandleFunc("POST /operator/note/validate", c.validate)
+	mux.HandleFunc("GET /operator/note", c.note)
+	mux.HandleFunc("GET /operator/note/history", c.history)
+	mux.HandleFunc("GET /operator/status", c.status)
+	mux.HandleFunc("GET /operator/explain", c.explain)
+	mux.HandleFunc("GET /metrics", c.showMetrics)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	return mux
+}
+
+func (c *Console) publish(w http.ResponseWriter, r *http.Request) {
+	note, ok := readNote(w, r)
+	if !ok {
+		return
+	}
+	record, err := c.controller.Publish(r.Context(), note)
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, rlboperator.Accepted(record))
+}
+
+func (c *Console) validate(w http.ResponseWriter, r *http.Request) {
+	note, ok := readNote(w, r)
+	if !ok {
+		return
+	}
+	if note.ID == "" {
+		note.ID = "validate"
+	}
+	before, after, err := c.controller.Validate(r.Context(), note)
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, rlboperator.Checked{Base: before.Version, Differences: rlbnote.Diff(before, after)})
+}
+
+func readNote(w http.ResponseWriter, r *http.Request) (rlbnote.Note, bool) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, int64(rlbnote.MaxBytes)+1))
+	if err != nil {
+		return rlbnote.Note{}, false // the operator left within the call
+	}
+	name := r.Header.Get(rlboperator.HeaderName)
+	if name == "" {
+		name = "note"
+	}
+	note, err := rlbnote.Parse(name, text)
+	if err != nil {
+		reject(w, err)
+		return note, false
+	}
+	return note, true
+}
+
+// reject answers with the kind of the failure and what the operator needs to
+// go on.
+func reject(w http.ResponseWriter, err error) {
+	rejection := rlboperator.Rejection{Problem: err.Error(), Kind: rlboperator.KindInvalid}
+	status := http.StatusUnprocessableEntity
+	var publish *rlbcontrol.PublishError
+	if errors.As(err, &publish) {
+		rejection.Current = publish.Current
+		for _, p := range publish.Since {
+			rejection.Since = append(rejection.Since, rlboperator.Past(p))
+		}
+	}
+	var note *rlbnote.Error
+	switch {
+	case publish != nil && publish.Unsure:
+		rejection.Kind, status = rlboperator.KindUnsure, http.StatusGatewayTimeout
+	case rlbnote.Is(err, rlbnote.KindStale):
+		rejection.Kind, status = rlboperator.KindStale, http.StatusConflict
+	case rlbnote.Is(err, rlbnote.KindInfeasible):
+		rejection.Kind = rlboperator.KindInfeasible
+	case !errors.As(err, &note):
+		rejection.Kind, status = rlboperator.KindUnavailable, http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, rejection)
+}
+
+func (c *Console) note(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, c.controller.Note())
+}
+
+func (c *Console) history(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.URL.Query().Get("n"))
+	if err != nil || n < 1 {
+		n = defaultHistory
+	}
+	past, err := c.controller.History(r.Context(), n)
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	all := []rlboperator.Past{}
+	for _, p := range past {
+		all = append(all, rlboperator.Past(p))
+	}
+	writeJSON(w, http.StatusOK, all)
+}
+
+func (c *Console) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, c.controller.Status())
+}
+
+func (c *Console) explain(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, c.controller.Explain(r.URL.Query().Get("about")))
+}
+
+func (c *Console) showMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(c.metrics, w)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // an operator that left needs no answer
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/claims.go
@@ -0,0 +1,275 @@
+package rlbcontrol
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Objects of claims: the head of each shard, and its sealed segments.
+const (
+	claimKind   = "rlb-claim"
+	segmentKind = "rlb-claim-segment"
+)
+
+// claimTimeout is the longest time that a claim waits for its write.
+const claimTimeout = 3 * time.Second
+
+// methodShard is the call by which one controller asks another for its shard.
+const methodShard rlblink.Method = "shard"
+
+// methods returns the calls that this controller answers.
+func (c *Controller) methods() map[rlblink.Method]func(context.Context, []byte) (any, error) {
+	return map[rlblink.Method]func(context.Context, []byte) (any, error){
+		rlbclaim.MethodClaim: c.answerClaim,
+		methodShard:          c.answerShard,
+	}
+}
+
+// answerClaim carries out a gateway's operation at the shard's owner. When the
+// owner cannot be reached, it is carried out here: conditional writes keep two
+// controllers from granting the same key.
+func (c *Controller) answerClaim(ctx context.Context, body []byte) (any, error) {
+	var op rlbclaim.Operation
+	if err := msgpack.Unmarshal(body, &op); err != nil {
+		return nil, fmt.Errorf("decode operation: %w", err)
+	}
+	if owner := c.shardOwner(op.Entry.Key); owner != nil {
+		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		var result rlbclaim.Result
+		if err := owner.Call(ctx, methodShard, op, &result); err == nil {
+			return result, nil
+		}
+	}
+	return c.runClaim(ctx, op), nil
+}
+
+func (c *Controller) answerShard(ctx context.Context, body []byte) (any, error) {
+	var op rlbclaim.Operation
+	if err := msgpack.Unmarshal(body, &op); err != nil {
+		return nil, fmt.Errorf("decode operation: %w", err)
+	}
+	return c.runClaim(ctx, op), nil
+}
+
+// shardOwner returns the link to the owner of a key's shard, or nil if that is
+// this controller.
+func (c *Controller) shardOwner(key rlbclaim.Key) *rlblink.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shard := strconv.Itoa(key.Shard(len(c.shards)))
+	owner := rlbmember.Owner("claim/"+shard, rlbmember.Duty(c.live, ""))
+	for _, member := range c.live {
+		if member.ID == owner && owner != c.id {
+			if p, linked := c.peers[member.Address]; linked {
+				return p.client
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Controller) runClaim(ctx context.Context, op rlbclaim.Operation) rlbclaim.Result {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return c.shards[op.Entry.Key.Shard(len(c.shards))].do(ctx, op)
+}
+
+// shard carries the writes of one shard's ledger out. It runs only while
+// operations wait.
+type shard struct {
+	c       *Controller
+	name    string
+	window  time.Duration // between two writes
+	mu      sync.Mutex
+	ledger  *rlbclaim.Ledger
+	waiting map[rlbclaim.Ticket]chan rlbclaim.Result
+	next    rlbclaim.Ticket
+	running bool
+	wrote   time.Time
+}
+
+func newShard(c *Controller, number int) *shard {
+	return &shard{
+		c: c, name: strconv.Itoa(number),
+		window:  c.Settings.Duration(rlbsettings.ControllerCommit),
+		ledger:  rlbclaim.NewLedger(strconv.FormatInt(c.epoch, 36)+"-"+c.id, number),
+		waiting: map[rlbclaim.Ticket]chan rlbclaim.Result{},
+	}
+}
+
+// do submits an operation and waits for its result.
+func (s *shard) do(ctx context.Context, op rlbclaim.Operation) rlbclaim.Result {
+	result := make(chan rlbclaim.Result, 1)
+	s.mu.Lock()
+	s.next++
+	ticket := s.next
+	s.waiting[ticket] = result
+	s.ledger.Submit(ticket, op)
+	if !s.running {
+		s.running = true
+		s.c.spawn(s.run)
+	}
+	s.mu.Unlock()
+	select {
+	case r := <-result:
+		return r
+	case <-ctx.Done():
+		s.mu.Lock()
+		delete(s.waiting, ticket)
+		s.mu.Unlock()
+		return rlbclaim.Result{Status: rlbclaim.Unavailable}
+	}
+}
+
+// run writes until no operation waits.
+func (s *shard) run() {
+	deadline := time.Now().Add(claimTimeout)
+	for {
+		s.mu.Lock()
+		if s.ledger.Pending() == 0 {
+			s.running = false
+			s.mu.Unlock()
+			return
+		}
+		pause := time.Until(s.wrote.Add(s.window))
+		s.mu.Unlock()
+		time.Sleep(pause) // lets others share the write
+		if s.round() {
+			deadline = time.Now().Add(claimTimeout)
+		} else if time.Now().After(deadline) {
+			s.giveUp()
+			deadline = time.Now().Add(claimTimeout)
+		}
+	}
+}
+
+// round loads the shard or makes one write, and reports whether that worked.
+func (s *shard) round() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	s.mu.Lock()
+	loaded := s.ledger.Loaded()
+	s.mu.Unlock()
+	if !loaded && !s.load(ctx) {
+		time.Sleep(s.window)
+		return false
+	}
+	s.mu.Lock()
+	write, err := s.ledger.Next(time.Now().Unix())
+	s.deliver()
+	s.mu.Unlock()
+	if err != nil {
+		s.c.Log.WithError(err).Error("claims")
+		return false
+	}
+	return write == nil || s.write(ctx, write)
+}
+
+func (s *shard) giveUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.GiveUp()
+	s.deliver()
+}
+
+// deliver hands results to those who wait; s.mu is held.
+func (s *shard) deliver() {
+	for _, done := range s.ledger.Results() {
+		if result, waits := s.waiting[done.Ticket]; waits {
+			result <- done.Result
+			delete(s.waiting, done.Ticket)
+		}
+	}
+}
+
+// load reads the shard's head and segments.
+func (s *shard) load(ctx context.Context) bool {
+	var head rlbclaim.Head
+	object, err := s.c.Objects.Get(ctx, rlbobject.Key{Kind: claimKind, Name: s.name})
+	if err != nil && !rlbobject.Is(err, rlbobject.KindNotFound) {
+		return false
+	}
+	if err == nil {
+		if err := msgpack.Unmarshal(object.Value, &head); err != nil {
+			s.c.Log.WithError(err).Error("claims cannot be read")
+			return false
+		}
+	}
+	sealed, ok := s.loadSegments(ctx, head)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Load(object.Version, head, sealed)
+	s.deliver()
+	return true
+}
+
+func (s *shard) loadSegments(ctx context.Context, head rlbclaim.Head) ([]rlbclaim.Entry, bool) {
+	var all []rlbclaim.Entry
+	for _, segment := range head.Segments {
+		object, err := s.c.Objects.Get(ctx, rlbobject.Key{Kind: segmentKind, Name: segment.Name})
+		if err != nil {
+			return nil, false
+		}
+		var entries []rlbclaim.Entry
+		if err := msgpack.Unmarshal(object.Value, &entries); err != nil {
+			s.c.Log.WithError(err).Error("claims cannot be read")
+			return nil, false
+		}
+		all = append(all, entries...)
+	}
+	return all, true
+}
+
+func (s *shard) write(ctx context.Context, w *rlbclaim.Write) bool {
+	version, err := rlbobject.Version(0), error(nil)
+	if w.Segment != nil {
+		_, err = s.c.Objects.Put(ctx, rlbobject.Key{Kind: segmentKind, Name: w.Segment.Name}, w.Segment.Value, 0)
+		if rlbobject.Is(err, rlbobject.KindConflict) {
+			err = nil // an earlier try created it
+		}
+	}
+	if err == nil {
+		version, err = s.c.Objects.Put(ctx, rlbobject.Key{Kind: claimKind, Name: s.name}, w.Head, w.Given)
+	}
+	s.mu.Lock()
+	s.wrote = time.Now()
+	switch {
+	case err == nil:
+		s.ledger.Written(version)
+	case rlbobject.Is(err, rlbobject.KindUnknown):
+		s.ledger.Lost()
+	default:
+		s.ledger.Refused(rlbobject.Is(err, rlbobject.KindConflict))
+	}
+	s.deliver()
+	s.mu.Unlock()
+	if err == nil {
+		s.drop(ctx, w.Drop)
+	}
+	return err == nil || rlbobject.Is(err, rlbobject.KindConflict)
+}
+
+// drop deletes segments whose entries are past their deadline. One that is
+// left behind is garbage that nothing names.
+func (s *shard) drop(ctx context.Context, names []string) {
+	for _, name := range names {
+		key := rlbobject.Key{Kind: segmentKind, Name: name}
+		if object, err := s.c.Objects.Get(ctx, key); err == nil {
+			_ = s.c.Objects.Delete(ctx, key, object.Version)
+		}
+	}
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/collector.go
@@ -0,0 +1,44 @@
+package rlbcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// collect asks the engines that fall to this controller for their reports;
+// c.mu is held.
+func (c *Controller) collect(ctx context.Context, now time.Time) {
+	period := c.Settings.Duration(rlbsettings.ControllerPoll)
+	c.world.Instances().All(func(id string, i rlbworld.Instance) bool {
+		if i.Type != rlbinstance.TypeEngine || i.Removed {
+			delete(c.polls, id)
+			return true
+		}
+		if now.Before(c.polls[id]) || rlbmember.Collector(id, i.FailureDomain, c.live) != c.id {
+			return true
+		}
+		c.polls[id] = now.Add(period)
+		c.spawn(func() { c.poll(ctx, i) })
+		return true
+	})
+}
+
+func (c *Controller) poll(ctx context.Context, i rlbworld.Instance) {
+	state, err := c.Engine(i.Control).State(ctx)
+	if err != nil {
+		c.Log.WithError(err).WithField("endpoint", i.ID).Debug("no report")
+		return
+	}
+	if state.ID != i.ID {
+		c.Log.WithField("endpoint", i.ID).WithField("answered_by", state.ID).Warn("another endpoint answers at this address")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.world.MergeState(state, time.Now())
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -0,0 +1,226 @@
+// Package rlbcontrol runs the systems of a controller over its tables each
+// tick and carries out the steps they ask for: membership, collection of load
+// reports, leases, orders to engines, placement, release notes and claims.
+package rlbcontrol
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbweight"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// Fixed terms of a controller.
+const (
+	silence       = 2 * time.Second        // after which a peer without heartbeats counts as dead
+	updatePeriod  = 250 * time.Millisecond // between two updates of a link
+	planPeriod    = time.Second
+	forgetNodes   = 10 * time.Minute // after which a silent node is forgotten
+	engineTimeout = 2 * time.Second  // longest wait for an engine's control side
+)
+
+// Opts are the parts of a controller.
+type Opts struct {
+	*rlbcommon.Common
+	Objects   rlbobject.API
+	Instances rlbinstance.Lister
+	Weights   rlbweight.Store
+	Engine    func(address string) rlbengine.Engine
+	Dial      rlblink.Dial
+	Address   string // own control address
+	Metrics   metrics.Registry
+}
+
+// Controller is one controller. All tables are guarded by mu; what does I/O
+// runs outside of it and feeds its result back.
+type Controller struct {
+	Opts
+	id        string
+	domain    string
+	life      string // unique to this process's life
+	epoch     int64
+	member    rlbmember.Opts
+	placement rlbplace.Opts
+
+	mu       sync.Mutex
+	world    *rlbworld.World
+	live     []rlbmember.Controller
+	beat     uint64
+	draining bool
+	watching bool
+	polls    map[string]time.Time // when an engine's next report is due
+	peers    map[string]*peer
+	leases   map[string]*leaseState
+	books    map[string]*bookState
+	guards   guardState
+	demand   map[string]float64
+	planned  time.Time
+	plan     []rlbplace.Proposal
+	loads    loadLimit
+	shards   []*shard
+	journal  journal
+	note     noteSource
+	group    sync.WaitGroup
+}
+
+// New returns a controller that does nothing until Run.
+func New(opts Opts) *Controller {
+	s := opts.Settings
+	id, domain := s.Text(rlbsettings.InstanceID), s.Text(rlbsettings.InstanceDomain)
+	c := &Controller{
+		Opts: opts, id: id, domain: domain, life: id + "/" + uuid.NewString()[:8], epoch: time.Now().UnixNano(),
+		member: rlbmember.Opts{
+			Self:    rlbmember.Controller{ID: id, FailureDomain: domain, Address: opts.Address},
+			Silence: silence,
+		},
+		placement: rlbplace.Opts{
+			MoveWeight:  s.Ratio(rlbsettings.ControllerMoves),
+			Slots:       defaultSlots,
+			LoadsAtOnce: s.Int(rlbsettings.ControllerLoadSlots),
+		},
+		world:  rlbworld.New(),
+		polls:  map[string]time.Time{},
+		peers:  map[string]*peer{},
+		leases: map[string]*leaseState{},
+		books:  map[string]*bookState{},
+		demand: map[string]float64{},
+		loads:  loadLimit{rate: s.Ratio(rlbsettings.ControllerLoadRate)},
+	}
+	for i := range s.Int(rlbsettings.ControllerShards) {
+		c.shards = append(c.shards, newShard(c, i))
+	}
+	return c
+}
+
+// defaultSlots is how many requests a replica is taken to serve at once.
+const defaultSlots = 32
+
+// Run ticks until ctx ends, then waits for what it began.
+func (c *Controller) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer c.group.Wait()
+	defer cancel()
+	defer c.closePeers()
+	ticker := time.NewTicker(c.Settings.Duration(rlbsettings.ControllerTick))
+	defer ticker.Stop()
+	for {
+		c.tick(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain gives up duties and leases; the controller goes on serving its links.
+func (c *Controller) Drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	c.member.Self.Draining = true
+}
+
+// tick runs every system once.
+func (c *Controller) tick(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.world.Expire(now, now.Add(-forgetNodes))
+	c.live = rlbmember.Live(c.world, now, c.member)
+	c.heartbeat(now)
+	c.linkPeers(ctx)
+	c.watch(ctx)
+	c.collect(ctx, now)
+	c.runLeases(ctx, now)
+	c.runPlacement(now)
+	c.runOrders(ctx, now)
+}
+
+// heartbeat renews this controller's own row.
+func (c *Controller) heartbeat(now time.Time) {
+	c.beat++
+	node := rlbworld.Node{
+		NodeKey: rlbworld.NodeKey{Type: rlbworld.NodeController, ID: c.id},
+		Epoch:   c.epoch, Beat: c.beat, FailureDomain: c.domain, Address: c.Address,
+		NoteVersion: c.world.Note().Version, Draining: c.draining,
+	}
+	for domain, l := range c.leases {
+		if _, held := l.lease.Held(now); held {
+			node.Leases = append(node.Leases, domain)
+		}
+	}
+	c.world.MergeNode(node, now)
+}
+
+// spawn runs f outside of c.mu and waits for it at the end of Run.
+func (c *Controller) spawn(f func()) {
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		f()
+	}()
+}
+
+// OwnsEngine implements rlbworld.Sources.
+func (c *Controller) OwnsEngine(id string) bool {
+	i, known := c.world.Instances().Get(id)
+	return known && rlbmember.Collector(id, i.FailureDomain, c.live) == c.id
+}
+
+// OwnsNode implements rlbworld.Sources: its own row and those of the gateways
+// that report here.
+func (c *Controller) OwnsNode(key rlbworld.NodeKey) bool {
+	if key.Type == rlbworld.NodeController {
+		return key.ID == c.id
+	}
+	_, reports := c.note.gateways[key.ID]
+	return reports
+}
+
+// Delta implements rlblink.Backend.
+func (c *Controller) Delta(cursor *rlbworld.Cursor) rlbworld.Update {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.world.Delta(cursor, c)
+}
+
+// Report implements rlblink.Backend.
+func (c *Controller) Report(u rlbworld.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, node := range u.Nodes {
+		if node.Type == rlbworld.NodeGateway {
+			c.note.reported(node.ID)
+		}
+	}
+	c.world.Merge(u, time.Now())
+}
+
+// merge takes what a peer tells.
+func (c *Controller) merge(u rlbworld.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.world.Merge(u, time.Now())
+}
+
+// Answer implements rlblink.Backend.
+func (c *Controller) Answer(ctx context.Context, method rlblink.Method, body []byte) (any, error) {
+	handler, known := c.methods()[method]
+	if !known {
+		return nil, fmt.Errorf("unknown method %q", method)
+	}
+	return handler(ctx, body)
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/guards.go
@@ -0,0 +1,212 @@
+package rlbcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
+)
+
+// guardsKey is the object in which all lease holders record guards.
+var guardsKey = rlbobject.Key{Kind: "rlb-guard", Name: "models"}
+
+// guardPeriod is how often a lease holder reads the guards when it changes
+// none.
+const guardPeriod = 3 * time.Second
+
+// guardState is what this controller knows of the guards.
+type guardState struct {
+	value rlbplace.Guards
+	busy  bool
+	read  time.Time
+}
+
+// guardChange is a change of the guards that this controller wants. It is only
+// made for engines whose book is here and idle.
+type guardChange struct {
+	operation     guardOperation
+	book          *bookState
+	name, version string
+}
+
+type guardOperation int
+
+const (
+	guardKeep guardOperation = iota
+	guardRetire
+	guardRetired
+)
+
+// mayUnload reports whether the guards allow the unload of a version in force.
+func (g *guardState) mayUnload(c *Controller, p rlbplace.Proposal) bool {
+	guard := g.value.Models[p.Name]
+	if guard.Version != p.Version || !slices.Contains(guard.Retiring, p.Endpoint) {
+		return false
+	}
+	kept, known := c.world.Engines().Get(guard.Endpoint)
+	return known && kept.Ready(p.Name, p.Version)
+}
+
+// runGuards begins the changes that the plan and the state of this
+// controller's engines ask for; c.mu is held.
+func (c *Controller) runGuards(now time.Time) {
+	if c.guards.busy {
+		return
+	}
+	changes := c.keepChanges()
+	changes = append(changes, c.retireChanges()...)
+	if len(changes) == 0 && now.Before(c.guards.read.Add(guardPeriod)) {
+		return
+	}
+	c.guards.busy = true
+	c.spawn(func() { c.changeGuards(changes) })
+}
+
+// keepChanges asks to guard a replica of each model whose guard is missing, is
+// no longer ready, or stands in the way of the plan.
+func (c *Controller) keepChanges() []guardChange {
+	inTheWay := map[string]bool{}
+	for _, p := range c.plan {
+		if p.Current && c.guards.value.Protects(p.Name, p.Version, p.Endpoint) {
+			inTheWay[p.Name] = true
+		}
+	}
+	var changes []guardChange
+	for name, m := range c.world.Note().Models {
+		guard := c.guards.value.Models[name]
+		kept, known := c.world.Engines().Get(guard.Endpoint)
+		serves, listed := c.world.Instances().Get(guard.Endpoint)
+		good := guard.Version == m.Version && known && kept.Ready(name, m.Version) && listed && serves.Serves() && !kept.Draining
+		if good && !inTheWay[name] {
+			continue
+		}
+		if b := c.readyHere(name, m.Version, guard); b != nil {
+			changes = append(changes, guardChange{guardKeep, b, name, m.Version})
+		}
+	}
+	return changes
+}
+
+// readyHere returns the book of an engine of this controller that has a ready
+// replica other than the guarded one, or nil.
+func (c *Controller) readyHere(name, version string, guard rlbplace.Guard) *bookState {
+	for id, b := range c.books {
+		state, stated := b.book.State()
+		if id == guard.Endpoint && guard.Version == version || !stated || !b.book.Idle() || !b.instance.Serves() {
+			continue
+		}
+		engine, _ := c.world.Engines().Get(id)
+		if engine.Ready(name, version) && !engine.Draining && state.Incarnation == engine.Incarnation {
+			return b
+		}
+	}
+	return nil
+}
+
+// retireChanges asks to record unloads that the plan proposes, and to forget
+// those that are done or no longer wanted.
+func (c *Controller) retireChanges() []guardChange {
+	wanted := map[[2]string]bool{}
+	var changes []guardChange
+	for _, p := range c.plan {
+		b, own := c.books[p.Endpoint]
+		if !p.Current || !own {
+			continue
+		}
+		wanted[[2]string{p.Name, p.Endpoint}] = true
+		guard := c.guards.value.Models[p.Name]
+		if !slices.Contains(guard.Retiring, p.Endpoint) && guard.Endpoint != p.Endpoint && b.book.Idle() {
+			changes = append(changes, guardChange{guardRetire, b, p.Name, p.Version})
+		}
+	}
+	for name, guard := range c.guards.value.Models {
+		for _, endpoint := range guard.Retiring {
+			b, own := c.books[endpoint]
+			if own && b.book.Idle() && !wanted[[2]string{name, endpoint}] {
+				changes = append(changes, guardChange{guardRetired, b, name, guard.Version})
+			}
+		}
+	}
+	return changes
+}
+
+// changeGuards reads the guards, applies the changes and writes them back. A
+// write that does not take effect is tried anew by a later plan, on what is
+// then read.
+func (c *Controller) changeGuards(changes []guardChange) {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
+	defer cancel()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.guards.busy = false
+	}()
+	guards, version, err := c.readGuards(ctx)
+	if err != nil {
+		c.Log.WithError(err).Debug("guards not read")
+		return
+	}
+	next := guards
+	for _, change := range changes {
+		next = c.applyGuard(ctx, next, change)
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		c.Log.WithError(err).Error("guards")
+		return
+	}
+	if before, _ := json.Marshal(guards); string(before) != string(value) { // encoded before
+		if _, err := c.Objects.Put(ctx, guardsKey, value, version); err != nil {
+			c.Log.WithError(err).Debug("guards not written")
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guards.value, c.guards.read = next, time.Now()
+}
+
+func (c *Controller) readGuards(ctx context.Context) (rlbplace.Guards, rlbobject.Version, error) {
+	var guards rlbplace.Guards
+	object, err := c.Objects.Get(ctx, guardsKey)
+	if rlbobject.Is(err, rlbobject.KindNotFound) {
+		return guards, 0, nil
+	}
+	if err != nil {
+		return guards, 0, err
+	}
+	return guards, object.Version, json.Unmarshal(object.Value, &guards)
+}
+
+// applyGuard applies one change, if the engine itself still shows its reason.
+func (c *Controller) applyGuard(ctx context.Context, g rlbplace.Guards, change guardChange) rlbplace.Guards {
+	id := change.book.instance.ID
+	if change.operation == guardRetire {
+		next, _ := g.Retire(change.name, change.version, id) // refused: it is the guarded one now
+		return next
+	}
+	state, err := c.Engine(change.book.instance.Control).State(ctx)
+	if err != nil || state.ID != id || !c.stillIdle(change.book) {
+		return g
+	}
+	if change.operation == guardRetired {
+		return g.Retired(change.name, change.version, id)
+	}
+	for _, r := range state.Residents {
+		if r.Name == change.name && r.Version == change.version && r.Phase == rlbengine.PhaseReady {
+			next, _ := g.Keep(change.name, change.version, id) // refused: it is being unloaded
+			return next
+		}
+	}
+	return g
+}
+
+func (c *Controller) stillIdle(b *bookState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.books[b.instance.ID] == b && b.book.Idle()
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/orders.go
@@ -0,0 +1,161 @@
+package rlbcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborder"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// intentKind is the kind of the objects that hold intents, one for each engine.
+const intentKind = "rlb-intent"
+
+// bookState is the book of one engine.
+type bookState struct {
+	book     *rlborder.Book
+	instance rlbworld.Instance
+}
+
+// runOrders lets the book of each engine in the failure domains whose lease is
+// held take its next step; c.mu is held.
+func (c *Controller) runOrders(ctx context.Context, now time.Time) {
+	c.world.Instances().All(func(id string, i rlbworld.Instance) bool {
+		fence, held := c.holds(i.FailureDomain, now)
+		if i.Type != rlbinstance.TypeEngine || i.Removed || !held {
+			delete(c.books, id)
+			return true
+		}
+		b, known := c.books[id]
+		if !known || b.book.Fence() != fence {
+			b = &bookState{book: rlborder.New(id, i.Fencing, fence)}
+			c.books[id] = b
+		}
+		b.instance = i
+		c.refreshBook(b)
+		c.stepBook(ctx, now, b)
+		return true
+	})
+}
+
+// refreshBook makes the book read the engine's state again when a report shows
+// a newer one.
+func (c *Controller) refreshBook(b *bookState) {
+	engine, known := c.world.Engines().Get(b.instance.ID)
+	state, stated := b.book.State()
+	if !known || !stated {
+		return
+	}
+	if engine.Newer(rlbworld.Engine{Incarnation: state.Incarnation, Sequence: state.Sequence}) {
+		b.book.Refresh()
+	}
+}
+
+func (c *Controller) stepBook(ctx context.Context, now time.Time, b *bookState) {
+	plan, err := b.book.Next(now)
+	if err != nil {
+		c.Log.WithError(err).Error("intent")
+		return
+	}
+	key := rlbobject.Key{Kind: intentKind, Name: b.instance.ID}
+	switch plan.Step {
+	case rlborder.StepRead:
+		c.spawn(func() { c.readIntent(ctx, key, b) })
+	case rlborder.StepWrite:
+		c.spawn(func() { c.writeIntent(ctx, key, b, plan) })
+	case rlborder.StepState:
+		c.spawn(func() { c.readState(ctx, b) })
+	case rlborder.StepSend:
+		c.spawn(func() { c.sendOrder(ctx, b, plan.Order) })
+	}
+}
+
+func (c *Controller) readIntent(ctx context.Context, key rlbobject.Key, b *bookState) {
+	object, err := c.Objects.Get(ctx, key)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && !rlbobject.Is(err, rlbobject.KindNotFound) {
+		b.book.ReadFailed()
+		return
+	}
+	if err := b.book.Read(object.Version, object.Value); err != nil {
+		c.Log.WithError(err).Error("intent")
+	}
+}
+
+func (c *Controller) writeIntent(ctx context.Context, key rlbobject.Key, b *bookState, plan rlborder.Plan) {
+	version, err := c.Objects.Put(ctx, key, plan.Value, plan.Given)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		b.book.Written(version)
+	case rlbobject.Is(err, rlbobject.KindUnknown):
+		b.book.WriteLost()
+	default:
+		b.book.WriteRefused(rlbobject.Is(err, rlbobject.KindConflict))
+	}
+}
+
+func (c *Controller) readState(ctx context.Context, b *bookState) {
+	state, err := c.Engine(b.instance.Control).State(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil || state.ID != b.instance.ID {
+		b.book.StateFailed()
+		return
+	}
+	b.book.StateRead(state)
+	c.world.MergeState(state, time.Now())
+}
+
+// sendOrder sends an order, unless the lease is no longer held at that moment.
+func (c *Controller) sendOrder(ctx context.Context, b *bookState, order rlbengine.Order) {
+	engine := c.Engine(b.instance.Control)
+	c.mu.Lock()
+	fence, held := c.holds(b.instance.FailureDomain, time.Now())
+	if !held || fence != b.book.Fence() {
+		b.book.NotSent(order)
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	state, err := engine.Order(ctx, order)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tellOrder(b, order, err)
+	if err == nil {
+		b.book.Accepted(order, state)
+		c.world.MergeState(state, time.Now())
+		return
+	}
+	switch kind, _ := rlberror.KindOf[rlbengine.Kind](err); kind {
+	case rlbengine.KindNotSent:
+		b.book.NotSent(order)
+	case rlbengine.KindRefused:
+		b.book.Refused(order)
+	case rlbengine.KindFenced:
+		b.book.Fenced()
+	default:
+		b.book.SendLost(order)
+	}
+}
+
+func (c *Controller) tellOrder(b *bookState, order rlbengine.Order, err error) {
+	outcome := "accepted"
+	if err != nil {
+		outcome = err.Error()
+	}
+	subject := "endpoint/" + b.instance.ID
+	if order.Action == rlbengine.ActionFence {
+		c.journal.add(time.Now(), subject, "fence %d: %s", order.Fence, outcome)
+		return
+	}
+	c.journal.add(time.Now(), subject, "order %s %s@%s, fence %d: %s", order.Action, order.Name, order.Version, order.Fence, outcome)
+	c.Log.WithField("endpoint", b.instance.ID).WithField("order", order.ID).WithField("action", string(order.Action)).
+		WithField("model", order.Name+"@"+order.Version).WithField("outcome", outcome).Info("order")
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -0,0 +1,149 @@
+package rlbcontrol
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborder"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// demandWeight is the weight of the latest plan period in the moving average
+// of a model's demand.
+const demandWeight = 0.3
+
+// loadLimit spaces the loads that this controller begins, so that all together
+// keep within the weight store's rate.
+type loadLimit struct {
+	rate float64 // loads a second in the whole fleet
+	next time.Time
+}
+
+// take reports whether a load may begin at now, for a controller with a share
+// of the fleet.
+func (l *loadLimit) take(now time.Time, share float64) bool {
+	if now.Before(l.next) || share <= 0 {
+		return false
+	}
+	l.next = now.Add(time.Duration(float64(time.Second) / (l.rate * share)))
+	return true
+}
+
+// runPlacement plans and hands the proposals for its own engines to their
+// books; c.mu is held.
+func (c *Controller) runPlacement(now time.Time) {
+	if now.Before(c.planned.Add(planPeriod)) || len(c.books) == 0 {
+		return
+	}
+	c.planned = now
+	c.averageDemand(now)
+	c.plan = rlbplace.Plan(c.placementInput(now), c.placement)
+	for _, p := range c.plan {
+		c.propose(now, p)
+	}
+	c.runGuards(now)
+}
+
+// averageDemand takes the demand that gateways report into the moving average.
+func (c *Controller) averageDemand(now time.Time) {
+	current := map[string]float64{}
+	c.eachGateway(now, func(node rlbworld.Node) {
+		for _, d := range node.Demand {
+			current[d.Model] += float64(d.InFlight)
+		}
+	})
+	for name := range c.world.Note().Models {
+		c.demand[name] += demandWeight * (current[name] - c.demand[name])
+	}
+}
+
+// eachGateway calls f for each gateway whose heartbeats come.
+func (c *Controller) eachGateway(now time.Time, f func(rlbworld.Node)) {
+	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
+		if key.Type == rlbworld.NodeGateway && now.Sub(c.world.Heard(key)) <= silence {
+			f(node)
+		}
+		return true
+	})
+}
+
+func (c *Controller) placementInput(now time.Time) rlbplace.Input {
+	in := rlbplace.Input{
+		Note: c.world.Note(), Engines: c.placementEngines(), Demand: c.demand, Guards: c.guards.value, Settled: true,
+	}
+	c.eachGateway(now, func(node rlbworld.Node) {
+		in.Settled = in.Settled && node.NoteVersion >= in.Note.Version
+	})
+	return in
+}
+
+// placementEngines returns the engines by name; c.mu is held.
+func (c *Controller) placementEngines() []rlbplace.Engine {
+	var engines []rlbplace.Engine
+	c.world.Instances().All(func(id string, i rlbworld.Instance) bool {
+		e, known := c.world.Engines().Get(id)
+		if i.Type != rlbinstance.TypeEngine || i.Removed || !known {
+			return true
+		}
+		var record rlborder.Record
+		if b, own := c.books[id]; own {
+			record = b.book.Record()
+		}
+		engines = append(engines, rlbplace.Engine{
+			ID: id, Domain: i.FailureDomain, Role: i.Role, Memory: e.Memory,
+			Reserved: rlborder.Reserved(record, e.Residents), Residents: e.Residents,
+			Leaving: i.Leaving || e.Draining || c.silent(id),
+		})
+		return true
+	})
+	slices.SortFunc(engines, func(a, b rlbplace.Engine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return engines
+}
+
+// engineSilence is how long an engine may go without a report before its
+// replicas no longer count.
+const engineSilence = 10 * time.Second
+
+// silent reports whether an engine that this controller gives orders to sends
+// no reports; others' engines are judged by their own controllers.
+func (c *Controller) silent(id string) bool {
+	at := c.world.Reported(id)
+	return !at.IsZero() && time.Since(at) > engineSilence && c.OwnsEngine(id)
+}
+
+// propose hands a proposal to the book of its engine, if that is this
+// controller's.
+func (c *Controller) propose(now time.Time, p rlbplace.Proposal) {
+	b, own := c.books[p.Endpoint]
+	if !own || !b.book.Idle() {
+		return
+	}
+	if p.Action == rlbengine.ActionUnload && p.Current && !c.guards.mayUnload(c, p) {
+		return
+	}
+	if p.Action == rlbengine.ActionLoad && !c.loads.take(now, c.share()) {
+		return
+	}
+	if b.book.Propose(rlborder.Wish{Action: p.Action, Name: p.Name, Version: p.Version, Memory: p.Memory}) {
+		c.journal.add(now, "model/"+p.Name, "%s", p)
+	}
+}
+
+// share returns this controller's share of the failure domains.
+func (c *Controller) share() float64 {
+	held := 0
+	for _, l := range c.leases {
+		if l.fence > 0 {
+			held++
+		}
+	}
+	return float64(held) / float64(max(1, len(c.leases)))
+}
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/status.go
@@ -0,0 +1,92 @@
+package rlbcontrol
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// Status returns what this controller knows, for operators.
+func (c *Controller) Status() rlboperator.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	note := c.world.Note()
+	status := rlboperator.Status{Instance: c.id, NoteVersion: note.Version, NoteID: note.Last.ID, InForce: note.Version > 0}
+	c.eachGateway(now, func(node rlbworld.Node) {
+		status.Gateways++
+		status.InForce = status.InForce && node.NoteVersion >= note.Version
+	})
+	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
+		status.Nodes = append(status.Nodes, rlboperator.Node{Node: node, Silent: now.Sub(c.world.Heard(key)).Seconds()})
+		return true
+	})
+	slices.SortFunc(status.Nodes, func(a, b rlboperator.Node) int {
+		return strings.Compare(string(a.Type)+a.ID, string(b.Type)+b.ID)
+	})
+	for _, name := range slices.Sorted(maps.Keys(note.Models)) {
+		m := note.Models[name]
+		status.Models = append(status.Models, rlboperator.Model{Name: name, Version: m.Version, Ready: c.readyOn(name, m.Version), Demand: c.demand[name]})
+	}
+	c.world.Instances().All(func(_ string, i rlbworld.Instance) bool {
+		status.Endpoints = append(status.Endpoints, c.endpointStatus(i))
+		return true
+	})
+	slices.SortFunc(status.Endpoints, func(a, b rlboperator.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return status
+}
+
+func (c *Controller) readyOn(name, version string) []string {
+	ready := []string{}
+	c.world.Engines().All(func(id string, e rlbworld.Engine) bool {
+		if i, _ := c.world.Instances().Get(id); i.Serves() && e.Ready(name, version) {
+			ready = append(ready, id)
+		}
+		return true
+	})
+	slices.Sort(ready)
+	return ready
+}
+
+func (c *Controller) endpointStatus(i rlbworld.Instance) rlboperator.Endpoint {
+	e := rlboperator.Endpoint{ID: i.ID, Type: string(i.Type), FailureDomain: i.FailureDomain, Role: i.Role, State: "live"}
+	engine, known := c.world.Engines().Get(i.ID)
+	switch {
+	case i.Removed:
+		e.State = "removed"
+	case i.Leaving:
+		e.State = "leaving"
+	case known && engine.Draining:
+		e.State = "draining"
+	case known && c.silent(i.ID):
+		e.State = "silent"
+	}
+	if !known {
+		return e
+	}
+	var used rlbunit.Bytes
+	for _, r := range engine.Residents {
+		used += r.Memory
+		e.Residents = append(e.Residents, r.Name+"@"+r.Version+" "+string(r.Phase))
+	}
+	e.Memory, e.Used = engine.Memory.String(), used.String()
+	load, _ := c.world.Loads().Get(i.ID)
+	e.Running, e.Waiting = load.Running, load.Waiting
+	return e
+}
+
+// Explain returns the events about a word, oldest first.
+func (c *Controller) Explain(word string) []rlboperator.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	events := []rlboperator.Event{}
+	for _, e := range c.journal.about(word) {
+		events = append(events, rlboperator.Event{Time: e.Time, Instance: c.id, Subject: e.Subject, Text: e.Text})
+	}
+	return events
+}
--- /dev/null
+++ b/rlb-gateway/main.go
@@ -0,0 +1,15 @@
+// Command rlb-gateway serves callers on an entry instance.
+package main
+
+import (
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbapp"
+)
+
+func main() {
+	rlbcommon.Execute(rlbcommon.NewCommand(rlbcommon.ProgramOpts{
+		Name: "rlb-gateway", Short: "Serves callers: model requests and plain services",
+		For: rlbsettings.ForGateway, Run: rlbapp.Run,
+	}))
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -0,0 +1,158 @@
+// Package rlbapp puts the parts of a gateway together and runs them.
+package rlbapp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbcaller"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbfleet"
+)
+
+// Fixed terms of a gateway.
+const (
+	linkSilence  = 1500 * time.Millisecond // of a controller, after which another is linked
+	sweepPeriod  = time.Second
+	headerWait   = 10 * time.Second // for a caller's request header
+	callerIdle   = 2 * time.Minute  // of a caller's connection
+	lameDuck     = 2 * time.Second  // between not being ready and closing the listener
+	drainLogTime = 5 * time.Second
+)
+
+// app is a running gateway.
+type app struct {
+	*rlbcommon.Common
+	fleet  *rlbfleet.Fleet
+	server *rlbcaller.Server
+	link   *rlblink.Client
+	epoch  int64
+	beat   atomic.Uint64
+	id     string
+	domain string
+	listen string
+}
+
+// Run serves until stop ends, then shuts down gracefully.
+func Run(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
+	settings := common.Settings
+	policy, err := rlbroute.NewPolicy[*rlbroute.Endpoint](settings.Text(rlbsettings.GatewayPolicy), rand.Uint64)
+	if err != nil {
+		return fmt.Errorf("[gateway] policy: %w", err)
+	}
+	listener, err := rlbcommon.Listen(settings, rlbsettings.GatewayListen)
+	if err != nil {
+		return err
+	}
+	a := &app{
+		Common: common, id: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
+		epoch: time.Now().UnixNano(), listen: listener.Addr().String(),
+	}
+	a.fleet = rlbfleet.New(a.domain, time.Now)
+	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		Connect:    settings.Duration(rlbsettings.GatewayConnect),
+		FirstByte:  settings.Duration(rlbsettings.GatewayFirstToken),
+		NextByte:   settings.Duration(rlbsettings.GatewayNextToken),
+		SweepEvery: sweepPeriod,
+	})
+	defer closeDispatcher()
+	a.server = rlbcaller.New(rlbcaller.Opts{
+		Common: common, Fleet: a.fleet, Dispatcher: dispatcher, Policy: policy, Claims: a, Strike: a.strike,
+		Metrics: metrics.NewRegistry(),
+	})
+	link, closeLink := rlblink.NewClient(context.Background(), a.linkOpts())
+	a.link = link
+	defer closeLink()
+	httpServer := &http.Server{
+		Handler: a.server.Handler(), ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle,
+		MaxHeaderBytes: int(settings.Bytes(rlbsettings.GatewayMaxHeader)),
+	}
+	served := make(chan error, 1)
+	go func() { served <- httpServer.Serve(listener) }()
+	if err := rlbcommon.PrintReady(out, rlbcommon.Ready{Program: "rlb-gateway", Instance: a.id, Listen: map[string]string{"callers": a.listen}}); err != nil {
+		return err
+	}
+	select {
+	case err := <-served:
+		return err
+	case <-stop.Done():
+	}
+	return a.shutDown(httpServer)
+}
+
+// shutDown lets every request in progress end. New ones are served until the
+// balancer has had time to see that the gateway is not ready.
+func (a *app) shutDown(server *http.Server) error {
+	a.Log.WithField("in_flight", a.server.InFlight()).Info("shutting down")
+	a.server.Drain()
+	time.Sleep(lameDuck)
+	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Duration(rlbsettings.GatewayDrain))
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		a.Log.WithField("in_flight", a.server.InFlight()).Error("shutdown deadline passed; requests are cut off")
+		return err
+	}
+	a.server.Wait()
+	a.Log.Info("shut down")
+	return err
+}
+
+func (a *app) linkOpts() rlblink.ClientOpts {
+	addresses := a.Settings.List(rlbsettings.GatewayControllers)
+	return rlblink.ClientOpts{
+		Log: a.Log, Dial: rlblink.DialTCP, Scope: rlbworld.ScopeAll, Silence: linkSilence,
+		Node:      rlbworld.NodeKey{Type: rlbworld.NodeGateway, ID: a.id},
+		Addresses: func() []string { return addresses },
+		Update:    a.update,
+		Report:    a.report,
+		Linked: func(address string, linked bool) {
+			a.Log.WithField("controller", address).WithField("linked", linked).Info("control link")
+		},
+	}
+}
+
+func (a *app) update(u rlbworld.Update) {
+	before := a.fleet.Routes().Note().Version
+	a.fleet.Update(u)
+	if after := a.fleet.Routes().Note().Version; after != before {
+		a.Log.WithField("note_version", after).Info("release note in force")
+	}
+}
+
+// report is this gateway's heartbeat.
+func (a *app) report() rlbworld.Update {
+	return rlbworld.Update{Nodes: []rlbworld.Node{{
+		NodeKey: rlbworld.NodeKey{Type: rlbworld.NodeGateway, ID: a.id},
+		Epoch:   a.epoch, Beat: a.beat.Add(1), FailureDomain: a.domain, Address: a.listen,
+		NoteVersion: a.fleet.Routes().Note().Version,
+		Demand:      a.server.Demand(time.Now()),
+	}}}
+}
+
+// strike tells the fleet that a request was running on an endpoint that crashed.
+func (a *app) strike(strike rlbworld.Strike) {
+	if err := a.link.Push(rlbworld.Update{Strikes: []rlbworld.Strike{strike}}); err != nil {
+		a.Log.WithError(err).Warn("strike not told")
+	}
+}
+
+// Do implements rlbcaller.Claims.
+func (a *app) Do(ctx context.Context, op rlbclaim.Operation) (rlbclaim.Result, error) {
+	var result rlbclaim.Result
+	err := a.link.Call(ctx, rlbclaim.MethodClaim, op, &result)
+	return result, err
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/claims.go
@@ -0,0 +1,149 @@
+package rlbcaller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+)
+
+// Terms of claims.
+const (
+	claimWait    = 5 * time.Second // longest wait for a claim
+	finishTries  = 3               // of recording an answer
+	headerReplay = "X-Rlb-Replayed"
+)
+
+// Claims asks the controllers for claims on idempotency keys.
+type Claims interface {
+	// Do carries out an operation. An error leaves open whether it was recorded.
+	Do(ctx context.Context, op rlbclaim.Operation) (rlbclaim.Result, error)
+}
+
+// answer is a whole answer in one piece.
+type answer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// answer gives the caller a whole answer and notes it for a resend.
+func (s *Server) answer(c *call, a answer) {
+	c.wrote = true
+	c.kept = rlbclaim.Answer{
+		Outcome: string(rlbroute.Answered), Status: a.status, ContentType: a.contentType,
+		Digest: xxhash.Sum64(a.body), Kept: len(a.body) <= rlbclaim.MaxKept,
+	}
+	if c.kept.Kept {
+		c.kept.Body = a.body
+	}
+	writeAnswer(c, a)
+}
+
+func writeAnswer(c *call, a answer) {
+	setIdentity(c, rlbroute.Answered)
+	if a.contentType != "" {
+		c.w.Header().Set("Content-Type", a.contentType)
+	}
+	c.w.WriteHeader(a.status)
+	_, _ = c.w.Write(a.body) // a caller that left needs no answer
+}
+
+// claimed runs a request under a claim on its idempotency key, if it has one.
+func (s *Server) claimed(ctx context.Context, c *call, fingerprint uint64, run func() *Refusal) *Refusal {
+	if c.key == "" {
+		return run()
+	}
+	retention := s.Settings.Duration(rlbsettings.ControllerRetention)
+	if born, dated := rlbclaim.Born(c.key); dated && c.arrived.After(born.Add(retention)) {
+		return newRefusal(rlbroute.Unknown, CodeKeyExpired)
+	}
+	entry := rlbclaim.Entry{
+		Key: rlbclaim.HashKey(c.key), Run: rlbclaim.NewRun(), Fingerprint: fingerprint,
+		Deadline: c.arrived.Add(retention + maxSkew).Unix(),
+	}
+	result := s.claim(ctx, entry)
+	if result.Status != rlbclaim.Granted {
+		return s.notGranted(c, result)
+	}
+	refusal := run()
+	s.conclude(c, entry, refusal)
+	return refusal
+}
+
+// maxSkew is by how much the clocks of callers and instances may differ.
+const maxSkew = time.Minute
+
+func (s *Server) claim(ctx context.Context, entry rlbclaim.Entry) rlbclaim.Result {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	result, err := s.Claims.Do(ctx, rlbclaim.Operation{Verb: rlbclaim.VerbClaim, Entry: entry})
+	if err != nil {
+		s.Log.WithError(err).Debug("no claim")
+		result = rlbclaim.Result{Status: rlbclaim.Unavailable}
+	}
+	if result.Status == rlbclaim.Unavailable {
+		s.record(rlbclaim.Operation{Verb: rlbclaim.VerbRelease, Entry: entry}) // it may be recorded yet
+	}
+	return result
+}
+
+// notGranted answers a request whose key another run has.
+func (s *Server) notGranted(c *call, result rlbclaim.Result) *Refusal {
+	kept := result.Entry.Answer
+	switch {
+	case result.Status == rlbclaim.Unavailable:
+		return newRefusal(rlbroute.NotRun, CodeClaimsDown)
+	case result.Status == rlbclaim.Mismatch:
+		return newRefusal(rlbroute.NotRun, CodeKeyReused)
+	case result.Entry.Phase == rlbclaim.Claimed:
+		return newRefusal(rlbroute.Unknown, CodeInProgress)
+	case result.Entry.Phase == rlbclaim.Failed:
+		return newRefusal(rlbroute.Outcome(kept.Outcome), CodeEndpointFailed)
+	case !kept.Kept:
+		return newRefusal(rlbroute.Unknown, CodeAnswerForgotten)
+	}
+	c.w.Header().Set(headerReplay, "true")
+	writeAnswer(c, answer{kept.Status, kept.ContentType, kept.Body})
+	return nil
+}
+
+// conclude records how the run ended, so that a resend is answered alike. A
+// run that is known not to have run gives its key back.
+func (s *Server) conclude(c *call, entry rlbclaim.Entry, refusal *Refusal) {
+	op := rlbclaim.Operation{Verb: rlbclaim.VerbFinish, Entry: entry}
+	switch {
+	case refusal == nil:
+		op.Entry.Phase, op.Entry.Answer = rlbclaim.Answered, c.kept
+	case refusal.Outcome == rlbroute.NotRun:
+		op.Verb = rlbclaim.VerbRelease
+	default:
+		op.Entry.Phase = rlbclaim.Failed
+		op.Entry.Answer = rlbclaim.Answer{Outcome: string(refusal.Outcome), Status: http.StatusBadGateway}
+	}
+	s.record(op)
+}
+
+// record carries out an operation that nobody waits for. The shutdown does.
+func (s *Server) record(op rlbclaim.Operation) {
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		for range finishTries {
+			ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+			result, err := s.Claims.Do(ctx, op)
+			cancel()
+			if err == nil && result.Status == rlbclaim.Recorded {
+				return
+			}
+		}
+		s.Log.WithField("key", op.Entry.Key.String()).Warn("the end of a run under an idempotency key was not recorded")
+	}()
+}
+
+// Wait waits until the ends of all runs are recorded.
+func (s *Server) Wait() { s.background.Wait() }
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -0,0 +1,218 @@
+package rlbcaller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+)
+
+// Priorities towards engines: lower goes first.
+const (
+	priorityInteractive = 0
+	priorityBatch       = 10
+)
+
+// completer is a model request on its way.
+type completer struct {
+	*Server
+	*work
+	in            completion
+	model         rlbnote.Model
+	version       string // of the model, as served
+	adapter       string // name@version; empty: none
+	tracker       *rlbrelay.Tracker
+	deterministic bool
+	source        *rlbroute.Endpoint // that sent the tokens the caller has
+}
+
+// complete serves one model request.
+func (s *Server) complete(ctx context.Context, c *call) *Refusal {
+	in, refusal := parseCompletion(c.body)
+	if refusal != nil {
+		return refusal
+	}
+	model, adapter, found := s.Fleet.Routes().Note().Resolve(in.Model)
+	if !found {
+		return newRefusal(rlbroute.NotRun, CodeUnknownModel, in.Model)
+	}
+	leave := s.demand.enter(model.Name)
+	c.once = model.Once || c.key != ""
+	x := &completer{Server: s, in: in, model: model, tracker: rlbrelay.NewTracker(c.id)}
+	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body)}
+	x.routing.Prefix = in.prefix()
+	if adapter != nil {
+		x.adapter = adapter.Name + "@" + adapter.Version
+		x.routing.Adapter = x.adapter
+	}
+	refusal = s.claimed(ctx, c, x.fingerprint, func() *Refusal { return s.run(ctx, x.work) })
+	leave(refusal != nil)
+	return refusal
+}
+
+// endpoints returns the endpoints that serve the model. Once the caller has a
+// token, only the version that it came from can go on.
+func (x *completer) endpoints() []*rlbroute.Endpoint {
+	routes := x.Fleet.Routes()
+	if x.tracker.Sent() > 0 {
+		return routes.Version(x.model.Name, x.version)
+	}
+	endpoints, version := routes.Model(x.model.Name, x.model.Version)
+	x.version = version
+	return endpoints
+}
+
+func (x *completer) header() http.Header {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set(rlbrelay.HeaderRequestID, x.id)
+	h.Set(rlbrelay.HeaderModel, x.model.Name)
+	h.Set(rlbrelay.HeaderVersion, x.version)
+	h.Set(HeaderTimeout, remaining(x.deadline, time.Now()))
+	priority := priorityInteractive
+	if x.model.Class == rlbnote.ClassBatch {
+		priority = priorityBatch
+	}
+	h.Set(rlbrelay.HeaderPriority, strconv.Itoa(priority))
+	if x.adapter != "" {
+		h.Set(rlbrelay.HeaderAdapter, x.adapter)
+	}
+	if x.key != "" {
+		h.Set(rlbrelay.HeaderKey, x.key)
+	}
+	if x.tracker.Sent() > 0 {
+		h.Set(rlbrelay.HeaderLastEvent, x.tracker.LastEvent())
+	}
+	return h
+}
+
+// send runs the request on one endpoint and relays the answer.
+func (x *completer) send(ctx context.Context, e *rlbroute.Endpoint, exchange *rlbroute.Exchange) *attemptError {
+	if x.tracker.Sent() > 0 && e != x.source && !x.deterministic {
+		return &attemptError{fault: rlbroute.FaultNoEndpoint} // another engine may give other tokens
+	}
+	out := &rlbdispatch.Outgoing{
+		Method: http.MethodPost, Path: x.r.URL.Path, Header: x.header(), Body: x.body, Deadline: x.deadline, Fresh: x.once,
+	}
+	in, failure := x.dispatch(ctx, x.work, e, exchange, out, engineFault)
+	if failure != nil {
+		return failure
+	}
+	if x.in.Stream {
+		return x.relay(e, in, exchange)
+	}
+	return x.whole(in, exchange)
+}
+
+// whole passes on an answer in one document, once it is known to be whole.
+func (x *completer) whole(in *rlbdispatch.Incoming, exchange *rlbroute.Exchange) *attemptError {
+	body, err := in.ReadAll(x.limits.maxAnswer)
+	if err != nil {
+		in.Abort()
+		return faultOf(err)
+	}
+	switch rlbrelay.CheckDocument(body, x.id) {
+	case rlbrelay.Foreign:
+		in.Abort()
+		return &attemptError{fault: rlbroute.FaultForeign}
+	case rlbrelay.Malformed:
+		in.Abort()
+		return &attemptError{fault: rlbroute.FaultMalformed}
+	}
+	in.Done()
+	exchange.Answering()
+	x.answer(x.call, answer{http.StatusOK, "application/json", body})
+	return nil
+}
+
+// relay passes on a stream, token by token.
+func (x *completer) relay(e *rlbroute.Endpoint, in *rlbdispatch.Incoming, exchange *rlbroute.Exchange) *attemptError {
+	reader := readers.Get().(*rlbrelay.EventReader)
+	defer readers.Put(reader)
+	reader.Reset(in.Body)
+	flusher := http.NewResponseController(x.w)
+	x.deterministic = in.Header.Get(rlbrelay.HeaderDeterministic) == "true"
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			in.Abort()
+			return &attemptError{fault: streamFault(in, err)}
+		}
+		switch x.tracker.Check(event) {
+		case rlbrelay.Forward:
+			x.begin(e, exchange)
+		case rlbrelay.End:
+			x.begin(e, exchange)
+			x.finishStream(reader, in, event.Raw)
+			return nil
+		case rlbrelay.Skip:
+			continue
+		case rlbrelay.Foreign:
+			in.Abort()
+			return &attemptError{fault: rlbroute.FaultForeign}
+		case rlbrelay.Gap:
+			in.Abort()
+			return &attemptError{fault: rlbroute.FaultGap}
+		default:
+			in.Abort()
+			return &attemptError{fault: rlbroute.FaultMalformed}
+		}
+		if _, err := x.w.Write(event.Raw); err != nil {
+			in.Abort()
+			return &attemptError{fault: rlbroute.FaultCallerGone}
+		}
+		if !reader.Pending() {
+			x.flush(flusher)
+		}
+	}
+}
+
+// begin notes that a part of the answer goes to the caller.
+func (x *completer) begin(e *rlbroute.Endpoint, exchange *rlbroute.Exchange) {
+	x.source = e
+	x.counters.tokens.Inc(1)
+	if x.wrote {
+		return
+	}
+	x.wrote = true
+	exchange.Answering()
+	setIdentity(x.call, rlbroute.Answered)
+	x.w.Header().Set("Content-Type", "text/event-stream")
+	x.w.Header().Set("Cache-Control", "no-cache")
+	x.w.WriteHeader(http.StatusOK)
+	x.counters.firstToken.Update(time.Since(x.arrived).Microseconds())
+}
+
+func (x *completer) flush(flusher *http.ResponseController) {
+	_ = flusher.SetWriteDeadline(x.deadline) // not all writers can
+	_ = flusher.Flush()                      // a caller that left shows at the next write
+}
+
+// finishStream passes on the end marker. The connection is used again only if
+// the answer ends there too.
+func (x *completer) finishStream(reader *rlbrelay.EventReader, in *rlbdispatch.Incoming, raw []byte) {
+	_, _ = x.w.Write(raw)
+	x.flush(http.NewResponseController(x.w))
+	if _, err := reader.Next(); err == io.EOF {
+		in.Done()
+		return
+	}
+	in.Abort()
+}
+
+func streamFault(in *rlbdispatch.Incoming, err error) rlbroute.Fault {
+	switch err {
+	case rlbrelay.ErrTooLarge:
+		return rlbroute.FaultMalformed
+	case io.EOF, io.ErrUnexpectedEOF:
+		return rlbroute.FaultCut
+	default:
+		return in.Fault(err)
+	}
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/demand.go
@@ -0,0 +1,64 @@
+package rlbcaller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// demandMeter measures the demand for each model between two reports.
+type demandMeter struct {
+	mu     sync.Mutex
+	from   time.Time
+	models map[string]*modelDemand
+}
+
+type modelDemand struct{ arrived, refused, inFlight int }
+
+func newDemandMeter() *demandMeter {
+	return &demandMeter{from: time.Now(), models: map[string]*modelDemand{}}
+}
+
+func (d *demandMeter) of(model string) *modelDemand {
+	m, found := d.models[model]
+	if !found {
+		m = &modelDemand{}
+		d.models[model] = m
+	}
+	return m
+}
+
+// enter counts a request in and returns the function that counts it out.
+func (d *demandMeter) enter(model string) (leave func(refused bool)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.of(model)
+	m.arrived++
+	m.inFlight++
+	return func(refused bool) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		m.inFlight--
+		if refused {
+			m.refused++
+		}
+	}
+}
+
+// take returns the rates since the last call and starts anew. Models without
+// demand are left out.
+func (d *demandMeter) take(now time.Time) []rlbworld.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seconds := max(now.Sub(d.from).Seconds(), time.Millisecond.Seconds())
+	d.from = now
+	var all []rlbworld.Demand
+	for name, m := range d.models {
+		if m.arrived > 0 || m.inFlight > 0 {
+			all = append(all, rlbworld.Demand{Model: name, Requests: float64(m.arrived) / seconds, InFlight: m.inFlight, Refused: float64(m.refused) / seconds})
+		}
+		m.arrived, m.refused = 0, 0
+	}
+	return all
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -0,0 +1,260 @@
+package rlbcaller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+)
+
+const (
+	avoidTime     = time.Second            // for an endpoint that could not be reached
+	retryJitter   = 20 * time.Millisecond  // longest wait before a retry
+	strikeTime    = 10 * time.Minute       // for which a strike counts
+	maxStrikes    = 2                      // endpoints that one request may take down
+	busyRetryWait = 100 * time.Millisecond // longest wait before a refused request is tried elsewhere
+)
+
+// work is a request that is run on an endpoint, with what a retry needs.
+type work struct {
+	*call
+	routing     rlbroute.Request
+	candidates  func() []*rlbroute.Endpoint
+	send        func(context.Context, *rlbroute.Endpoint, *rlbroute.Exchange) *attemptError
+	fingerprint uint64
+	exchange    *rlbroute.Exchange
+	failed      []*rlbroute.Endpoint // not to be tried again
+}
+
+// attemptError is how an attempt ended without the whole answer.
+type attemptError struct {
+	fault  rlbroute.Fault
+	status int // of an answer to pass on
+	header http.Header
+	body   []byte
+}
+
+func faultOf(err error) *attemptError {
+	var e *rlbdispatch.Error
+	if errors.As(err, &e) {
+		return &attemptError{fault: e.Kind()}
+	}
+	return &attemptError{fault: rlbroute.FaultCut}
+}
+
+// run carries a request through its attempts. It returns nil when the caller
+// has the whole answer.
+func (s *Server) run(ctx context.Context, w *work) *Refusal {
+	w.exchange = rlbroute.NewExchange(rlbroute.ExchangeOpts{
+		Once: w.once, Deadline: w.deadline, MaxAttempts: s.limits.maxAttempts, Budget: s.budget,
+	})
+	for {
+		ended, failure := s.attempt(ctx, w)
+		if failure == nil {
+			return nil
+		}
+		failure.fault = s.classify(ctx, w, failure.fault)
+		d := w.exchange.Fault(time.Now(), failure.fault)
+		switch d.Action {
+		case rlbroute.ActionRetry, rlbroute.ActionResume:
+			s.counters.retries.Inc(1)
+			s.remember(w, ended, failure.fault)
+			pause(ctx, failure.fault)
+		case rlbroute.ActionPass:
+			s.passOn(w, failure)
+			return nil
+		default:
+			return s.refusalOf(w, d, failure.fault)
+		}
+	}
+}
+
+// classify puts the caller's own end before what it caused on the connection.
+func (s *Server) classify(ctx context.Context, w *work, fault rlbroute.Fault) rlbroute.Fault {
+	switch {
+	case ctx.Err() != nil:
+		return rlbroute.FaultCallerGone
+	case !time.Now().Before(w.deadline):
+		return rlbroute.FaultDeadline
+	default:
+		return fault
+	}
+}
+
+// attempt runs the request on one endpoint.
+func (s *Server) attempt(ctx context.Context, w *work) (*rlbroute.Endpoint, *attemptError) {
+	strikes := s.Fleet.Strikes(w.fingerprint)
+	if strikes >= maxStrikes {
+		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
+	}
+	endpoint := s.choose(w, strikes > 0)
+	if endpoint == nil {
+		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
+	}
+	leave := endpoint.Enter(strikes > 0)
+	defer leave()
+	w.exchange.Begin()
+	failure := w.send(ctx, endpoint, w.exchange)
+	if failure == nil {
+		return endpoint, nil
+	}
+	s.examine(ctx, w, endpoint, failure.fault)
+	return endpoint, failure
+}
+
+// examine notes what a fault says of the endpoint.
+func (s *Server) examine(ctx context.Context, w *work, e *rlbroute.Endpoint, fault rlbroute.Fault) {
+	if ctx.Err() != nil {
+		return
+	}
+	switch fault {
+	case rlbroute.FaultNotSent:
+		e.Avoid(time.Now().Add(avoidTime))
+	case rlbroute.FaultCut:
+		if s.Dispatcher.Probe(ctx, e.Address()) {
+			return // only the connection ended
+		}
+		e.Avoid(time.Now().Add(avoidTime))
+		strike := rlbworld.Strike{
+			StrikeKey: rlbworld.StrikeKey{Fingerprint: w.fingerprint, Endpoint: e.ID(), Incarnation: e.Incarnation()},
+			Deadline:  time.Now().Add(strikeTime).Unix(),
+		}
+		if s.Fleet.AddStrike(strike) {
+			s.Strike(strike)
+		}
+	}
+}
+
+// choose returns the endpoint of the next attempt, or nil.
+func (s *Server) choose(w *work, suspect bool) *rlbroute.Endpoint {
+	w.routing.Now = time.Now()
+	candidates := w.candidates()
+	eligible := make([]*rlbroute.Endpoint, 0, len(candidates))
+	for _, e := range candidates {
+		if e.InFlight() < s.limits.perEndpoint && !slices.Contains(w.failed, e) && (!suspect || e.Suspects() == 0) {
+			eligible = append(eligible, e)
+		}
+	}
+	preferred := make([]*rlbroute.Endpoint, 0, len(eligible))
+	for _, e := range eligible {
+		if !e.Avoided(w.routing.Now) {
+			preferred = append(preferred, e)
+		}
+	}
+	if len(preferred) == 0 {
+		preferred = eligible
+	}
+	if len(preferred) == 0 {
+		return nil
+	}
+	return preferred[s.Policy.Choose(&w.routing, preferred)]
+}
+
+// remember excludes an endpoint from further attempts. One whose connection
+// failed but that is alive stays a last resort when it is the only one.
+func (s *Server) remember(w *work, e *rlbroute.Endpoint, fault rlbroute.Fault) {
+	if e == nil {
+		return
+	}
+	gone := fault == rlbroute.FaultNotSent || fault == rlbroute.FaultRefused || e.Avoided(time.Now())
+	if !gone && len(w.candidates()) <= len(w.failed)+1 {
+		return
+	}
+	w.failed = append(w.failed, e)
+}
+
+// pause waits a random time so that retries after a common cause spread.
+func pause(ctx context.Context, fault rlbroute.Fault) {
+	longest := retryJitter
+	if fault == rlbroute.FaultRefused {
+		longest = busyRetryWait
+	}
+	timer := time.NewTimer(rand.N(longest))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// passOn gives the caller the endpoint's own error.
+func (s *Server) passOn(w *work, failure *attemptError) {
+	setIdentity(w.call, rlbroute.Failed)
+	w.w.Header().Set("Content-Type", failure.header.Get("Content-Type"))
+	w.w.WriteHeader(failure.status)
+	_, _ = w.w.Write(failure.body)
+}
+
+func (s *Server) refusalOf(w *work, d rlbroute.Decision, fault rlbroute.Fault) *Refusal {
+	if s.Fleet.Strikes(w.fingerprint) >= maxStrikes {
+		return newRefusal(rlbroute.Failed, CodeCrashes)
+	}
+	return newRefusal(d.Outcome, codeOf(fault, d.Outcome))
+}
+
+func codeOf(fault rlbroute.Fault, outcome rlbroute.Outcome) Code {
+	switch {
+	case fault == rlbroute.FaultDeadline:
+		return CodeDeadline
+	case fault == rlbroute.FaultTooLarge:
+		return CodeAnswerTooLarge
+	case outcome == rlbroute.NotRun && fault == rlbroute.FaultRefused:
+		return CodeOverloaded
+	case outcome == rlbroute.NotRun:
+		return CodeNoEndpoint
+	case fault == rlbroute.FaultFailed:
+		return CodeEndpointFailed
+	default:
+		return CodeAnswerCut
+	}
+}
+
+// engineFault tells what an engine's status means, or false for an answer.
+func engineFault(in *rlbdispatch.Incoming) (rlbroute.Fault, bool) {
+	status := in.StatusCode
+	switch {
+	case status < http.StatusBadRequest:
+		return 0, false
+	case status == http.StatusNotFound, status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return rlbroute.FaultRefused, true
+	case status < http.StatusInternalServerError:
+		return rlbroute.FaultRejected, true
+	default:
+		return rlbroute.FaultFailed, true
+	}
+}
+
+// dispatch sends one attempt and checks the answer's status and identity. The
+// answer must be ended by the caller.
+func (s *Server) dispatch(ctx context.Context, w *work, e *rlbroute.Endpoint, x *rlbroute.Exchange, out *rlbdispatch.Outgoing, fault func(*rlbdispatch.Incoming) (rlbroute.Fault, bool)) (*rlbdispatch.Incoming, *attemptError) {
+	in, err := s.Dispatcher.Send(ctx, e.Address(), out, x.Sent)
+	if err != nil {
+		if rlberror.Is(err, rlbroute.FaultNotSent) {
+			x.Unsent()
+		}
+		return nil, faultOf(err)
+	}
+	if !rlbrelay.CheckIdentity(in.Header, w.id) {
+		in.Abort()
+		return nil, &attemptError{fault: rlbroute.FaultForeign}
+	}
+	kind, failed := fault(in)
+	if !failed {
+		return in, nil
+	}
+	body, err := in.ReadAll(s.limits.maxAnswer)
+	if err != nil {
+		in.Abort()
+		return nil, faultOf(err)
+	}
+	in.Done()
+	return nil, &attemptError{kind, in.StatusCode, in.Header, body}
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/request.go
@@ -0,0 +1,103 @@
+package rlbcaller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+)
+
+// HeaderTimeout carries the time a caller gives its request, such as 2.5s.
+const HeaderTimeout = "X-Request-Timeout"
+
+// maxKey is the longest idempotency key in bytes.
+const maxKey = 255
+
+// prefixBytes is how much of a prompt identifies its cached prefix.
+const prefixBytes = 1024
+
+// completion is the part of a completion request that the gateway reads.
+type completion struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+func parseCompletion(body []byte) (completion, *Refusal) {
+	var in completion
+	if err := json.Unmarshal(body, &in); err != nil {
+		return in, newRefusal(rlbroute.NotRun, CodeInvalidRequest, "the body is not JSON: "+err.Error())
+	}
+	if in.Model == "" {
+		return in, newRefusal(rlbroute.NotRun, CodeInvalidRequest, `"model" is missing`)
+	}
+	return in, nil
+}
+
+// prefix returns a hash of the prompt's beginning.
+func (in completion) prefix() uint64 {
+	prompt := in.Messages
+	if len(prompt) == 0 {
+		prompt = in.Prompt
+	}
+	if len(prompt) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// fingerprint identifies a request by its content, whoever sends it again.
+func fingerprint(path string, body []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(path) // a hash takes every write
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+func (s *Server) readDeadline(c *call) *Refusal {
+	timeout := s.limits.deadline
+	if text := c.r.Header.Get(HeaderTimeout); text != "" {
+		stated, err := time.ParseDuration(text)
+		if err != nil || stated <= 0 {
+			return newRefusal(rlbroute.NotRun, CodeInvalidRequest, HeaderTimeout+" is not a duration such as 2.5s")
+		}
+		timeout = min(stated, s.limits.maxDeadline)
+	}
+	c.deadline = c.arrived.Add(timeout)
+	return nil
+}
+
+func (s *Server) readBody(c *call) *Refusal {
+	limit := rlbunit.Bytes(s.limits.maxBody)
+	if c.r.ContentLength > s.limits.maxBody {
+		return newRefusal(rlbroute.NotRun, CodeBodyTooLarge, limit)
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline) // not all writers can
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, s.limits.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return newRefusal(rlbroute.NotRun, CodeBodyTooLarge, limit)
+	}
+	if err != nil {
+		return newRefusal(rlbroute.NotRun, CodeInvalidRequest, "the body broke off")
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	c.body = body
+	c.key = c.r.Header.Get(rlbrelay.HeaderKey)
+	if len(c.key) > maxKey {
+		return newRefusal(rlbroute.NotRun, CodeInvalidRequest, "the idempotency key is longer than 255 bytes")
+	}
+	return nil
+}
+
+// remaining returns the header that carries the caller's deadline on.
+func remaining(deadline, now time.Time) string {
+	return deadline.Sub(now).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/server.go
@@ -0,0 +1,216 @@
+// Package rlbcaller is the interface to callers: model requests in the OpenAI
+// style, plain services, health, readiness and metrics.
+package rlbcaller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbfleet"
+)
+
+// Opts are the parts of a server.
+type Opts struct {
+	*rlbcommon.Common
+	Fleet      *rlbfleet.Fleet
+	Dispatcher *rlbdispatch.Dispatcher
+	Policy     rlbroute.Policy[*rlbroute.Endpoint]
+	Claims     Claims
+	Strike     func(rlbworld.Strike) // tells the fleet
+	Metrics    metrics.Registry
+}
+
+// Server serves callers.
+type Server struct {
+	Opts
+	limits   limits
+	budget   *rlbroute.RetryBudget
+	inFlight atomic.Int64
+	draining atomic.Bool
+	counters counters
+	demand   *demandMeter
+	// background counts operations that outlive their request.
+	background sync.WaitGroup
+}
+
+// limits are the settings that each request reads.
+type limits struct {
+	maxBody, maxAnswer    int64
+	deadline, maxDeadline time.Duration
+	maxAttempts           int
+	maxInFlight           int64
+	perEndpoint           int
+}
+
+// counters count requests by outcome.
+type counters struct {
+	outcomes   map[rlbroute.Outcome]metrics.Counter
+	tokens     metrics.Counter
+	retries    metrics.Counter
+	firstToken metrics.Histogram // microseconds
+}
+
+// Sizes of the sample that latency histograms keep.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// New returns a server.
+func New(opts Opts) *Server {
+	s := opts.Settings
+	server := &Server{
+		Opts: opts,
+		limits: limits{
+			maxBody:     int64(s.Bytes(rlbsettings.GatewayMaxBody)),
+			maxAnswer:   int64(s.Bytes(rlbsettings.GatewayMaxAnswer)),
+			deadline:    s.Duration(rlbsettings.GatewayDeadline),
+			maxDeadline: s.Duration(rlbsettings.GatewayMaxDeadline),
+			maxAttempts: s.Int(rlbsettings.GatewayMaxAttempts),
+			maxInFlight: int64(s.Int(rlbsettings.GatewayMaxInFlight)),
+			perEndpoint: s.Int(rlbsettings.GatewayEndpointLoad),
+		},
+		budget: rlbroute.NewRetryBudget(s.Ratio(rlbsettings.GatewayRetryShare)),
+		demand: newDemandMeter(),
+	}
+	server.counters = counters{
+		outcomes:   map[rlbroute.Outcome]metrics.Counter{},
+		tokens:     metrics.GetOrRegisterCounter("tokens_relayed", opts.Metrics),
+		retries:    metrics.GetOrRegisterCounter("retries", opts.Metrics),
+		firstToken: metrics.GetOrRegisterHistogram("first_token_us", opts.Metrics, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+	for _, outcome := range []rlbroute.Outcome{rlbroute.Answered, rlbroute.NotRun, rlbroute.Failed, rlbroute.Unknown} {
+		server.counters.outcomes[outcome] = metrics.GetOrRegisterCounter("requests_"+string(outcome), opts.Metrics)
+	}
+	return server
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.request(s.complete))
+	mux.HandleFunc("POST /v1/completions", s.request(s.complete))
+	mux.HandleFunc("GET /v1/models", s.models)
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /metrics", s.showMetrics)
+	mux.HandleFunc("/", s.request(s.service))
+	return mux
+}
+
+// InFlight returns the number of requests in progress.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Drain makes the server not ready: it asks callers to use new connections,
+// which the balancer opens to others.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Demand returns the demand for each model since the last call.
+func (s *Server) Demand(now time.Time) []rlbworld.Demand { return s.demand.take(now) }
+
+// call is one request of a caller.
+type call struct {
+	id       string
+	arrived  time.Time
+	deadline time.Time
+	once     bool // runs at most once
+	key      string
+	body     []byte
+	w        http.ResponseWriter
+	r        *http.Request
+	wrote    bool // a part of the answer is with the caller
+	kept     rlbclaim.Answer
+}
+
+// request wraps a handler of model and service requests with what they share:
+// identity, limits, deadline, and the outcome's count.
+func (s *Server) request(handle func(context.Context, *call) *Refusal) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		s.budget.Request()
+		c := &call{id: uuid.NewString(), arrived: time.Now(), w: w, r: r}
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		refusal := s.admit(c)
+		if refusal == nil {
+			ctx, cancel := context.WithCancel(r.Context())
+			refusal = handle(ctx, c)
+			cancel()
+		}
+		s.finish(c, refusal)
+	}
+}
+
+func (s *Server) admit(c *call) *Refusal {
+	if s.inFlight.Load() > s.limits.maxInFlight {
+		return newRefusal(rlbroute.NotRun, CodeOverloaded)
+	}
+	if refusal := s.readDeadline(c); refusal != nil {
+		return refusal
+	}
+	return s.readBody(c)
+}
+
+func (s *Server) finish(c *call, refusal *Refusal) {
+	outcome := rlbroute.Answered
+	if refusal != nil {
+		outcome = refusal.Outcome
+		if c.wrote {
+			refusal.writeEvent(c.w, c.id)
+		} else {
+			refusal.write(c.w, c.id)
+		}
+		s.Log.WithField("request_id", c.id).WithField("outcome", string(outcome)).WithField("code", string(refusal.Code)).
+			WithField("note_version", s.Fleet.Routes().Note().Version).Info("request not answered")
+	}
+	s.counters.outcomes[outcome].Inc(1)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// readiness is the answer of /ready.
+type readiness struct {
+	Ready       bool   `json:"ready"`
+	NoteVersion uint64 `json:"note_version"`
+	Draining    bool   `json:"draining"`
+	InFlight    int64  `json:"in_flight"`
+}
+
+// ready answers 200 once a release note is in force here, until the shutdown.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	state := readiness{NoteVersion: s.Fleet.Routes().Note().Version, Draining: s.draining.Load(), InFlight: s.InFlight()}
+	state.Ready = state.NoteVersion > 0 && !state.Draining
+	w.Header().Set("Content-Type", "application/json")
+	if !state.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(state)
+}
+
+func (s *Server) showMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(s.Metrics, w)
+}
+
+// setIdentity sets the headers that every answer carries.
+func setIdentity(c *call, outcome rlbroute.Outcome) {
+	c.w.Header().Set(rlbrelay.HeaderRequestID, c.id)
+	c.w.Header().Set(HeaderOutcome, string(outcome))
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/service.go
@@ -0,0 +1,94 @@
+package rlbcaller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+)
+
+// hopHeaders concern one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", rlbrelay.HeaderRequestID, HeaderTimeout,
+}
+
+// serviceCall is a request to a plain service on its way.
+type serviceCall struct {
+	*Server
+	*work
+	service rlbnote.Service
+}
+
+// service serves one request to a plain service.
+func (s *Server) service(ctx context.Context, c *call) *Refusal {
+	service, found := s.Fleet.Routes().Note().ServiceFor(c.r.URL.Path)
+	if !found {
+		return newRefusal(rlbroute.NotRun, CodeUnknownPath)
+	}
+	c.once = !slices.Contains(service.Idempotent, c.r.Method) || c.key != ""
+	x := &serviceCall{Server: s, service: service}
+	x.work = &work{
+		call: c, send: x.send, fingerprint: fingerprint(c.r.Method+c.r.URL.RequestURI(), c.body),
+		candidates: func() []*rlbroute.Endpoint { return s.Fleet.Routes().Service(service.Name) },
+	}
+	return s.claimed(ctx, c, x.fingerprint, func() *Refusal { return s.run(ctx, x.work) })
+}
+
+func (x *serviceCall) send(ctx context.Context, e *rlbroute.Endpoint, exchange *rlbroute.Exchange) *attemptError {
+	out := &rlbdispatch.Outgoing{
+		Method: x.r.Method, Path: x.r.URL.RequestURI(), Header: x.header(), Body: x.body, Deadline: x.deadline, Fresh: x.once,
+	}
+	in, failure := x.dispatch(ctx, x.work, e, exchange, out, serviceFault)
+	if failure != nil {
+		return failure
+	}
+	if in.ContentLength < 0 && len(in.TransferEncoding) == 0 && x.r.Method != http.MethodHead {
+		in.Abort() // an answer that ends with its connection cannot be known to be whole
+		return &attemptError{fault: rlbroute.FaultMalformed}
+	}
+	body, err := in.ReadAll(x.limits.maxAnswer)
+	if err != nil {
+		in.Abort()
+		return faultOf(err)
+	}
+	in.Done()
+	exchange.Answering()
+	copyHeader(x.w.Header(), in.Header)
+	x.answer(x.call, answer{in.StatusCode, in.Header.Get("Content-Type"), body})
+	return nil
+}
+
+func (x *serviceCall) header() http.Header {
+	h := http.Header{}
+	copyHeader(h, x.r.Header)
+	h.Set(rlbrelay.HeaderRequestID, x.id)
+	h.Set(HeaderTimeout, remaining(x.deadline, time.Now()))
+	return h
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !slices.Contains(hopHeaders, name) {
+			to[name] = values
+		}
+	}
+}
+
+// serviceFault tells what a plain service's status means. Unlike an engine, a
+// service refuses a request before running it only if it says so.
+func serviceFault(in *rlbdispatch.Incoming) (rlbroute.Fault, bool) {
+	switch {
+	case in.Header.Get(rlbrelay.HeaderNotRun) == "true":
+		return rlbroute.FaultRefused, true
+	case in.StatusCode >= http.StatusInternalServerError:
+		return rlbroute.FaultFailed, true
+	default:
+		return 0, false // a service's other answers, errors among them, are its own
+	}
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -0,0 +1,72 @@
+// Package rlbdispatch sends requests to endpoints and reads their answers over
+// connections of its own, so that it knows for each request whether a byte of
+// it can have reached the endpoint.
+package rlbdispatch
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+const bufferBytes = 16 << 10
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	silence time.Duration // longest wait of one read
+	limit   time.Time     // deadline of the whole exchange
+	wrote   bool          // a byte of the present request may have left
+	idle    time.Time     // since when it waits in the pool
+	reused  bool
+}
+
+func newConn(c net.Conn) *conn {
+	wrapped := &conn{Conn: c}
+	wrapped.reader = bufio.NewReaderSize(wrapped, bufferBytes)
+	return wrapped
+}
+
+// Read implements io.Reader. Each read may take silence.
+func (c *conn) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(c.silence)
+	if c.limit.Before(deadline) {
+		deadline = c.limit
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	c.wrote = true
+	if err := c.SetWriteDeadline(c.limit); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// alive reports whether an idle connection is still open and has no bytes to
+// read. An idle connection with bytes holds a late answer to an earlier request.
+func (c *conn) alive() bool {
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -0,0 +1,171 @@
+package rlbdispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+)
+
+// Opts are a dispatcher's limits.
+type Opts struct {
+	Connect    time.Duration // longest wait for a connection
+	FirstByte  time.Duration // longest wait for an answer's header
+	NextByte   time.Duration // longest silence within an answer
+	SweepEvery time.Duration
+}
+
+// Dispatcher sends requests to endpoints.
+type Dispatcher struct {
+	opts Opts
+	pool *pool
+}
+
+// Error tells which fault an exchange met.
+type Error = rlberror.Error[rlbroute.Fault]
+
+// New returns a dispatcher, and its clean-up function, which closes the idle
+// connections.
+func New(opts Opts) (*Dispatcher, func()) {
+	d := &Dispatcher{opts: opts, pool: newPool()}
+	ctx, cancel := context.WithCancel(context.Background())
+	go d.sweep(ctx)
+	return d, func() {
+		cancel()
+		d.pool.close()
+	}
+}
+
+func (d *Dispatcher) sweep(ctx context.Context) {
+	ticker := time.NewTicker(d.opts.SweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.pool.sweep(now)
+		}
+	}
+}
+
+// Outgoing is a request to an endpoint.
+type Outgoing struct {
+	Method   string
+	Path     string // with the query
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
+	Fresh    bool // on a new connection only: the request runs at most once
+}
+
+// Send sends a request and reads the answer's header. Sent is called right
+// before the first byte of the request may leave.
+func (d *Dispatcher) Send(ctx context.Context, address string, out *Outgoing, sent func()) (*Incoming, error) {
+	c, err := d.connection(ctx, address, out.Fresh)
+	if err != nil {
+		return nil, rlberror.New("connect", rlbroute.FaultNotSent, err)
+	}
+	in := &Incoming{dispatcher: d, address: address, conn: c}
+	in.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	c.limit, c.silence, c.wrote = out.Deadline, d.opts.FirstByte, false
+	sent()
+	if err := write(c, address, out); err != nil {
+		in.Abort()
+		return nil, rlberror.New("send", d.faultOf(c, address, err), err)
+	}
+	request := &http.Request{Method: out.Method}
+	in.Response, err = readResponse(c, request)
+	if err != nil {
+		in.Abort()
+		return nil, rlberror.New("read answer", d.faultOf(c, address, err), err)
+	}
+	c.silence = d.opts.NextByte
+	return in, nil
+}
+
+// Probe reports whether a new connection to address can be made.
+func (d *Dispatcher) Probe(ctx context.Context, address string) bool {
+	c, err := dial(ctx, address, d.opts.Connect)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+func (d *Dispatcher) connection(ctx context.Context, address string, fresh bool) (*conn, error) {
+	if !fresh {
+		if c := d.pool.get(address, time.Now()); c != nil {
+			return c, nil
+		}
+	}
+	return dial(ctx, address, d.opts.Connect)
+}
+
+func write(c *conn, address string, out *Outgoing) error {
+	request, err := http.NewRequest(out.Method, "http://"+address+out.Path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header = out.Header
+	if len(out.Body) > 0 {
+		request.Body = io.NopCloser(&bodyReader{out.Body})
+		request.ContentLength = int64(len(out.Body))
+	}
+	return request.Write(c)
+}
+
+// bodyReader reads a request's body.
+type bodyReader struct{ rest []byte }
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if len(r.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// readResponse reads the answer's header, passing over interim answers.
+func readResponse(c *conn, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+// faultOf tells what an error means for the exchange. A silent connection
+// takes the idle ones to the same address along, so that later requests use
+// new connections.
+func (d *Dispatcher) faultOf(c *conn, address string, err error) rlbroute.Fault {
+	if !c.wrote {
+		return rlbroute.FaultNotSent
+	}
+	fault := FaultOf(err)
+	if fault == rlbroute.FaultSilent {
+		d.pool.drop(address)
+	}
+	return fault
+}
+
+// FaultOf tells what an error of reading an answer means.
+func FaultOf(err error) rlbroute.Fault {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return rlbroute.FaultSilent
+	}
+	return rlbroute.FaultCut
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbdispatch/pool.go
@@ -0,0 +1,119 @@
+package rlbdispatch
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Limits of the pool of idle connections.
+const (
+	maxIdle        = 4 * time.Second // an older one may have been forgotten by something between
+	maxIdlePerHost = 512
+)
+
+// Keep-alive probes find a connection whose other end is gone.
+const (
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 3
+)
+
+// pool keeps idle connections by address, the latest used last.
+type pool struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+func newPool() *pool { return &pool{idle: map[string][]*conn{}} }
+
+// get returns an idle connection that is alive, or nil.
+func (p *pool) get(address string, now time.Time) *conn {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			return nil
+		}
+		if now.Sub(c.idle) < maxIdle && c.alive() {
+			c.reused = true
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return c
+}
+
+func (p *pool) put(address string, c *conn, now time.Time) {
+	c.idle = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdlePerHost {
+		_ = c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// sweep closes connections that idle for too long.
+func (p *pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if now.Sub(c.idle) < maxIdle {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// drop closes all idle connections to an address: one of them went silent.
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, idle := range p.idle {
+		for _, c := range idle {
+			_ = c.Close()
+		}
+		delete(p.idle, address)
+	}
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
+}
--- /dev/null
+++ b/rlb-standin/pkg/rlbapp/app.go
@@ -0,0 +1,119 @@
+// Package rlbapp puts the stand-ins together and runs them.
+package rlbapp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeplatform"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeservice"
+)
+
+const (
+	crashStatus  = 3 // exit status of a crashed stand-in
+	drainTime    = 30 * time.Second
+	maxAdapters  = 16 // resident on one engine
+	fetchConnect = time.Second
+	fetchIdle    = time.Minute
+	fetchConns   = 64
+)
+
+// Kind is a stand-in of its own process.
+type Kind struct {
+	Name, Short string
+	Run         func(context.Context, *rlbcommon.Common, io.Writer) error
+}
+
+// Kinds lists the stand-ins.
+var Kinds = []Kind{
+	{"platform", "Object API, instance list and weight store", runPlatform},
+	{"engine", "A model engine", runEngine},
+	{"service", "A plain service", runService},
+}
+
+func runPlatform(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
+	s := common.Settings
+	var instances []rlbinstance.Instance
+	for _, item := range s.List(rlbsettings.StandinInstances) {
+		instance, ok := rlbfakeplatform.ParseInstance(item)
+		if !ok {
+			return fmt.Errorf("[standin] instances: %q is not id|type|address|control|failure_domain|role|fencing", item)
+		}
+		instances = append(instances, instance)
+	}
+	platform := rlbfakeplatform.New(
+		rlbfake.NewObjects(),
+		rlbfakeplatform.NewInstanceList(s.Duration(rlbsettings.StandinLag), time.Now, instances),
+		rlbfakeplatform.NewWeightStore(rlbfakeplatform.WeightOpts{
+			LoadsPerSecond: s.Ratio(rlbsettings.StandinLoadRate),
+			LoadsAtOnce:    s.Int(rlbsettings.StandinLoadSlots),
+			LoadTime:       s.Duration(rlbsettings.StandinLoadTime),
+			ModelMemory:    s.Bytes(rlbsettings.StandinModelBytes),
+		}),
+	)
+	return serve(stop, common, out, platform.Handler())
+}
+
+func runEngine(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
+	s := common.Settings
+	store, closeStore := rlbhttp.NewClient(fetchConnect, fetchIdle, fetchConns)
+	defer closeStore()
+	base := "http://" + s.Text(rlbsettings.PlatformWeights)
+	fetch := func(kind string) func(context.Context, string, string) error {
+		return func(ctx context.Context, name, version string) error {
+			_, err := rlbhttp.Call(ctx, store, http.MethodPost, base+kind+url.PathEscape(name)+"/"+url.PathEscape(version), nil, nil)
+			return err
+		}
+	}
+	engine := rlbfakeengine.New(rlbfakeengine.Opts{
+		ID: s.Text(rlbsettings.InstanceID), Incarnation: uint64(time.Now().UnixNano()),
+		Memory: s.Bytes(rlbsettings.StandinMemory), Fencing: s.Bool(rlbsettings.StandinFencing),
+		Slots: s.Int(rlbsettings.StandinSlots), PrefillRate: s.Int(rlbsettings.StandinPrefill),
+		Step: s.Duration(rlbsettings.StandinStep), StepSlot: s.Duration(rlbsettings.StandinStepSlot),
+		MaxAdapters: maxAdapters, Fetch: fetch("/weights/"), FetchLora: fetch("/adapters/"),
+		Crash: func() { os.Exit(crashStatus) },
+	})
+	return serve(stop, common, out, engine.Handler())
+}
+
+func runService(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
+	service := rlbfakeservice.New(common.Settings.Text(rlbsettings.InstanceID))
+	return serve(stop, common, out, service.Handler())
+}
+
+// serve serves until stop ends and the requests in progress end.
+func serve(stop context.Context, common *rlbcommon.Common, out io.Writer, handler http.Handler) error {
+	listener, err := rlbcommon.Listen(common.Settings, rlbsettings.StandinListen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: drainTime}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	ready := rlbcommon.Ready{
+		Program: "rlb-standin", Instance: common.Settings.Text(rlbsettings.InstanceID),
+		Listen: map[string]string{"requests": listener.Addr().String()},
+	}
+	if err := rlbcommon.PrintReady(out, ready); err != nil {
+		return err
+	}
+	select {
+	case err := <-served:
+		return err
+	case <-stop.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
--- /dev/null
+++ b/rlb-standin/pkg/rlbfakeengine/slots.go
@@ -0,0 +1,113 @@
+package rlbfakeengine
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+)
+
+// slots admits a limited number of requests, the waiting ones by priority and
+// then by arrival.
+type slots struct {
+	mu      sync.Mutex
+	free    int
+	running int
+	arrival uint64
+	queue   waiters
+}
+
+type waiter struct {
+	priority int // lower goes first
+	arrival  uint64
+	admitted chan struct{}
+	index    int
+}
+
+func newSlots(n int) *slots { return &slots{free: n} }
+
+// acquire waits for a slot and reports whether ctx let it.
+func (s *slots) acquire(ctx context.Context, priority int) bool {
+	s.mu.Lock()
+	if s.free > 0 {
+		s.free--
+		s.running++
+		s.mu.Unlock()
+		return true
+	}
+	s.arrival++
+	w := &waiter{priority: priority, arrival: s.arrival, admitted: make(chan struct{})}
+	heap.Push(&s.queue, w)
+	s.mu.Unlock()
+	select {
+	case <-w.admitted:
+		return true
+	case <-ctx.Done():
+		return s.abandon(w)
+	}
+}
+
+// abandon leaves the queue; a slot given meanwhile goes to the next.
+func (s *slots) abandon(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.index >= 0 {
+		heap.Remove(&s.queue, w.index)
+		return false
+	}
+	s.pass()
+	return false
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pass()
+}
+
+func (s *slots) pass() {
+	if len(s.queue) == 0 {
+		s.free++
+		s.running--
+		return
+	}
+	close(heap.Pop(&s.queue).(*waiter).admitted)
+}
+
+func (s *slots) counts() (running, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running, len(s.queue)
+}
+
+// waiters is a heap.
+type waiters []*waiter
+
+func (q waiters) Len() int { return len(q) }
+
+func (q waiters) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority < q[j].priority
+	}
+	return q[i].arrival < q[j].arrival
+}
+
+func (q waiters) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *waiters) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*q)
+	*q = append(*q, w)
+}
+
+// Pop implements heap.Interface.
+func (q *waiters) Pop() any {
+	last := len(*q) - 1
+	w := (*q)[last]
+	w.index = -1
+	*q = (*q)[:last]
+	return w
+}
--- /dev/null
+++ b/rlb-standin/pkg/rlbfakeplatform/platform.go
@@ -0,0 +1,179 @@
+// Package rlbfakeplatform serves stand-ins for the platform: the object API,
+// the instance list and the weight store, with switchable faults.
+package rlbfakeplatform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+)
+
+// Platform is the platform's HTTP interface.
+type Platform struct {
+	objects *rlbfake.Objects
+	list    *InstanceList
+	weights *WeightStore
+}
+
+// New returns a platform over its three parts.
+func New(objects *rlbfake.Objects, list *InstanceList, weights *WeightStore) *Platform {
+	return &Platform{objects, list, weights}
+}
+
+// Handler returns the HTTP handler. Routes under /fault switch faults.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}/{name}", p.get)
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.put)
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.delete)
+	mux.HandleFunc("GET /objects/{kind}", p.changes)
+	mux.HandleFunc("GET /instances", p.list.get)
+	mux.HandleFunc("PUT /instances/{id}/leaving", p.list.leave)
+	mux.HandleFunc("PUT /instances/{id}", p.list.put)
+	mux.HandleFunc("DELETE /instances/{id}", p.list.remove)
+	mux.HandleFunc("GET /weights/{name}/{version}", p.weights.manifest)
+	mux.HandleFunc("POST /weights/{name}/{version}", p.weights.fetch)
+	mux.HandleFunc("POST /adapters/{name}/{version}", p.weights.fetchAdapter)
+	mux.HandleFunc("PUT /fault/objects", p.setFault)
+	mux.HandleFunc("GET /calls", p.calls)
+	return mux
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	object, err := p.objects.Get(r.Context(), key(r))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", rlbobject.FormatVersion(object.Version))
+	_, _ = w.Write(object.Value) // a caller that left is no fault of ours
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	given, err := condition(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, int64(rlbobject.MaxValue)+1))
+	if err != nil {
+		return // the caller left within its own call
+	}
+	version, err := p.objects.Put(r.Context(), key(r), value, given)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", rlbobject.FormatVersion(version))
+}
+
+func (p *Platform) delete(w http.ResponseWriter, r *http.Request) {
+	given, err := condition(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := p.objects.Delete(r.Context(), key(r), given); err != nil {
+		fail(w, err)
+	}
+}
+
+func (p *Platform) changes(w http.ResponseWriter, r *http.Request) {
+	changes, err := p.read(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, changes)
+}
+
+func (p *Platform) read(r *http.Request) (rlbobject.Changes, error) {
+	query := r.URL.Query()
+	if !query.Has("after") {
+		return p.objects.List(r.Context(), r.PathValue("kind"))
+	}
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64) // a bad number reads everything
+	wait, _ := strconv.Atoi(query.Get("wait"))
+	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	return p.objects.Watch(r.Context(), r.PathValue("kind"), rlbobject.Version(after), deadline)
+}
+
+// ObjectFaults switches the object API's faults.
+type ObjectFaults struct {
+	Down  bool                  `json:"down"`
+	Delay time.Duration         `json:"delay"` // in nanoseconds
+	Next  []rlbfake.ObjectFault `json:"next"`
+}
+
+func (p *Platform) setFault(w http.ResponseWriter, r *http.Request) {
+	var faults ObjectFaults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.objects.SetDown(faults.Down)
+	p.objects.SetDelay(faults.Delay)
+	p.objects.Inject(faults.Next...)
+}
+
+// Calls counts the calls of the object API.
+type Calls struct {
+	Reads  int `json:"reads"`
+	Writes int `json:"writes"`
+}
+
+func (p *Platform) calls(w http.ResponseWriter, _ *http.Request) {
+	reads, writes := p.objects.Calls()
+	writeJSON(w, Calls{reads, writes})
+}
+
+func key(r *http.Request) rlbobject.Key {
+	return rlbobject.Key{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
+}
+
+var errNoCondition = errors.New("a write needs If-Match or If-None-Match: *")
+
+func condition(r *http.Request) (rlbobject.Version, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
+	if tag == "" {
+		return 0, errNoCondition
+	}
+	version, err := strconv.ParseUint(tag, 10, 64)
+	return rlbobject.Version(version), err
+}
+
+// fail answers with the status of an object error. A lost answer is a
+// connection that ends without one.
+func fail(w http.ResponseWriter, err error) {
+	kind, _ := rlberror.KindOf[rlbobject.Kind](err)
+	switch kind {
+	case rlbobject.KindNotFound:
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case rlbobject.KindConflict:
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case rlbobject.KindTooLarge:
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	case rlbobject.KindUnavailable:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case rlbobject.KindExpired:
+		http.Error(w, err.Error(), http.StatusGone)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a caller that left is no fault of ours
+}
--- /dev/null
+++ b/rlb-standin/pkg/rlbfakeservice/service.go
@@ -0,0 +1,114 @@
+// Package rlbfakeservice is a stand-in for a plain service, such as a stock
+// list or a reservation book. It records each run and meets switchable faults.
+package rlbfakeservice
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
+)
+
+// Service is the stand-in.
+type Service struct {
+	id     string
+	faults rlbfault.Injector
+	mu     sync.Mutex
+	runs   []Run
+}
+
+// Run is one request that ran.
+type Run struct {
+	Number    int    `json:"run"`
+	Endpoint  string `json:"endpoint"`
+	RequestID string `json:"request_id"`
+	Key       string `json:"key,omitempty"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body,omitempty"`
+}
+
+// New returns a service that has run nothing.
+func New(id string) *Service { return &Service{id: id} }
+
+// Faults returns the injector of faults.
+func (s *Service) Faults() *rlbfault.Injector { return &s.faults }
+
+// Handler returns the HTTP handler: any path runs a request, but for /record
+// and /fault, which are for tests.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /record", s.record)
+	mux.Handle("/fault", &s.faults)
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+// Runs returns what ran so far.
+func (s *Service) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.runs...)
+}
+
+func (s *Service) record(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller left within its own request
+	}
+	fault := s.faults.Take()
+	if fault == rlbfault.Refuse {
+		w.Header().Set(rlbrelay.HeaderNotRun, "true")
+		http.Error(w, "the service is full", http.StatusServiceUnavailable)
+		return
+	}
+	run := s.add(r, body)
+	id := run.RequestID
+	switch fault {
+	case rlbfault.Fail:
+		http.Error(w, "the service failed within the request", http.StatusInternalServerError)
+		return
+	case rlbfault.CutBefore:
+		panic(http.ErrAbortHandler)
+	case rlbfault.Late:
+		time.Sleep(s.faults.Delay())
+	case rlbfault.Silent:
+		<-r.Context().Done()
+		return
+	case rlbfault.Crossed:
+		id = "another-request"
+	}
+	answer, err := json.Marshal(run)
+	if err != nil {
+		panic(fmt.Errorf("a run always encodes: %w", err))
+	}
+	w.Header().Set(rlbrelay.HeaderRequestID, id)
+	w.Header().Set("Content-Type", "application/json")
+	length := len(answer)
+	if fault == rlbfault.CutMid || fault == rlbfault.WrongSize {
+		length++
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(length))
+	_, _ = w.Write(answer) // a caller that left is no fault of ours
+}
+
+func (s *Service) add(r *http.Request, body []byte) Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := Run{
+		Number: len(s.runs) + 1, Endpoint: s.id, RequestID: r.Header.Get(rlbrelay.HeaderRequestID),
+		Key: r.Header.Get(rlbrelay.HeaderKey), Method: r.Method, Path: r.URL.Path, Body: string(body),
+	}
+	s.runs = append(s.runs, run)
+	return run
+}
--- /dev/null
+++ b/scripts/trial.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# Runs a trial of Muscat's size on loopback as separate processes: the
+# stand-ins, three controllers and three gateways. Ctrl-C shuts all down.
+# TRIAL_PORT sets the first port, TRIAL_DIR the folder for settings and logs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+port=${TRIAL_PORT:-7000}
+dir=${TRIAL_DIR:-.trial}
+bin=${TRIAL_BIN:-bin}
+rm -rf "$dir"
+mkdir -p "$dir"
+pids=()
+names=()
+
+stop_all() {
+  trap - INT TERM EXIT
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  echo "all processes ended"
+}
+trap 'stop_all; exit 0' INT TERM
+trap stop_all EXIT
+
+# start NAME PROGRAM [ARGUMENT...] runs a program with its settings file.
+start() {
+  local name=$1
+  shift
+  "$@" --settings "$dir/$name.ini" >"$dir/$name.out" 2>"$dir/$name.log" &
+  pids+=($!)
+  names+=("$name")
+  echo "$!" >"$dir/$name.pid"
+}
+
+wait_ready() {
+  for name in "${names[@]}"; do
+    for _ in $(seq 200); do
+      grep -q '"ready":true' "$dir/$name.out" && continue 2
+      sleep 0.05
+    done
+    echo "$name is not ready; see $dir/$name.log" >&2
+    exit 1
+  done
+}
+
+at() { echo "127.0.0.1:$((port + $1))"; }
+domains=(seeb bawshar muttrah amerat)
+platform=$(at 400)
+list=""
+add() { list+="${list:+,}$1"; }
+for i in 0 1 2; do add "entry$i|entry|$(at $i)|$(at $((100 + i)))|${domains[$i]}||false"; done
+for i in $(seq 0 12); do
+  role=planner
+  [ "$i" -ge 9 ] && role=dispatch
+  fencing=true
+  [ $((i % 4)) -eq 3 ] && fencing=false # not all endpoints check who gives orders
+  domain=${domains[$((i % 4))]}
+  add "$role$i|engine|$(at $((500 + i)))|$(at $((500 + i)))|$domain|$role|$fencing"
+  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = 20ms\n' \
+    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" >"$dir/$role$i.ini"
+done
+for i in 0 1 2 3; do
+  service=shifts
+  [ "$i" -ge 2 ] && service=stock
+  add "$service$i|service|$(at $((550 + i)))||${domains[$i]}|$service|false"
+  printf '[instance]\nid = %s\n[standin]\nlisten = %s\n' "$service$i" "$(at $((550 + i)))" >"$dir/$service$i.ini"
+done
+printf '[instance]\nid = platform\n[standin]\nlisten = %s\ninstances = %s\nloads_a_second = 1\nlist_lag = 0s\n' "$platform" "$list" >"$dir/platform.ini"
+peers="$(at 100),$(at 101),$(at 102)"
+for i in 0 1 2; do
+  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[platform]\nobjects = %s\ninstances = %s\nweights = %s\n[controller]\nlisten = %s\noperators = %s\npeers = %s\n' \
+    "$i" "${domains[$i]}" "$platform" "$platform" "$platform" "$(at $((100 + i)))" "$(at $((200 + i)))" "$peers" >"$dir/controller$i.ini"
+  others=$(echo "$peers" | tr , '\n' | grep -v "^$(at $((100 + i)))$" | paste -sd,)
+  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[gateway]\nlisten = %s\ncontrollers = %s,%s\n' \
+    "$i" "${domains[$i]}" "$(at $i)" "$(at $((100 + i)))" "$others" >"$dir/gateway$i.ini"
+done
+printf '[ctl]\ncontrollers = %s,%s,%s\n' "$(at 200)" "$(at 201)" "$(at 202)" >"$dir/ctl.ini"
+
+start platform "$bin/rlb-standin" platform
+for i in $(seq 0 8); do start "planner$i" "$bin/rlb-standin" engine; done
+for i in $(seq 9 12); do start "dispatch$i" "$bin/rlb-standin" engine; done
+for i in 0 1; do start "shifts$i" "$bin/rlb-standin" service; done
+for i in 2 3; do start "stock$i" "$bin/rlb-standin" service; done
+for i in 0 1 2; do start "controller$i" "$bin/rlb-controller"; done
+for i in 0 1 2; do start "gateway$i" "$bin/rlb-gateway"; done
+wait_ready
+
+ctl="$bin/rlbctl --settings $dir/ctl.ini"
+for _ in $(seq 50); do # the controllers must know the endpoints first
+  if $ctl note publish --wait 10s examples/muscat-first.yaml >"$dir/publish.log" 2>&1; then break; fi
+  sleep 0.2
+done
+cat "$dir/publish.log"
+model=dispatch-14g
+for _ in $(seq 200); do
+  curl -s "http://$(at 0)/v1/models" | grep -q "\"id\":\"$model\",\"object\":\"model\",\"version\":\"v1\",\"ready\":true" && break
+  sleep 0.1
+done
+echo ready
+echo "curl -sN http://$(at 0)/v1/chat/completions -H 'Content-Type: application/json' -d '{\"model\":\"$model\",\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"next segment in Ruwi\"}]}'"
+if [ -n "${TRIAL_THEN:-}" ]; then
+  TRIAL_CTL="$ctl" TRIAL_DIR="$dir" TRIAL_PORT="$port" bash -c "$TRIAL_THEN"
+  exit $?
+fi
+while :; do sleep 3600 & wait $!; done
