--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,15 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test lint trial
+.PHONY: build test race lint trial
 
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
 
+race:
+	go test -race $(PACKAGES)
+
 test:
 	go test $(PACKAGES)
 
--- a/lib/pkg/rlblink/client.go
+++ b/lib/pkg/rlblink/client.go
@@ -109,7 +109,7 @@
 	wire := rlbwire.NewConn(conn, c.opts.Silence)
 	stop := context.AfterFunc(ctx, func() { _ = wire.Close() })
 	defer stop()
-	defer wire.Close()
+	defer func() { _ = wire.Close() }()
 	if err := wire.Send(TypeHello, 0, Hello{Protocol, c.opts.Node, c.opts.Scope}); err != nil {
 		return
 	}
--- a/lib/pkg/rlbrelay/event_reader.go
+++ b/lib/pkg/rlbrelay/event_reader.go
@@ -58,7 +58,7 @@
 		}
 		searched = len(unread)
 		if err := r.fill(); err != nil {
-			if err == io.EOF && r.end > r.start {
+			if errors.Is(err, io.EOF) && r.end > r.start {
 				return Event{}, io.ErrUnexpectedEOF
 			}
 			return Event{}, err
--- a/lib/pkg/rlbroute/exchange.go
+++ b/lib/pkg/rlbroute/exchange.go
@@ -52,6 +52,9 @@
 	if fault == FaultFailed {
 		x.failed = true
 	}
+	if fault == FaultRefused {
+		x.Unsent()
+	}
 	if (d.Action == ActionRetry || d.Action == ActionResume) && !x.mayRetry(now) {
 		d.Action = ActionEnd
 	}
--- a/lib/pkg/rlbwire/conn.go
+++ b/lib/pkg/rlbwire/conn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -28,10 +29,9 @@
 
 // Frame is one message. Call pairs an answer with its question; 0: neither.
 type Frame struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Type     Type
-	Call     uint64
-	Body     msgpack.RawMessage
+	Type Type               `msgpack:"t"`
+	Call uint64             `msgpack:"c,omitempty"`
+	Body msgpack.RawMessage `msgpack:"b"`
 }
 
 // Decode reads the frame's body into v.
@@ -156,7 +156,8 @@
 }
 
 func kindOf(err error) Kind {
-	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
 		return KindSilent
 	}
 	return KindClosed
--- a/rlb-controller/pkg/rlbapp/app.go
+++ b/rlb-controller/pkg/rlbapp/app.go
@@ -64,7 +64,7 @@
 	defer closeServer()
 	console := &http.Server{Handler: rlbconsole.New(controller, registry).Handler(), ReadHeaderTimeout: headerWait}
 	go func() { _ = console.Serve(operators) }() // ends with Close
-	defer console.Close()
+	defer func() { _ = console.Close() }()
 	ready := rlbcommon.Ready{
 		Program: "rlb-controller", Instance: s.Text(rlbsettings.InstanceID),
 		Listen: map[string]string{"control": control.Addr().String(), "operators": operators.Addr().String()},
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -63,7 +63,7 @@
 	}
 	a.fleet = rlbfleet.New(a.domain, time.Now)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
-		Connect:    settings.Duration(rlbsettings.GatewayConnect),
+		Dial:       rlbdispatch.DialTCP(settings.Duration(rlbsettings.GatewayConnect)),
 		FirstByte:  settings.Duration(rlbsettings.GatewayFirstToken),
 		NextByte:   settings.Duration(rlbsettings.GatewayNextToken),
 		SweepEvery: sweepPeriod,
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/claims_test.go
@@ -0,0 +1,128 @@
+package rlbcaller
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var t0 = context.Background()
+
+const keyHeader = "Idempotency-Key"
+
+func (r *rig) book(key string) reply {
+	return r.send("POST", "/book/part", `{"part":7}`, keyHeader, key)
+}
+
+func TestResends(t *testing.T) {
+	withRig(t, 1, func(r *rig) {
+		Convey("after the answer, a resend gets the same answer without a run", t, func() {
+			first := r.book("a")
+			So(first.outcome, ShouldEqual, "answered")
+			synctest.Wait()
+			again := r.book("a")
+			So(again.body, ShouldEqual, first.body)
+			So(r.runs(), ShouldEqual, 1)
+		})
+		Convey("with another content, the key is refused", t, func() {
+			got := r.send("POST", "/book/part", `{"part":8}`, keyHeader, "a")
+			So(got.code, ShouldEqual, CodeKeyReused)
+			So(got.outcome, ShouldEqual, "not-run")
+			So(r.runs(), ShouldEqual, 1)
+		})
+		Convey("during the first run, the outcome is unknown", t, func() {
+			So(r.services[0].Faults().Set(rlbfault.Plan{Next: []rlbfault.Fault{rlbfault.Late}, Delay: 5 * time.Second}), ShouldBeNil)
+			first := make(chan reply)
+			go func() { first <- r.book("b") }()
+			synctest.Wait()
+			got := r.book("b")
+			So(got.outcome, ShouldEqual, "unknown")
+			So(got.code, ShouldEqual, CodeInProgress)
+			So((<-first).outcome, ShouldEqual, "answered")
+			So(r.runs(), ShouldEqual, 2)
+		})
+		Convey("after a cut, the outcome stays unknown and it is not run again", t, func() {
+			So(r.services[0].Faults().Set(rlbfault.Plan{Next: []rlbfault.Fault{rlbfault.CutBefore}}), ShouldBeNil)
+			So(r.book("c").outcome, ShouldEqual, "unknown")
+			synctest.Wait()
+			So(r.book("c").outcome, ShouldEqual, "unknown")
+			So(r.runs(), ShouldEqual, 3)
+		})
+		Convey("a refused run gives its key back", t, func() {
+			So(r.services[0].Faults().Set(rlbfault.Plan{Next: []rlbfault.Fault{rlbfault.Refuse}}), ShouldBeNil)
+			So(r.book("d").outcome, ShouldEqual, "not-run")
+			synctest.Wait()
+			So(r.book("d").outcome, ShouldEqual, "answered")
+			So(r.runs(), ShouldEqual, 4)
+		})
+		Convey("a claim whose answer is lost is not-run, and a resend runs once", t, func() {
+			r.claims.fail(false, 1)
+			So(r.book("e").outcome, ShouldEqual, "not-run")
+			synctest.Wait()
+			So(r.book("e").outcome, ShouldEqual, "answered")
+			So(r.runs(), ShouldEqual, 5)
+		})
+		Convey("while claims are down it is not-run; idempotent requests are untouched", t, func() {
+			r.claims.fail(true, 0)
+			got := r.book("f")
+			So(got.code, ShouldEqual, CodeClaimsDown)
+			So(got.outcome, ShouldEqual, "not-run")
+			So(r.send("GET", "/book/part", "").outcome, ShouldEqual, "answered")
+			assertWhole(r.completion(testModel, true))
+			r.claims.fail(false, 0)
+		})
+		Convey("a dated key past its time is refused, not run", t, func() {
+			id, err := uuid.NewV7()
+			So(err, ShouldBeNil)
+			time.Sleep(7 * time.Hour)
+			runs := r.runs()
+			So(r.book(id.String()).code, ShouldEqual, CodeKeyExpired)
+			So(r.runs(), ShouldEqual, runs)
+		})
+	})
+}
+
+// serviceFaults lists what callers of plain services get; want empty: answered.
+var serviceFaults = []faultCase{
+	{rlbfault.Refuse, false, "", 1}, {rlbfault.Refuse, true, "not-run", 0},
+	{rlbfault.Fail, false, "", 2}, {rlbfault.Fail, true, "failed", 1},
+	{rlbfault.CutBefore, false, "", 2}, {rlbfault.CutBefore, true, "unknown", 1},
+	{rlbfault.CutMid, false, "", 2}, {rlbfault.CutMid, true, "unknown", 1},
+	{rlbfault.WrongSize, false, "", 2}, {rlbfault.WrongSize, true, "unknown", 1},
+	{rlbfault.Silent, false, "", 2}, {rlbfault.Silent, true, "unknown", 1},
+	{rlbfault.Crossed, false, "", 2}, {rlbfault.Crossed, true, "unknown", 1},
+}
+
+func TestServiceFaults(t *testing.T) {
+	for _, c := range serviceFaults {
+		t.Run(string(c.fault), func(t *testing.T) { checkServiceFault(t, c) })
+	}
+}
+
+func checkServiceFault(t *testing.T, c faultCase) {
+	withRig(t, 0, func(r *rig) {
+		Convey("the caller gets what the table says", t, func() {
+			shared := &rlbfault.Injector{}
+			So(shared.Set(rlbfault.Plan{Next: []rlbfault.Fault{c.fault}}), ShouldBeNil)
+			for _, s := range r.services {
+				s.ShareFaults(shared)
+			}
+			path := "/list/all"
+			if c.once {
+				path = "/book/part"
+			}
+			got := r.send("POST", path, "{}")
+			want := c.want
+			if want == "" {
+				want = "answered"
+			}
+			So(got.outcome, ShouldEqual, want)
+			So(r.runs(), ShouldEqual, c.runs)
+		})
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -199,7 +200,7 @@
 func (x *completer) finishStream(reader *rlbrelay.EventReader, in *rlbdispatch.Incoming, raw []byte) {
 	_, _ = x.w.Write(raw)
 	x.flush(http.NewResponseController(x.w))
-	if _, err := reader.Next(); err == io.EOF {
+	if _, err := reader.Next(); errors.Is(err, io.EOF) {
 		in.Done()
 		return
 	}
@@ -207,12 +208,8 @@
 }
 
 func streamFault(in *rlbdispatch.Incoming, err error) rlbroute.Fault {
-	switch err {
-	case rlbrelay.ErrTooLarge:
+	if errors.Is(err, rlbrelay.ErrTooLarge) {
 		return rlbroute.FaultMalformed
-	case io.EOF, io.ErrUnexpectedEOF:
-		return rlbroute.FaultCut
-	default:
-		return in.Fault(err)
 	}
+	return in.Fault(err)
 }
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -0,0 +1,212 @@
+package rlbcaller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// assertWhole checks that the caller has the whole answer to its own request:
+// every token once, in order, and the end.
+func assertWhole(got reply) {
+	So(got.outcome, ShouldEqual, "answered")
+	So(got.done, ShouldBeTrue)
+	So(got.failed, ShouldBeFalse)
+	So(got.tokens, ShouldHaveLength, testTokens)
+	digest, _, _ := strings.Cut(got.tokens[0], "-")
+	for i, token := range got.tokens {
+		So(token, ShouldEqual, fmt.Sprintf("%s-%d", digest, i+1))
+	}
+	So(got.body, ShouldContainSubstring, got.id)
+	So(got.body, ShouldNotContainSubstring, "another-request")
+}
+
+// assertPrefix checks that what came of a broken answer is right as far as it
+// goes, and that its end is explicit.
+func assertPrefix(got reply) {
+	So(got.done, ShouldBeFalse)
+	for i, token := range got.tokens {
+		So(token, ShouldEndWith, fmt.Sprintf("-%d", i+1))
+	}
+	So(got.body, ShouldNotContainSubstring, "another-request")
+}
+
+// faultCase is what a caller gets when the first endpoint meets a fault. An
+// empty want is the whole answer; runs is how often an engine ran the request.
+type faultCase struct {
+	fault rlbfault.Fault
+	once  bool
+	want  string // outcome
+	runs  int
+}
+
+var engineFaults = []faultCase{
+	{rlbfault.Refuse, false, "", 1}, {rlbfault.Refuse, true, "", 1},
+	{rlbfault.Fail, false, "", 2}, {rlbfault.Fail, true, "failed", 1},
+	{rlbfault.Late, false, "", 1}, {rlbfault.Late, true, "", 1},
+	{rlbfault.Silent, false, "", 2}, {rlbfault.Silent, true, "unknown", 1},
+	{rlbfault.CutBefore, false, "", 2}, {rlbfault.CutBefore, true, "unknown", 1},
+	{rlbfault.CutMid, false, "", 2}, {rlbfault.CutMid, true, "unknown", 1},
+	{rlbfault.Crossed, false, "", 2}, {rlbfault.Crossed, true, "unknown", 1},
+}
+
+var streamFaults = []faultCase{
+	{rlbfault.SilentMid, false, "", 2}, {rlbfault.SilentMid, true, "unknown", 1},
+	{rlbfault.CrossedMid, false, "", 2}, {rlbfault.CrossedMid, true, "unknown", 1},
+	{rlbfault.Doubled, false, "", 1}, {rlbfault.Doubled, true, "", 1},
+	{rlbfault.Gap, false, "", 2}, {rlbfault.Gap, true, "unknown", 1},
+	{rlbfault.NoEnd, false, "", 2}, {rlbfault.NoEnd, true, "unknown", 1},
+}
+
+var wholeFaults = []faultCase{{rlbfault.WrongSize, false, "", 2}, {rlbfault.WrongSize, true, "unknown", 1}}
+
+func TestEngineFaults(t *testing.T) {
+	check := func(cases []faultCase, stream bool) {
+		for _, c := range cases {
+			name := fmt.Sprintf("%s, once %t, stream %t", c.fault, c.once, stream)
+			t.Run(name, func(t *testing.T) { checkEngineFault(t, c, stream) })
+		}
+	}
+	check(engineFaults, true)
+	check(streamFaults, true)
+	check(engineFaults, false)
+	check(wholeFaults, false)
+}
+
+func checkEngineFault(t *testing.T, c faultCase, stream bool) {
+	withRig(t, 2, func(r *rig) {
+		Convey("the caller gets what the table says", t, func() {
+			armed := armFirst(r, c.fault)
+			model := testModel
+			if c.once {
+				model = onceModel
+			}
+			got := r.completion(model, stream)
+			So(armed(), ShouldBeTrue)
+			if c.want == "" {
+				assertWhole(got)
+			} else {
+				So(got.outcome, ShouldEqual, c.want)
+				assertPrefix(got)
+			}
+			So(r.started(), ShouldEqual, c.runs)
+		})
+	})
+}
+
+// armFirst makes whichever engine is asked first meet a fault; the other one
+// is disarmed as soon as it is met. It returns whether it was met.
+func armFirst(r *rig, fault rlbfault.Fault) func() bool {
+	shared := &rlbfault.Injector{}
+	if err := shared.Set(rlbfault.Plan{Next: []rlbfault.Fault{fault}, Delay: 2 * time.Second}); err != nil {
+		panic(err)
+	}
+	for _, e := range r.engines {
+		e.ShareFaults(shared)
+	}
+	return func() bool { return shared.Met()[fault] == 1 }
+}
+
+func TestEveryEndpointFails(t *testing.T) {
+	withRig(t, 2, func(r *rig) {
+		Convey("cut on both: unknown, never not-run", t, func() {
+			for _, e := range r.engines {
+				So(e.Faults().Set(rlbfault.Plan{Rates: map[rlbfault.Fault]float64{rlbfault.CutBefore: 1}}), ShouldBeNil)
+			}
+			got := r.completion(testModel, false)
+			So(got.outcome, ShouldEqual, "unknown")
+			So(got.code, ShouldEqual, CodeAnswerCut)
+		})
+		Convey("refused by both: not-run, with a time to come back", t, func() {
+			for _, e := range r.engines {
+				So(e.Faults().Set(rlbfault.Plan{Rates: map[rlbfault.Fault]float64{rlbfault.Refuse: 1}}), ShouldBeNil)
+			}
+			before := r.started()
+			got := r.completion(testModel, false)
+			So(got.outcome, ShouldEqual, "not-run")
+			So(r.started(), ShouldEqual, before)
+		})
+	})
+}
+
+func TestDeadAndSilentEndpoints(t *testing.T) {
+	withRig(t, 2, func(r *rig) {
+		Convey("a dead endpoint is gone around; without any, it is not-run", t, func() {
+			r.network.Kill("engine0")
+			for range 4 {
+				assertWhole(r.completion(testModel, true))
+				assertWhole(r.completion(onceModel, false))
+			}
+			r.network.Kill("engine1")
+			got := r.completion(onceModel, false)
+			So(got.outcome, ShouldEqual, "not-run")
+			So(got.status, ShouldEqual, 503)
+		})
+	})
+}
+
+func TestOpenConnectionsGoSilent(t *testing.T) {
+	withRig(t, 1, func(r *rig) {
+		Convey("pooled connections that went silent cost an idempotent request one wait, a once request none", t, func() {
+			assertWhole(r.completion(testModel, true))
+			r.network.Silence("engine0", false)
+			began := time.Now()
+			assertWhole(r.completion(onceModel, false)) // on a new connection
+			So(time.Since(began), ShouldBeLessThan, time.Second)
+			assertWhole(r.completion(testModel, true))
+			assertWhole(r.completion(testModel, true))
+		})
+	})
+}
+
+func TestCrashingRequest(t *testing.T) {
+	withRig(t, 6, func(r *rig) {
+		Convey("a request that crashes endpoints takes down two, however often it is sent", t, func() {
+			body := fmt.Sprintf(`{"model":%q,"messages":[%q]}`, testModel, rlbfakeengine.CrashMarker)
+			for range 5 {
+				got := r.send("POST", "/v1/chat/completions", body)
+				So(got.outcome, ShouldEqual, "failed")
+				So(got.code, ShouldEqual, CodeCrashes)
+			}
+			So(r.alive(), ShouldEqual, 4)
+			assertWhole(r.completion(testModel, true))
+		})
+	})
+}
+
+// alive returns how many engines take connections.
+func (r *rig) alive() int {
+	n := 0
+	for i := range r.engines {
+		if c, err := r.network.Dial(t0, fmt.Sprintf("engine%d", i)); err == nil {
+			_ = c.Close()
+			n++
+		}
+	}
+	return n
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	withRig(t, 2, func(r *rig) {
+		Convey("streams that run when the drain begins end whole", t, func() {
+			const streams = 20
+			replies := make(chan reply, streams)
+			for range streams {
+				go func() { replies <- r.completion(testModel, true) }()
+			}
+			synctest.Wait()
+			So(r.server.InFlight(), ShouldEqual, streams)
+			r.server.Drain()
+			for range streams {
+				assertWhole(<-replies)
+			}
+			So(r.send("GET", "/ready", "").status, ShouldEqual, 503)
+		})
+	})
+}
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -0,0 +1,308 @@
+package rlbcaller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbfleet"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeservice"
+)
+
+const (
+	testModel   = "draft"
+	onceModel   = "reassign"
+	testVersion = "v1"
+	testTokens  = 8
+)
+
+// rig is one gateway before stand-in endpoints, on an in-memory network and a
+// fake clock.
+type rig struct {
+	network  *rlbfake.Network
+	engines  []*rlbfakeengine.Engine
+	services []*rlbfakeservice.Service
+	fleet    *rlbfleet.Fleet
+	server   *Server
+	client   *http.Client
+	claims   *memoryClaims
+	update   rlbworld.Update
+	closers  []func()
+}
+
+// withRig runs f in a bubble with a fake clock.
+func withRig(t *testing.T, engines int, f func(r *rig), overrides ...string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, engines, overrides)
+		defer r.close()
+		f(r)
+	})
+}
+
+func newRig(t *testing.T, engines int, overrides []string) *rig {
+	settings, err := rlbsettings.Parse("test", nil, rlbsettings.ForGateway)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range overrides {
+		if err := settings.Override(o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	common, err := rlbcommon.New(io.Discard, settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{network: rlbfake.NewNetwork(), fleet: rlbfleet.New("here", time.Now), claims: newMemoryClaims()}
+	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		Dial: r.network.Dial, FirstByte: 10 * time.Second, NextByte: 3 * time.Second, SweepEvery: time.Second,
+	})
+	seed := rand.New(rand.NewPCG(1, 1))
+	var mu sync.Mutex
+	policy, err := rlbroute.NewPolicy[*rlbroute.Endpoint]("cost", func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return seed.Uint64()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.server = New(Opts{
+		Common: common, Fleet: r.fleet, Dispatcher: dispatcher, Policy: policy, Claims: r.claims,
+		Strike: func(rlbworld.Strike) {}, Metrics: metrics.NewRegistry(),
+	})
+	r.closers = append(r.closers, closeDispatcher)
+	r.serve("gateway", r.server.Handler())
+	r.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return r.network.Dial(ctx, "gateway")
+	}}}
+	r.publish(engines)
+	return r
+}
+
+func (r *rig) close() {
+	r.client.CloseIdleConnections()
+	for _, c := range r.closers {
+		c()
+	}
+	r.server.Wait()
+}
+
+func (r *rig) serve(address string, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(r.network.Listen(address)) }()
+	r.closers = append(r.closers, func() { _ = server.Close() })
+	synctest.Wait()
+}
+
+// publish puts a note in force with two models and two services, and endpoints
+// that have them ready.
+func (r *rig) publish(engines int) {
+	state, err := rlbnote.State{}.Apply(rlbnote.Note{ID: "test", Add: rlbnote.Items{
+		Models: []rlbnote.Model{{Name: testModel, Version: testVersion}, {Name: onceModel, Version: testVersion, Once: true}},
+		Services: []rlbnote.Service{
+			{Name: "book", Prefix: "/book/", Idempotent: []string{"GET"}},
+			{Name: "list", Prefix: "/list/", Idempotent: []string{"GET", "POST"}},
+		},
+	}}, time.Now())
+	if err != nil {
+		panic(err)
+	}
+	r.update.Note = &state
+	for i := range engines {
+		r.addEngine(fmt.Sprintf("engine%d", i))
+	}
+	for i, name := range []string{"book", "list", "list"} {
+		id := fmt.Sprintf("%s%d", name, i)
+		service := rlbfakeservice.New(id)
+		r.services = append(r.services, service)
+		r.serve(id, service.Handler())
+		r.update.Instances = append(r.update.Instances, rlbworld.Instance{Revision: 1, Instance: rlbinstance.Instance{ID: id, Type: rlbinstance.TypeService, Address: id, Role: name}})
+	}
+	r.fleet.Update(r.update)
+}
+
+func (r *rig) addEngine(id string) {
+	none := func(context.Context, string, string) error { return nil }
+	engine := rlbfakeengine.New(rlbfakeengine.Opts{
+		ID: id, Incarnation: 1, Memory: 10 * rlbunit.GiB, Slots: 8, PrefillRate: 1 << 20, Step: 10 * time.Millisecond,
+		MaxAdapters: 4, Fetch: none, FetchLora: none, Crash: func() {
+			r.network.Kill(id)
+			panic(http.ErrAbortHandler)
+		},
+	})
+	for _, model := range []string{testModel, onceModel} {
+		if _, err := engine.Take(rlbengine.Order{Action: rlbengine.ActionLoad, Name: model, Version: testVersion, Memory: rlbunit.GiB}); err != nil {
+			panic(err)
+		}
+	}
+	r.serve(id, engine.Handler())
+	r.engines = append(r.engines, engine)
+	state := engine.State()
+	r.update.Instances = append(r.update.Instances, rlbworld.Instance{Revision: 1, Instance: rlbinstance.Instance{ID: id, Type: rlbinstance.TypeEngine, Address: id}})
+	r.update.Engines = append(r.update.Engines, rlbworld.Engine{ID: id, Incarnation: 1, Sequence: state.Sequence, Memory: state.Memory, Residents: state.Residents})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	code    Code
+	id      string
+	body    string
+	tokens  []string
+	done    bool // the end marker came
+	failed  bool // an error event came
+}
+
+// completion sends a model request and reads the whole answer.
+func (r *rig) completion(model string, stream bool, header ...string) reply {
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, model, stream, testTokens)
+	return r.send("POST", "/v1/chat/completions", body, header...)
+}
+
+func (r *rig) send(method, path, body string, header ...string) reply {
+	request, err := http.NewRequest(method, "http://gateway"+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	got := reply{status: response.StatusCode, outcome: response.Header.Get(HeaderOutcome), id: response.Header.Get("X-Request-Id"), body: string(data)}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		got.readEvents(data)
+		return got
+	}
+	var document errorDocument
+	if json.Unmarshal(data, &document) == nil {
+		got.code = document.Error.Code
+	}
+	got.readText(data)
+	return got
+}
+
+func (r *reply) readText(data []byte) {
+	var document struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	if json.Unmarshal(data, &document) == nil && len(document.Choices) > 0 {
+		r.tokens = strings.Fields(document.Choices[0].Message.Content)
+		r.done = true
+	}
+}
+
+func (r *reply) readEvents(data []byte) {
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for lines.Scan() {
+		text, found := strings.CutPrefix(lines.Text(), "data: ")
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+			Error   *Refusal
+		}
+		switch {
+		case !found:
+		case text == "[DONE]":
+			r.done = true
+		case json.Unmarshal([]byte(text), &chunk) != nil:
+			r.tokens = append(r.tokens, "unreadable")
+		case chunk.Error != nil:
+			r.failed, r.outcome, r.code = true, string(chunk.Error.Outcome), chunk.Error.Code
+		default:
+			r.tokens = append(r.tokens, strings.TrimSpace(chunk.Choices[0].Delta.Content))
+		}
+	}
+}
+
+// started returns how many runs the engines began.
+func (r *rig) started() int {
+	n := 0
+	for _, e := range r.engines {
+		for _, count := range e.Record().Runs {
+			n += count.Started
+		}
+	}
+	return n
+}
+
+// runs returns how many requests the plain services ran.
+func (r *rig) runs() int {
+	n := 0
+	for _, s := range r.services {
+		n += len(s.Runs())
+	}
+	return n
+}
+
+// memoryClaims is a claim service in memory, over the real ledger.
+type memoryClaims struct {
+	mu     sync.Mutex
+	ledger *rlbclaim.Ledger
+	down   bool
+	lost   int // answers to lose after the operation took effect
+}
+
+func newMemoryClaims() *memoryClaims {
+	m := &memoryClaims{ledger: rlbclaim.NewLedger("test", 0)}
+	m.ledger.Load(0, rlbclaim.Head{}, nil)
+	return m
+}
+
+// fail switches faults once nothing is under way.
+func (m *memoryClaims) fail(down bool, lost int) {
+	synctest.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down, m.lost = down, lost
+}
+
+// Do implements Claims.
+func (m *memoryClaims) Do(_ context.Context, op rlbclaim.Operation) (rlbclaim.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return rlbclaim.Result{Status: rlbclaim.Unavailable}, nil
+	}
+	m.ledger.Submit(1, op)
+	if w, err := m.ledger.Next(time.Now().Unix()); err != nil {
+		return rlbclaim.Result{}, err
+	} else if w != nil {
+		m.ledger.Written(w.Given + 1)
+	}
+	if m.lost > 0 {
+		m.lost--
+		return rlbclaim.Result{}, io.ErrUnexpectedEOF
+	}
+	return m.ledger.Results()[0].Result, nil
+}
--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -53,10 +53,13 @@
 // alive reports whether an idle connection is still open and has no bytes to
 // read. An idle connection with bytes holds a late answer to an earlier request.
 func (c *conn) alive() bool {
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true // in memory: nothing tells
+	}
 	raw, err := source.SyscallConn()
 	if err != nil {
 		return false
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -14,12 +14,15 @@
 
 // Opts are a dispatcher's limits.
 type Opts struct {
-	Connect    time.Duration // longest wait for a connection
+	Dial       Dial
 	FirstByte  time.Duration // longest wait for an answer's header
 	NextByte   time.Duration // longest silence within an answer
 	SweepEvery time.Duration
 }
 
+// Dial opens a connection to an endpoint.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Dispatcher sends requests to endpoints.
 type Dispatcher struct {
 	opts Opts
@@ -91,7 +94,7 @@
 
 // Probe reports whether a new connection to address can be made.
 func (d *Dispatcher) Probe(ctx context.Context, address string) bool {
-	c, err := dial(ctx, address, d.opts.Connect)
+	c, err := d.dial(ctx, address)
 	if err != nil {
 		return false
 	}
@@ -105,7 +108,15 @@
 			return c, nil
 		}
 	}
-	return dial(ctx, address, d.opts.Connect)
+	return d.dial(ctx, address)
+}
+
+func (d *Dispatcher) dial(ctx context.Context, address string) (*conn, error) {
+	c, err := d.opts.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
 }
 
 func write(c *conn, address string, out *Outgoing) error {
--- a/rlb-gateway/pkg/rlbdispatch/pool.go
+++ b/rlb-gateway/pkg/rlbdispatch/pool.go
@@ -106,14 +106,13 @@
 	}
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+// DialTCP returns a Dial of TCP connections that waits at most timeout.
+func DialTCP(timeout time.Duration) Dial {
 	dialer := net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
 	}
-	return newConn(c), nil
 }
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -149,7 +149,7 @@
 		models:   map[string][]served{},
 		services: map[string][]*rlbroute.Endpoint{},
 	}
-	f.world.Instances().All(func(id string, instance rlbworld.Instance) bool {
+	f.world.Instances().All(func(_ string, instance rlbworld.Instance) bool {
 		if !instance.Serves() {
 			return true
 		}
--- a/rlb-load/main.go
+++ b/rlb-load/main.go
@@ -1,4 +1,6 @@
 // Command rlb-load drives gateways with open-loop load.
 package main
 
-func main() {}
+import "fmt"
+
+func main() { fmt.Println("rlb-load: see issue 6") }
--- a/rlb-standin/pkg/rlbfakeengine/engine.go
+++ b/rlb-standin/pkg/rlbfakeengine/engine.go
@@ -37,7 +37,7 @@
 // Engine is the stand-in.
 type Engine struct {
 	opts      Opts
-	faults    rlbfault.Injector
+	faults    *rlbfault.Injector
 	slots     *slots
 	mu        sync.Mutex
 	sequence  uint64
@@ -77,6 +77,7 @@
 func New(opts Opts) *Engine {
 	return &Engine{
 		opts:      opts,
+		faults:    &rlbfault.Injector{},
 		slots:     newSlots(opts.Slots),
 		residents: map[modelKey]*resident{},
 		runs:      map[string]*run{},
@@ -93,12 +94,16 @@
 	mux.HandleFunc("GET /control/state", e.state)
 	mux.HandleFunc("POST /control/orders", e.order)
 	mux.HandleFunc("GET /record", e.showRecord)
-	mux.Handle("/fault", &e.faults)
+	mux.Handle("/fault", e.faults)
 	return mux
 }
 
 // Faults returns the injector of faults.
-func (e *Engine) Faults() *rlbfault.Injector { return &e.faults }
+func (e *Engine) Faults() *rlbfault.Injector { return e.faults }
+
+// ShareFaults makes the engine take its faults from an injector that other
+// stand-ins share, before it serves.
+func (e *Engine) ShareFaults(faults *rlbfault.Injector) { e.faults = faults }
 
 // Record returns a copy of the record.
 func (e *Engine) Record() Record {
--- a/rlb-standin/pkg/rlbfakeservice/service.go
+++ b/rlb-standin/pkg/rlbfakeservice/service.go
@@ -18,7 +18,7 @@
 // Service is the stand-in.
 type Service struct {
 	id     string
-	faults rlbfault.Injector
+	faults *rlbfault.Injector
 	mu     sync.Mutex
 	runs   []Run
 }
@@ -35,17 +35,21 @@
 }
 
 // New returns a service that has run nothing.
-func New(id string) *Service { return &Service{id: id} }
+func New(id string) *Service { return &Service{id: id, faults: &rlbfault.Injector{}} }
 
 // Faults returns the injector of faults.
-func (s *Service) Faults() *rlbfault.Injector { return &s.faults }
+func (s *Service) Faults() *rlbfault.Injector { return s.faults }
+
+// ShareFaults makes the service take its faults from an injector that other
+// stand-ins share, before it serves.
+func (s *Service) ShareFaults(faults *rlbfault.Injector) { s.faults = faults }
 
 // Handler returns the HTTP handler: any path runs a request, but for /record
 // and /fault, which are for tests.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /record", s.record)
-	mux.Handle("/fault", &s.faults)
+	mux.Handle("/fault", s.faults)
 	mux.HandleFunc("/", s.serve)
 	return mux
 }
