Lease: no two writes are equal; explicit-state check of the real code

Cause: the check of the lease (two processes, one object, late writes, lost answers, pauses) found two holders at once: a write that was given up took effect late; its holder sent an equal one (same fence, renewal 0), lost that answer too, read the first one back and took it for the second, so that it counted its deadline from the later send. 14 events, found in 153,154 states. Ruled out: the model (the trace holds by hand); the margin (any margin can be exceeded by waiting longer between the two sends). Change: each write carries the number of the holder's write, never reused.

--- a/lib/pkg/rlblease/lease.go
+++ b/lib/pkg/rlblease/lease.go
@@ -17,9 +17,9 @@
 
 // Record is the value of a lease's object.
 type Record struct {
-	Holder  string `json:"holder"` // empty: given up
-	Fence   uint64 `json:"fence"`  // rises with each change of holder
-	Renewal uint64 `json:"renewal"`
+	Holder  string `json:"holder"`  // empty: given up
+	Fence   uint64 `json:"fence"`   // rises with each change of holder
+	Renewal uint64 `json:"renewal"` // number of the holder's write, so that no two writes are equal
 }
 
 // Opts are the terms of a lease.
@@ -38,6 +38,7 @@
 	changed  time.Time // when the version was first seen
 	deadline time.Time // until which this process holds it; zero: it does not
 	flight   *flight   // the latest write, until it is known whether it took effect
+	writes   uint64    // begun by this process
 	waiting  bool      // for the answer of flight
 	next     time.Time // of the next step
 }
@@ -84,11 +85,11 @@
 		l.next = now.Add(l.opts.TTL / renewals)
 		return StepRead, nil, 0, nil
 	case mine && contend:
-		return l.write(now, Record{l.opts.Holder, l.record.Fence, l.record.Renewal + 1})
+		return l.write(now, Record{Holder: l.opts.Holder, Fence: l.record.Fence})
 	case mine:
-		return l.write(now, Record{"", l.record.Fence, l.record.Renewal + 1})
+		return l.write(now, Record{Fence: l.record.Fence})
 	case contend && l.lapsed(now):
-		return l.write(now, Record{l.opts.Holder, l.record.Fence + 1, 0})
+		return l.write(now, Record{Holder: l.opts.Holder, Fence: l.record.Fence + 1})
 	case contend:
 		l.next = now.Add(l.opts.TTL / renewals)
 		return StepRead, nil, 0, nil
@@ -103,6 +104,8 @@
 }
 
 func (l *Lease) write(now time.Time, record Record) (Step, []byte, rlbobject.Version, error) {
+	l.writes++
+	record.Renewal = l.writes // a write that was lost must not be taken for a later one
 	value, err := json.Marshal(record)
 	if err != nil {
 		return StepNone, nil, 0, rlberror.New("encode lease", KindEncoding, err)
