--- a/lib/pkg/rlbengine/engine.go
+++ b/lib/pkg/rlbengine/engine.go
@@ -7,7 +7,12 @@
 package rlbengine
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -90,8 +95,11 @@
 	// State returns the engine's report.
 	State(ctx context.Context) (State, error)
 	// Order sends an order and returns the state after accepting it. After
-	// KindUnknown the order may have taken effect or may still do so.
-	Order(ctx context.Context, order Order) (State, error)
+	// KindUnknown the order may have taken effect or may still do so. Permitted
+	// is asked once the connection stands and right before the first byte; if
+	// it says no, nothing is sent. So an order that its sender held back for
+	// long meets the engine's life that it was meant for, or none.
+	Order(ctx context.Context, order Order, permitted func() bool) (State, error)
 }
 
 // Kind is the kind of a failure.
@@ -115,6 +123,7 @@
 
 // Client is the control side of one engine over HTTP.
 type Client struct {
+	address string
 	base    string
 	http    *http.Client
 	timeout time.Duration
@@ -123,38 +132,75 @@
 // NewClient returns a client of the engine at address (IP:port) whose calls
 // wait at most timeout. The HTTP client is shared between engines.
 func NewClient(address string, client *http.Client, timeout time.Duration) *Client {
-	return &Client{"http://" + address + "/control/", client, timeout}
+	return &Client{address, "http://" + address + "/control/", client, timeout}
 }
 
 // State implements Engine.
 func (c *Client) State(ctx context.Context) (State, error) {
-	return c.call(ctx, http.MethodGet, "state", nil)
-}
-
-// Order implements Engine.
-func (c *Client) Order(ctx context.Context, order Order) (State, error) {
-	return c.call(ctx, http.MethodPost, "orders", order)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var state State
+	if _, err := rlbhttp.Call(ctx, c.http, http.MethodGet, c.base+"state", nil, &state); err != nil {
+		return state, rlberror.New("state", KindUnknown, err)
+	}
+	return state, nil
 }
 
-func (c *Client) call(ctx context.Context, method, path string, in any) (State, error) {
+// Order implements Engine, on a connection of its own.
+func (c *Client) Order(ctx context.Context, order Order, permitted func() bool) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var state State
-	answer, err := rlbhttp.Call(ctx, c.http, method, c.base+path, in, &state)
-	if err == nil {
-		return state, nil
+	dialer := net.Dialer{}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return state, rlberror.New("orders", KindNotSent, err)
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	body, err := json.Marshal(order)
+	if err != nil {
+		return state, rlberror.New("orders", KindNotSent, err)
+	}
+	request, err := http.NewRequest(http.MethodPost, c.base+"orders", bytes.NewReader(body))
+	if err != nil {
+		return state, rlberror.New("orders", KindNotSent, err)
 	}
-	return state, rlberror.New(path, kindOf(answer.Status, err), err)
+	if !permitted() {
+		return state, rlberror.Newf("orders", KindNotSent, "not permitted any more")
+	}
+	return exchange(conn, request)
 }
 
-func kindOf(status int, err error) Kind {
-	kind, _ := rlberror.KindOf[rlbhttp.Kind](err)
+// exchange sends the request and reads its answer.
+func exchange(conn net.Conn, request *http.Request) (State, error) {
+	var state State
+	if err := request.Write(conn); err != nil {
+		return state, rlberror.New("orders", KindUnknown, err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return state, rlberror.New("orders", KindUnknown, err)
+	}
+	answer, err := io.ReadAll(io.LimitReader(response.Body, rlbhttp.MaxBody))
 	switch {
-	case kind == rlbhttp.KindNotSent:
-		return KindNotSent
-	case status == http.StatusConflict:
+	case err != nil:
+		return state, rlberror.New("orders", KindUnknown, err)
+	case response.StatusCode != http.StatusOK:
+		return state, rlberror.Newf("orders", kindOfStatus(response.StatusCode), "status %d: %s", response.StatusCode, bytes.TrimSpace(answer))
+	}
+	if err := json.Unmarshal(answer, &state); err != nil {
+		return state, rlberror.New("orders", KindUnknown, err)
+	}
+	return state, nil
+}
+
+func kindOfStatus(status int) Kind {
+	switch status {
+	case http.StatusConflict:
 		return KindFenced
-	case status == http.StatusUnprocessableEntity, status == http.StatusBadRequest:
+	case http.StatusUnprocessableEntity, http.StatusBadRequest:
 		return KindRefused
 	default:
 		return KindUnknown
--- a/lib/pkg/rlborder/events.go
+++ b/lib/pkg/rlborder/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"slices"
 	"strconv"
 
@@ -38,7 +39,7 @@
 	}
 	f := b.flight
 	b.known, b.flight = true, nil
-	if f != nil && record.Fence == b.fence && record.Serial == f.Serial {
+	if f != nil && reflect.DeepEqual(record, *f) {
 		b.flight = f
 		b.Written(version) // the write whose answer was lost took effect
 		return nil
--- a/rlb-controller/pkg/rlbcontrol/orders.go
+++ b/rlb-controller/pkg/rlbcontrol/orders.go
@@ -115,16 +115,7 @@
 
 // sendOrder sends an order, unless the lease is no longer held at that moment.
 func (c *Controller) sendOrder(ctx context.Context, b *bookState, order rlbengine.Order) {
-	engine := c.Engine(b.instance.Control)
-	c.mu.Lock()
-	fence, held := c.holds(b.instance.FailureDomain, time.Now())
-	if !held || fence != b.book.Fence() {
-		b.book.NotSent(order)
-		c.mu.Unlock()
-		return
-	}
-	c.mu.Unlock()
-	state, err := engine.Order(ctx, order)
+	state, err := c.Engine(b.instance.Control).Order(ctx, order, func() bool { return c.permitted(b) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tellOrder(b, order, err)
@@ -145,6 +136,14 @@
 	}
 }
 
+// permitted reports whether the lease under which a book writes is still held.
+func (c *Controller) permitted(b *bookState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fence, held := c.holds(b.instance.FailureDomain, time.Now())
+	return held && fence == b.book.Fence()
+}
+
 func (c *Controller) tellOrder(b *bookState, order rlbengine.Order, err error) {
 	outcome := "accepted"
 	if err != nil {
