--- a/lib/pkg/rlblink/client.go
+++ b/lib/pkg/rlblink/client.go
@@ -89,21 +89,24 @@
 	}
 }
 
-// round tries each server in turn and reports whether one was linked.
+// round tries each server in turn and reports whether one answered. A frozen
+// server still takes connections, so that only a message counts as an answer.
 func (c *Client) round(ctx context.Context) bool {
 	for position, address := range c.opts.Addresses() {
 		conn, err := c.opts.Dial(ctx, address)
 		if err != nil {
 			continue
 		}
-		c.link(ctx, conn, address, position)
-		return true
+		if c.link(ctx, conn, address, position) {
+			return true
+		}
 	}
 	return false
 }
 
-// link serves one connection until it ends.
-func (c *Client) link(ctx context.Context, conn net.Conn, address string, position int) {
+// link serves one connection until it ends, and reports whether the server
+// ever answered.
+func (c *Client) link(ctx context.Context, conn net.Conn, address string, position int) (answered bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wire := rlbwire.NewConn(conn, c.opts.Silence)
@@ -111,7 +114,7 @@
 	defer stop()
 	defer func() { _ = wire.Close() }()
 	if err := wire.Send(TypeHello, 0, Hello{Protocol, c.opts.Node, c.opts.Scope}); err != nil {
-		return
+		return false
 	}
 	c.attach(wire, address)
 	defer c.detach(address)
@@ -123,11 +126,12 @@
 		frame, err := wire.Receive()
 		if err != nil {
 			c.opts.Log.WithError(err).WithField("address", address).Debug("link ended")
-			return
+			return answered
 		}
 		if !c.take(frame) {
-			return
+			return answered
 		}
+		answered = true
 	}
 }
 
@@ -171,7 +175,7 @@
 }
 
 // comeBack ends a link to a server that is not the preferred one as soon as
-// that one can be reached.
+// that one answers.
 func (c *Client) comeBack(ctx context.Context, wire *rlbwire.Conn) {
 	ticker := time.NewTicker(returnPeriod)
 	defer ticker.Stop()
@@ -185,14 +189,28 @@
 		if len(addresses) == 0 {
 			continue
 		}
-		if conn, err := c.opts.Dial(ctx, addresses[firstPosition]); err == nil {
-			_ = conn.Close()
+		if c.answers(ctx, addresses[firstPosition]) {
 			_ = wire.Close()
 			return
 		}
 	}
 }
 
+// answers reports whether a server sends an update.
+func (c *Client) answers(ctx context.Context, address string) bool {
+	conn, err := c.opts.Dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	wire := rlbwire.NewConn(conn, c.opts.Silence)
+	defer func() { _ = wire.Close() }()
+	if err := wire.Send(TypeHello, 0, Hello{Protocol, c.opts.Node, rlbworld.ScopeSlow}); err != nil {
+		return false
+	}
+	_, err = wire.Receive()
+	return err == nil
+}
+
 func (c *Client) take(frame rlbwire.Frame) bool {
 	switch frame.Type {
 	case TypeUpdate:
--- a/lib/pkg/rlbplace/demand.go
+++ b/lib/pkg/rlbplace/demand.go
@@ -27,7 +27,8 @@
 // followDemand adds replicas where the relief is worth the moves: into free
 // memory for one move, in place of a less wanted replica for two and its loss.
 func (p *planner) followDemand() {
-	for _, m := range p.models() {
+	for _, w := range p.models {
+		m := w.Model
 		n := p.replicas(m)
 		if n == 0 || p.growing(m) {
 			continue
@@ -36,6 +37,9 @@
 		if gain <= p.opts.MoveWeight {
 			continue
 		}
+		if p.loading >= p.opts.LoadsAtOnce || !p.search() {
+			return
+		}
 		if i := p.roomiest(m); i >= 0 {
 			p.load(i, m, "demand")
 			continue
--- a/lib/pkg/rlbplace/input.go
+++ b/lib/pkg/rlbplace/input.go
@@ -59,9 +59,3 @@
 		return r.Name == name && r.Version == version && r.Phase != rlbengine.PhaseUnloading
 	})
 }
-
-func ready(e Engine, name, version string) bool {
-	return slices.ContainsFunc(e.Residents, func(r rlbengine.Resident) bool {
-		return r.Name == name && r.Version == version && r.Phase == rlbengine.PhaseReady
-	})
-}
--- /dev/null
+++ b/lib/pkg/rlbplace/place_test.go
@@ -0,0 +1,226 @@
+package rlbplace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var testOpts = Opts{MoveWeight: 0.2, Slots: 32, LoadsAtOnce: 8}
+
+func noteOf(models ...rlbnote.Model) rlbnote.State {
+	s := rlbnote.State{Version: 1, Models: map[string]rlbnote.Model{}}
+	for _, m := range models {
+		s.Models[m.Name] = m
+	}
+	return s
+}
+
+func model(name string, memory rlbunit.Bytes) rlbnote.Model {
+	return rlbnote.Model{Name: name, Version: "v1", Memory: memory}
+}
+
+func engineOf(id string, memory rlbunit.Bytes, residents ...rlbengine.Resident) Engine {
+	e := Engine{ID: id, Domain: id, Memory: memory, Residents: residents}
+	for _, r := range residents {
+		e.Reserved += r.Memory
+	}
+	return e
+}
+
+func readyOf(m rlbnote.Model) rlbengine.Resident {
+	return rlbengine.Resident{Name: m.Name, Version: m.Version, Phase: rlbengine.PhaseReady, Memory: m.Memory}
+}
+
+func lines(proposals []Proposal) (all []string) {
+	for _, p := range proposals {
+		all = append(all, p.String())
+	}
+	return all
+}
+
+func TestPlan(t *testing.T) {
+	a, b, c := model("a", 6), model("b", 6), model("c", 4)
+	old := a
+	old.Version = "v0"
+	guarded := Guards{}
+	for _, m := range []rlbnote.Model{a, b, c} {
+		guarded, _ = guarded.Keep(m.Name, m.Version, "e0")
+	}
+	cases := []struct {
+		name string
+		in   Input
+		want []string
+	}{
+		{"missing models go to the roomiest engines", Input{Note: noteOf(a, b), Engines: []Engine{engineOf("e0", 10), engineOf("e1", 9)}},
+			[]string{"load a@v1 on e0: no replica", "load b@v1 on e1: no replica"}},
+		{"nothing is loaded into reserved memory", Input{Note: noteOf(a), Engines: []Engine{{ID: "e0", Memory: 10, Reserved: 5}}}, nil},
+		{"nothing is loaded on a leaving engine, and its replica does not count", Input{Note: noteOf(a),
+			Engines: []Engine{{ID: "e0", Memory: 10, Reserved: 6, Leaving: true, Residents: []rlbengine.Resident{readyOf(a)}}, engineOf("e1", 10)}},
+			[]string{"load a@v1 on e1: no replica"}},
+		{"the replaced version stays while the new one is not guarded", Input{Note: noteOf(a), Settled: true,
+			Engines: []Engine{engineOf("e0", 10, readyOf(old)), engineOf("e1", 10)}},
+			[]string{"load a@v1 on e1: no replica"}},
+		{"it goes once the new one is guarded", Input{Note: noteOf(a), Settled: true, Guards: guarded,
+			Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10, readyOf(old))}},
+			[]string{"unload a@v0 on e1: not in force"}},
+		{"but not before every gateway has the note", Input{Note: noteOf(a), Guards: guarded,
+			Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10, readyOf(old))}}, nil},
+		{"a second replica makes room for a model without any", Input{Note: noteOf(a, b), Settled: true,
+			Engines: []Engine{engineOf("e0", 6, readyOf(a)), engineOf("e1", 6, readyOf(a))}},
+			[]string{"unload a@v1 on e0: makes room for b"}},
+		{"a single replica is moved away first", Input{Note: noteOf(a, c), Settled: true,
+			Engines: []Engine{engineOf("e0", 6, readyOf(c)), engineOf("e1", 4)}},
+			[]string{"load c@v1 on e1: moves away for a"}},
+		{"demand adds a replica", Input{Note: noteOf(a), Demand: map[string]float64{"a": 40},
+			Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10)}}, []string{"load a@v1 on e1: demand"}},
+		{"little demand does not", Input{Note: noteOf(a), Demand: map[string]float64{"a": 10},
+			Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10)}}, nil},
+		{"high demand takes the place of an idle second replica", Input{Note: noteOf(a, b), Demand: map[string]float64{"a": 64},
+			Engines: []Engine{engineOf("e0", 6, readyOf(a)), engineOf("e1", 6, readyOf(b)), engineOf("e2", 6, readyOf(b))}},
+			[]string{"unload b@v1 on e1: makes room for a"}},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() { So(lines(Plan(c.in, testOpts)), ShouldResemble, c.want) })
+	}
+	Convey("a higher weight of moves means fewer moves", t, func() {
+		in := Input{Note: noteOf(a), Demand: map[string]float64{"a": 40}, Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10)}}
+		heavy := testOpts
+		heavy.MoveWeight = 1
+		So(Plan(in, testOpts), ShouldHaveLength, 1)
+		So(Plan(in, heavy), ShouldBeEmpty)
+	})
+	Convey("loads beyond what the weight store serves at once wait", t, func() {
+		in := Input{Note: noteOf(), Engines: []Engine{engineOf("e0", 1000)}}
+		for i := range 20 {
+			m := model(fmt.Sprint("m", i), 1)
+			in.Note.Models[m.Name] = m
+		}
+		So(Plan(in, testOpts), ShouldHaveLength, 8)
+	})
+}
+
+func TestFeasible(t *testing.T) {
+	Convey("a note that fits", t, func() {
+		So(Feasible(noteOf(model("a", 6), model("b", 4)), []Engine{engineOf("e0", 10)}), ShouldBeNil)
+	})
+	Convey("one that does not, with the numbers", t, func() {
+		err := Feasible(noteOf(model("a", 6), model("b", 5)), []Engine{engineOf("e0", 10)})
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldEqual, `model b needs 5B on one endpoint of role "", but the roomiest of 1 has 4B left; all models of this role need 11B of 10B`)
+	})
+	Convey("a role without endpoints", t, func() {
+		m := model("a", 1)
+		m.Role = "dispatch"
+		e := engineOf("e0", 10)
+		e.Role = "planner"
+		So(Feasible(noteOf(m), []Engine{e}), ShouldNotBeNil)
+	})
+}
+
+// TestGuards lets holders with any views retire and keep replicas in any
+// order: a ready replica that is not being unloaded is always left.
+func TestGuards(t *testing.T) {
+	Convey("the guarded replica is not retired, a retiring one not guarded", t, func() {
+		g, ok := Guards{}.Keep("a", "v1", "e0")
+		So(ok, ShouldBeTrue)
+		_, ok = g.Retire("a", "v1", "e0")
+		So(ok, ShouldBeFalse)
+		g, ok = g.Retire("a", "v1", "e1")
+		So(ok, ShouldBeTrue)
+		_, ok = g.Keep("a", "v1", "e1")
+		So(ok, ShouldBeFalse)
+		g = g.Retired("a", "v1", "e1")
+		g, ok = g.Keep("a", "v1", "e1")
+		So(ok, ShouldBeTrue)
+		So(g.Protects("a", "v1", "e1"), ShouldBeTrue)
+	})
+	Convey("nothing is retired of a version that is not guarded", t, func() {
+		g, _ := Guards{}.Keep("a", "v1", "e0")
+		_, ok := g.Retire("a", "v2", "e1")
+		So(ok, ShouldBeFalse)
+		So(g.Guarded("a", "v2"), ShouldBeFalse)
+	})
+}
+
+// TestConvergence applies plans to a small fleet step by step: from any first
+// placement every model in force comes to have a replica, never without one
+// once it had one, and memory is never exceeded.
+func TestConvergence(t *testing.T) {
+	const size = 10
+	note := noteOf(model("a", 6), model("b", 6), model("c", 4), model("d", 4), model("e", 3))
+	for seed := range 20 {
+		Convey(fmt.Sprintf("seed %d", seed), t, func() {
+			engines := []Engine{engineOf("e0", size), engineOf("e1", size), engineOf("e2", size)}
+			had := map[string]bool{}
+			for step := range 60 {
+				in := Input{Note: note, Engines: engines, Settled: true, Demand: map[string]float64{"a": float64((step * (seed + 3)) % 90), "d": float64(seed)}}
+				for _, p := range Plan(in, testOpts) {
+					engines = carryOut(engines, p)
+				}
+				for i := range engines {
+					So(engines[i].Reserved, ShouldBeLessThanOrEqualTo, size)
+				}
+				for name, m := range note.Models {
+					n := newPlanner(Input{Note: note, Engines: engines}, testOpts).ready(m)
+					So(n > 0 || !had[name], ShouldBeTrue)
+					had[name] = had[name] || n > 0
+				}
+			}
+			So(had, ShouldHaveLength, len(note.Models))
+			for name := range note.Models {
+				So(had[name], ShouldBeTrue)
+			}
+		})
+	}
+}
+
+// carryOut applies a proposal at once.
+func carryOut(engines []Engine, p Proposal) []Engine {
+	var next []Engine
+	for _, e := range engines {
+		if e.ID == p.Endpoint {
+			var kept []rlbengine.Resident
+			for _, r := range e.Residents {
+				if p.Action != rlbengine.ActionUnload || r.Name != p.Name {
+					kept = append(kept, r)
+				}
+			}
+			if p.Action == rlbengine.ActionLoad {
+				kept = append(kept, rlbengine.Resident{Name: p.Name, Version: p.Version, Phase: rlbengine.PhaseReady, Memory: p.Memory})
+			}
+			e = engineOf(e.ID, e.Memory, kept...)
+		}
+		next = append(next, e)
+	}
+	return next
+}
+
+// BenchmarkPlan is one plan at a failure domain's share of letter 1's size.
+func BenchmarkPlan(b *testing.B) {
+	in := Input{Note: noteOf(), Demand: map[string]float64{}, Settled: true}
+	for i := range 1700 {
+		m := model(fmt.Sprint("m", i), 10)
+		in.Note.Models[m.Name] = m
+		in.Demand[m.Name] = float64(i % 50)
+	}
+	for i := range 550 {
+		e := engineOf(fmt.Sprint("e", i), 80)
+		for k := range 7 {
+			m := in.Note.Models[fmt.Sprint("m", (i*7+k)%1700)]
+			e.Residents = append(e.Residents, readyOf(m))
+			e.Reserved += m.Memory
+		}
+		in.Engines = append(in.Engines, e)
+	}
+	began := time.Now()
+	for b.Loop() {
+		Plan(in, testOpts)
+	}
+	b.ReportMetric(float64(time.Since(began).Milliseconds())/float64(b.N), "ms/plan")
+}
--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
@@ -19,34 +18,76 @@
 	engines   []Engine
 	proposals []Proposal
 	loading   int
+	models    []wanted           // in force, the most wanted first
+	counts    map[string]*counts // by model in force
+	searches  int                // left for replicas to give way
 }
 
+// counts are the replicas of a model's version in force, on engines that stay.
+type counts struct{ held, ready int }
+
+// maxSearches bounds the searches for replicas to give way in one plan: the
+// weight store allows no more loads than that before the next plan.
+const maxSearches = 4
+
 // Plan returns the changes to begin now, the most urgent first. Equal inputs
 // give equal plans.
 func Plan(in Input, opts Opts) []Proposal {
-	p := &planner{in: in, opts: opts, engines: slices.Clone(in.Engines)}
+	p := newPlanner(in, opts)
+	p.unloadReplaced()
+	p.placeMissing()
+	p.followDemand()
+	return p.proposals
+}
+
+func newPlanner(in Input, opts Opts) *planner {
+	p := &planner{in: in, opts: opts, engines: slices.Clone(in.Engines), models: byDemand(in), counts: map[string]*counts{}, searches: maxSearches}
+	for name := range in.Note.Models {
+		p.counts[name] = &counts{}
+	}
 	for i := range p.engines {
-		p.engines[i].Residents = slices.Clone(p.engines[i].Residents)
-		for _, r := range p.engines[i].Residents {
+		e := &p.engines[i]
+		e.Residents = slices.Clone(e.Residents)
+		for _, r := range e.Residents {
 			if r.Phase == rlbengine.PhaseLoading {
 				p.loading++
 			}
+			p.count(*e, r, 1)
 		}
 	}
-	p.unloadReplaced()
-	p.placeMissing()
-	p.followDemand()
-	return p.proposals
+	return p
 }
 
-// models returns the models in force, the most wanted first.
-func (p *planner) models() []rlbnote.Model {
-	names := slices.Sorted(maps.Keys(p.in.Note.Models))
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(p.in.Demand[b], p.in.Demand[a]) })
-	all := make([]rlbnote.Model, 0, len(names))
-	for _, name := range names {
-		all = append(all, p.in.Note.Models[name])
+// count adds or takes away a resident.
+func (p *planner) count(e Engine, r rlbengine.Resident, by int) {
+	m, inForce := p.in.Note.Models[r.Name]
+	if !inForce || m.Version != r.Version || e.Leaving || r.Phase == rlbengine.PhaseUnloading {
+		return
 	}
+	p.counts[r.Name].held += by
+	if r.Phase == rlbengine.PhaseReady {
+		p.counts[r.Name].ready += by
+	}
+}
+
+// wanted is a model in force with its demand.
+type wanted struct {
+	rlbnote.Model
+	demand float64
+}
+
+// byDemand returns the models in force, the most wanted first.
+func byDemand(in Input) []wanted {
+	all := make([]wanted, 0, len(in.Note.Models))
+	for name, m := range in.Note.Models {
+		all = append(all, wanted{m, in.Demand[name]})
+	}
+	slices.SortFunc(all, func(a, b wanted) int {
+		if c := cmp.Compare(b.demand, a.demand); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
 	return all
 }
 
@@ -69,7 +110,8 @@
 
 // placeMissing loads every model in force that has no replica.
 func (p *planner) placeMissing() {
-	for _, m := range p.models() {
+	for _, w := range p.models {
+		m := w.Model
 		if p.replicas(m) > 0 {
 			continue
 		}
@@ -81,15 +123,7 @@
 	}
 }
 
-func (p *planner) replicas(m rlbnote.Model) int {
-	n := 0
-	for _, e := range p.engines {
-		if !e.Leaving && holds(e, m.Name, m.Version) {
-			n++
-		}
-	}
-	return n
-}
+func (p *planner) replicas(m rlbnote.Model) int { return p.counts[m.Name].held }
 
 func free(e Engine) rlbunit.Bytes { return e.Memory - e.Reserved }
 
@@ -97,11 +131,9 @@
 // model, or -1. Failure domains without a replica go first.
 func (p *planner) roomiest(m rlbnote.Model) int {
 	best := -1
+	inDomain := p.perDomain(m)
 	for i, e := range p.engines {
-		if !p.canLoad(e, m) {
-			continue
-		}
-		if best < 0 || p.better(e, p.engines[best], m) {
+		if p.canLoad(e, m) && (best < 0 || better(e, p.engines[best], inDomain)) {
 			best = i
 		}
 	}
@@ -113,8 +145,8 @@
 	return !e.Leaving && matches(e, m.Role) && !present && free(e) >= m.Memory
 }
 
-func (p *planner) better(a, b Engine, m rlbnote.Model) bool {
-	if inA, inB := p.inDomain(a.Domain, m), p.inDomain(b.Domain, m); inA != inB {
+func better(a, b Engine, inDomain map[string]int) bool {
+	if inA, inB := inDomain[a.Domain], inDomain[b.Domain]; inA != inB {
 		return inA < inB
 	}
 	if free(a) != free(b) {
@@ -123,11 +155,15 @@
 	return a.ID < b.ID
 }
 
-func (p *planner) inDomain(domain string, m rlbnote.Model) int {
-	n := 0
+// perDomain returns the number of a model's replicas in each failure domain.
+func (p *planner) perDomain(m rlbnote.Model) map[string]int {
+	n := map[string]int{}
+	if p.replicas(m) == 0 {
+		return n
+	}
 	for _, e := range p.engines {
-		if e.Domain == domain && !e.Leaving && holds(e, m.Name, m.Version) {
-			n++
+		if !e.Leaving && holds(e, m.Name, m.Version) {
+			n[e.Domain]++
 		}
 	}
 	return n
@@ -136,6 +172,9 @@
 // makeRoom frees memory for a model that fits nowhere: by unloading replicas
 // of models that have others, or by moving a model elsewhere first.
 func (p *planner) makeRoom(m rlbnote.Model) {
+	if !p.search() {
+		return
+	}
 	best, cost := -1, 0.0
 	var victims []rlbengine.Resident
 	for i, e := range p.engines {
@@ -190,14 +229,12 @@
 	return all
 }
 
-func (p *planner) ready(m rlbnote.Model) int {
-	n := 0
-	for _, e := range p.engines {
-		if !e.Leaving && ready(e, m.Name, m.Version) {
-			n++
-		}
-	}
-	return n
+func (p *planner) ready(m rlbnote.Model) int { return p.counts[m.Name].ready }
+
+// search reports whether one more search is allowed.
+func (p *planner) search() bool {
+	p.searches--
+	return p.searches >= 0
 }
 
 // moveAway loads a second replica of some model elsewhere, so that its first
@@ -227,7 +264,9 @@
 	p.loading++
 	e := &p.engines[i]
 	e.Reserved += m.Memory
-	e.Residents = append(e.Residents, rlbengine.Resident{Name: m.Name, Version: m.Version, Phase: rlbengine.PhaseLoading, Memory: m.Memory})
+	r := rlbengine.Resident{Name: m.Name, Version: m.Version, Phase: rlbengine.PhaseLoading, Memory: m.Memory}
+	e.Residents = append(e.Residents, r)
+	p.count(*e, r, 1)
 	p.proposals = append(p.proposals, Proposal{
 		Endpoint: e.ID, Action: rlbengine.ActionLoad, Name: m.Name, Version: m.Version, Memory: m.Memory, Reason: reason,
 	})
@@ -236,7 +275,7 @@
 func (p *planner) unload(i int, r rlbengine.Resident, current bool, reason string) {
 	e := &p.engines[i]
 	at := slices.IndexFunc(e.Residents, func(x rlbengine.Resident) bool { return x.Name == r.Name && x.Version == r.Version })
-	e.Residents = slices.Clone(e.Residents)
+	p.count(*e, e.Residents[at], -1)
 	e.Residents[at].Phase = rlbengine.PhaseUnloading // its memory is free only once the engine says so
 	p.proposals = append(p.proposals, Proposal{
 		Endpoint: e.ID, Action: rlbengine.ActionUnload, Name: r.Name, Version: r.Version, Memory: r.Memory, Current: current, Reason: reason,
--- /dev/null
+++ b/lib/pkg/rlbworld/world_test.go
@@ -0,0 +1,184 @@
+package rlbworld
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the drawn cases, so that each run has the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "500"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+// none is the sources of an instance that collects nothing itself.
+type none struct{}
+
+func (none) OwnsEngine(string) bool { return false }
+func (none) OwnsNode(NodeKey) bool  { return false }
+
+// TestNoteNeverReverts draws instances that restart empty, read the object API
+// late and hear from one another in any order: what an instance serves never
+// goes down within its life, and a restarted one that heard from any peer is
+// not behind what that peer had then.
+func TestNoteNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 4
+		worlds := make([]*World, instances)
+		cursors := make([][]*Cursor, instances)
+		reset := func(i int) {
+			worlds[i] = New()
+			for j := range cursors {
+				if cursors[j] == nil {
+					cursors[j] = make([]*Cursor, instances)
+				}
+				cursors[i][j], cursors[j][i] = NewCursor(ScopeAll), NewCursor(ScopeAll)
+			}
+		}
+		for i := range instances {
+			reset(i)
+		}
+		published := []rlbnote.State{{}}
+		for range rapid.IntRange(10, 60).Draw(t, "events") {
+			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			before := worlds[i].Note().Version
+			switch rapid.SampledFrom([]string{"publish", "read", "hear", "hear", "restart"}).Draw(t, "event") {
+			case "publish":
+				last := published[len(published)-1]
+				next, err := last.Apply(rlbnote.Note{ID: "n", Base: last.Version}, start)
+				if err != nil {
+					t.Fatal(err)
+				}
+				published = append(published, next)
+			case "read": // also a stale one
+				worlds[i].MergeNote(published[rapid.IntRange(0, len(published)-1).Draw(t, "version")])
+			case "hear":
+				j := rapid.IntRange(0, instances-1).Draw(t, "peer")
+				told := worlds[j].Delta(cursors[j][i], none{})
+				if rapid.Bool().Draw(t, "lost") {
+					cursors[j][i] = NewCursor(ScopeAll) // the link ended, a new one begins anew
+					break
+				}
+				worlds[i].Merge(told, start)
+				if worlds[i].Note().Version < worlds[j].Note().Version {
+					t.Fatalf("instance %d has %d after hearing from one with %d", i, worlds[i].Note().Version, worlds[j].Note().Version)
+				}
+			case "restart":
+				reset(i)
+				before = 0
+			}
+			if worlds[i].Note().Version < before {
+				t.Fatalf("instance %d went from %d to %d", i, before, worlds[i].Note().Version)
+			}
+		}
+	})
+}
+
+func engine(incarnation, sequence, report uint64, running int) rlbengine.State {
+	return rlbengine.State{ID: "e", Incarnation: incarnation, Sequence: sequence, Report: report, Load: rlbengine.Load{Running: running}}
+}
+
+func TestLateReports(t *testing.T) {
+	Convey("a late report of an engine changes nothing", t, func() {
+		w := New()
+		w.MergeState(engine(2, 5, 9, 3), start)
+		w.MergeState(engine(2, 4, 8, 1), start)
+		w.MergeState(engine(1, 7, 90, 2), start)
+		row, _ := w.Engines().Get("e")
+		load, _ := w.Loads().Get("e")
+		So(row.Sequence, ShouldEqual, 5)
+		So(load.Running, ShouldEqual, 3)
+		w.MergeState(engine(3, 0, 0, 0), start)
+		row, _ = w.Engines().Get("e")
+		So(row.Incarnation, ShouldEqual, 3)
+	})
+}
+
+func TestInstanceList(t *testing.T) {
+	list := func(revision uint64, instances ...rlbinstance.Instance) rlbinstance.List {
+		return rlbinstance.List{Revision: revision, Instances: instances}
+	}
+	serves := func(w *World, id string) bool {
+		i, known := w.Instances().Get(id)
+		return known && i.Serves()
+	}
+	a, leaving := rlbinstance.Instance{ID: "a"}, rlbinstance.Instance{ID: "a", Leaving: true}
+	Convey("a leaving instance does not come back through an older list", t, func() {
+		w, other := New(), New()
+		w.MergeList(list(5, a))
+		So(serves(w, "a"), ShouldBeTrue)
+		w.MergeList(list(7, leaving))
+		other.MergeList(list(6, a))
+		w.Merge(other.Delta(NewCursor(ScopeAll), none{}), start)
+		So(serves(w, "a"), ShouldBeFalse)
+	})
+	Convey("one that is missing is removed, also for those who hear it from a peer", t, func() {
+		w, other := New(), New()
+		w.MergeList(list(5, a))
+		cursor := NewCursor(ScopeAll)
+		other.Merge(w.Delta(cursor, none{}), start)
+		w.MergeList(list(6))
+		other.Merge(w.Delta(cursor, none{}), start)
+		So(serves(other, "a"), ShouldBeFalse)
+	})
+}
+
+func TestScopes(t *testing.T) {
+	told := func(scope Scope) Update {
+		w := New()
+		w.MergeState(engine(1, 1, 1, 1), start)
+		w.MergeNode(Node{NodeKey: NodeKey{NodeController, "x"}, Epoch: 1}, start)
+		return w.Delta(NewCursor(scope), none{})
+	}
+	Convey("a subscriber with several sources is told of loads and nodes by their collector only", t, func() {
+		So(told(ScopeAll).Loads, ShouldHaveLength, 1)
+		So(told(ScopeAll).Nodes, ShouldHaveLength, 1)
+		So(told(ScopeOwn).Loads, ShouldBeEmpty)
+		So(told(ScopeOwn).Nodes, ShouldBeEmpty)
+		So(told(ScopeOwn).Engines, ShouldHaveLength, 1)
+	})
+}
+
+func TestRoundTrip(t *testing.T) {
+	Convey("an update is the same after its way over the wire", t, func() {
+		w := New()
+		w.MergeState(engine(1, 1, 1, 1), start)
+		w.MergeNode(Node{NodeKey: NodeKey{NodeGateway, "g"}, Epoch: 1, Demand: []Demand{{Model: "m", Requests: 2}}}, start)
+		w.MergeStrike(Strike{StrikeKey{1, "e", 1}, 9})
+		w.MergeList(rlbinstance.List{Revision: 1, Instances: []rlbinstance.Instance{{ID: "a", Fencing: true}}})
+		sent := w.Delta(NewCursor(ScopeAll), none{})
+		body, err := msgpack.Marshal(sent)
+		So(err, ShouldBeNil)
+		var got Update
+		So(msgpack.Unmarshal(body, &got), ShouldBeNil)
+		So(got, ShouldResemble, sent)
+	})
+}
+
+func TestExpire(t *testing.T) {
+	Convey("strikes past their deadline and silent nodes are dropped", t, func() {
+		w := New()
+		w.MergeStrike(Strike{StrikeKey{1, "e", 1}, start.Unix() + 10})
+		w.MergeNode(Node{NodeKey: NodeKey{NodeGateway, "g"}, Epoch: 1}, start)
+		w.Expire(start.Add(9*time.Second), start.Add(-time.Second))
+		So(w.Strikes().Len()+w.Nodes().Len(), ShouldEqual, 2)
+		w.Expire(start.Add(10*time.Second), start.Add(time.Second))
+		So(w.Strikes().Len()+w.Nodes().Len(), ShouldEqual, 0)
+	})
+}
