Contract tests by address, bad input, command line

Cause: interfaces to outside systems had no contract; bad input no test. Ruled out: exporting contract functions from non-test files (tests live in test files); they run against any implementation by address instead.

--- a/lib/pkg/rlblink/link_test.go
+++ b/lib/pkg/rlblink/link_test.go
@@ -52,7 +52,7 @@
 	return b.reported
 }
 
-func (b *backend) Answer(ctx context.Context, method Method, body []byte) (any, error) {
+func (*backend) Answer(ctx context.Context, method Method, body []byte) (any, error) {
 	switch method {
 	case "echo":
 		return body, nil
--- a/lib/pkg/rlbnote/note_test.go
+++ b/lib/pkg/rlbnote/note_test.go
@@ -113,7 +113,7 @@
 	for _, c := range badNotes {
 		f.Add([]byte(c.text))
 	}
-	f.Fuzz(func(t *testing.T, text []byte) {
+	f.Fuzz(func(_ *testing.T, text []byte) {
 		note, err := Parse("n", text)
 		if err == nil {
 			_, _ = State{}.Apply(note, time.Unix(0, 0)) // must not panic
--- a/lib/pkg/rlborder/model_test.go
+++ b/lib/pkg/rlborder/model_test.go
@@ -49,7 +49,6 @@
 
 type answer struct {
 	version rlbobject.Version
-	value   string
 	refused bool
 	state   rlbengine.State
 }
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -114,7 +114,7 @@
 }
 
 func (r *rig) serve(address string, handler http.Handler) {
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, MaxHeaderBytes: 32 << 10}
 	go func() { _ = server.Serve(r.network.Listen(address)) }()
 	r.closers = append(r.closers, func() { _ = server.Close() })
 	synctest.Wait()
--- /dev/null
+++ b/rlb-standin/pkg/rlbcontract/platform_test.go
@@ -0,0 +1,86 @@
+package rlbcontract
+
+import (
+	"context"
+	"flag"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbweight"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeplatform"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var (
+	listAddress   = flag.String("instances", "", "IP:port of an instance list to put through the contract")
+	weightAddress = flag.String("weights", "", "IP:port of a weight store that holds draft-20g, to put through the contract")
+)
+
+// platform serves a stand-in and returns its address, unless one is given.
+func platform(t *testing.T, given string, list *rlbfakeplatform.InstanceList) string {
+	if given != "" {
+		return given
+	}
+	weights := rlbfakeplatform.NewWeightStore(rlbfakeplatform.WeightOpts{LoadsPerSecond: 1, LoadsAtOnce: 1})
+	server := httptest.NewServer(rlbfakeplatform.New(rlbfake.NewObjects(), list, weights).Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestInstanceList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := rlbinstance.Instance{ID: "a", Type: rlbinstance.TypeEngine, Address: "127.0.0.1:1", FailureDomain: "x", Fencing: true}
+	list := rlbfakeplatform.NewInstanceList(10*time.Second, func() time.Time { return now }, []rlbinstance.Instance{a})
+	client, cleanUp := rlbinstance.NewClient(platform(t, *listAddress, list), callTimeout)
+	defer cleanUp()
+	Convey("the list has a revision and instances with unique names", t, func() {
+		got, err := client.List(context.Background())
+		So(err, ShouldBeNil)
+		So(got.Revision, ShouldBeGreaterThan, 0)
+		seen := map[string]bool{}
+		for _, i := range got.Instances {
+			So(i.ID, ShouldNotBeBlank)
+			So(seen[i.ID], ShouldBeFalse)
+			seen[i.ID] = true
+		}
+	})
+	if *listAddress != "" {
+		return
+	}
+	Convey("a change shows after the lag, with a higher revision", t, func() {
+		before, _ := client.List(context.Background())
+		list.Remove("a")
+		now = now.Add(9 * time.Second)
+		late, _ := client.List(context.Background())
+		So(late, ShouldResemble, before)
+		now = now.Add(time.Second)
+		after, _ := client.List(context.Background())
+		So(after.Instances, ShouldBeEmpty)
+		So(after.Revision, ShouldBeGreaterThan, before.Revision)
+	})
+}
+
+func TestWeightStore(t *testing.T) {
+	list := rlbfakeplatform.NewInstanceList(0, time.Now, nil)
+	client, cleanUp := rlbweight.NewClient(platform(t, *weightAddress, list), callTimeout)
+	defer cleanUp()
+	Convey("the store tells the memory of a version", t, func() {
+		manifest, err := client.Manifest(context.Background(), "draft-20g", "v1")
+		So(err, ShouldBeNil)
+		So(manifest.Memory, ShouldEqual, 20*rlbunit.GiB)
+	})
+	Convey("a version that it does not hold is told from an outage", t, func() {
+		_, err := client.Manifest(context.Background(), "draft-20g", "missing")
+		So(rlberror.Is(err, rlbweight.KindNotFound), ShouldBeTrue)
+		down, closeDown := rlbweight.NewClient("127.0.0.1:1", callTimeout)
+		defer closeDown()
+		_, err = down.Manifest(context.Background(), "draft-20g", "v1")
+		So(rlberror.Is(err, rlbweight.KindUnavailable), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/rlbctl/pkg/rlbcommand/command_test.go
@@ -0,0 +1,128 @@
+package rlbcommand
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// console is a controller's operator interface that states the calls it
+// expects: each route answers once as told.
+type console struct {
+	status int
+	answer any
+	got    string // path and body of the last call
+}
+
+// ServeHTTP implements http.Handler.
+func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	c.got = r.Method + " " + r.URL.RequestURI() + " " + string(body)
+	w.WriteHeader(c.status)
+	_ = json.NewEncoder(w).Encode(c.answer)
+}
+
+// run executes a command line against a console and returns what it printed.
+func run(c *console, args ...string) (code ExitCode, out, errOut string) {
+	server := httptest.NewServer(c)
+	defer server.Close()
+	var o, e bytes.Buffer
+	args = append(args, "--set", "ctl.controllers=127.0.0.1:1,"+strings.TrimPrefix(server.URL, "http://"))
+	code = Execute(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "note.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const note = "id: n1\nbase: 3\nadd:\n  models:\n    - {name: a, version: v1}\n"
+
+func TestNote(t *testing.T) {
+	path := write(t, note)
+	stale := rlboperator.Rejection{Problem: "the note builds on version 3, but 4 is in force", Kind: rlboperator.KindStale, Current: 4,
+		Since: []rlboperator.Past{{Version: 4, Note: rlbnote.Note{ID: "other", Withdraw: rlbnote.Names{Models: []string{"b"}}}}}}
+	cases := []struct {
+		name    string
+		args    []string
+		console *console
+		code    ExitCode
+		sent    string
+		out     string // is part of what is printed
+		errOut  string
+	}{
+		{"publish", []string{"note", "publish", path}, &console{200, rlboperator.Accepted{Version: 4, ID: "n1"}, ""}, ExitOK, "POST /operator/note " + note, "version 4 accepted, note n1", ""},
+		{"publish as JSON", []string{"note", "publish", path, "-o", "json"}, &console{200, rlboperator.Accepted{Version: 4, ID: "n1"}, ""}, ExitOK, "POST /operator/note " + note, `"version": 4`, ""},
+		{"a lost race", []string{"note", "publish", path}, &console{409, stale, ""}, ExitConflict, "POST /operator/note " + note, "version 4, note other", "stale: the note builds on version 3"},
+		{"a lost race as JSON", []string{"note", "publish", path, "-o", "json"}, &console{409, stale, ""}, ExitConflict, "POST /operator/note " + note, `"current": 4`, ""},
+		{"infeasible", []string{"note", "publish", path}, &console{422, rlboperator.Rejection{Problem: "too big", Kind: rlboperator.KindInfeasible}, ""}, ExitInfeasible, "POST /operator/note " + note, "", "infeasible: too big"},
+		{"perhaps accepted", []string{"note", "publish", path}, &console{504, rlboperator.Rejection{Problem: "may have been", Kind: rlboperator.KindUnsure}, ""}, ExitUnsure, "POST /operator/note " + note, "", "unsure"},
+		{"validate", []string{"note", "validate", path}, &console{200, rlboperator.Checked{Base: 3}, ""}, ExitOK, "POST /operator/note/validate " + note, "is valid on version 3", ""},
+		{"diff", []string{"note", "diff", path}, &console{200, rlboperator.Checked{Differences: []rlbnote.Difference{{Item: "model", Name: "a", Action: "added", To: "v1"}}}, ""}, ExitOK, "POST /operator/note/validate " + note, "added     model    a  -> v1", ""},
+		{"show", []string{"note", "show"}, &console{200, rlbnote.State{Version: 7, Models: map[string]rlbnote.Model{"a": {Name: "a", Version: "v1"}}}, ""}, ExitOK, "GET /operator/note ", "version 7", ""},
+		{"history", []string{"note", "history", "-n", "5"}, &console{200, []rlboperator.Past{{Version: 7, Published: time.Unix(0, 0).UTC(), Note: rlbnote.Note{ID: "x"}}}, ""}, ExitOK, "GET /operator/note/history?n=5 ", "1970-01-01T00:00:00Z  x", ""},
+		{"status", []string{"status"}, &console{200, rlboperator.Status{Instance: "i", NoteVersion: 7, InForce: true, Gateways: 3}, ""}, ExitOK, "GET /operator/status ", "in force everywhere: 3 gateways, seen by i", ""},
+		{"explain", []string{"explain", "draft"}, &console{200, []rlboperator.Event{{Subject: "model/draft", Text: "load"}}, ""}, ExitOK, "GET /operator/explain?about=draft ", "model/draft", ""},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			code, out, errOut := run(c.console, c.args...)
+			So(code, ShouldEqual, c.code)
+			So(c.console.got, ShouldEqual, c.sent)
+			So(out, ShouldContainSubstring, c.out)
+			So(errOut, ShouldContainSubstring, c.errOut)
+		})
+	}
+}
+
+func TestOffline(t *testing.T) {
+	Convey("a note that is wrong is refused before any call", t, func() {
+		path := write(t, "base: 0\nadd:\n  modles: []\n")
+		c := &console{}
+		code, _, errOut := run(c, "note", "publish", path)
+		So(code, ShouldEqual, ExitInvalid)
+		So(errOut, ShouldContainSubstring, path+`:3:3: unknown key "modles"; the nearest known one is "models"`)
+		So(c.got, ShouldBeBlank)
+	})
+	Convey("validate --offline needs no controller", t, func() {
+		c := &console{}
+		code, out, _ := run(c, "note", "validate", "--offline", write(t, note))
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, "is well-formed")
+		So(c.got, ShouldBeBlank)
+	})
+	Convey("without any controller nothing was accepted", t, func() {
+		var out, errOut bytes.Buffer
+		code := Execute([]string{"note", "publish", write(t, note), "--set", "ctl.controllers=127.0.0.1:1"}, &out, &errOut)
+		So(code, ShouldEqual, ExitUnavailable)
+	})
+	Convey("settings check tells line and column", t, func() {
+		code, _, errOut := run(&console{}, "settings", "check", write(t, "[gateway]\ndeadline = 5 sec\n"))
+		So(code, ShouldEqual, ExitInvalid)
+		So(errOut, ShouldContainSubstring, ":2:1: [gateway] deadline:")
+	})
+	Convey("completion for a shell is written", t, func() {
+		code, out, _ := run(&console{}, "completion", "bash")
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, "rlbctl")
+	})
+	Convey("a wrong command line", t, func() {
+		code, _, _ := run(&console{}, "note", "publish")
+		So(code, ShouldEqual, ExitUsage)
+	})
+}
