Control on a fake clock: notes, races, outages, lost endpoints and holders

Cause: three faults, each found by a test first. (1) A publish failed when the answer to the history's write was lost, although nothing was wrong. (2) Data race: the entry of an engine's instance was changed each tick while calls to that engine read it. (3) none of the promises of control had a proof. Ruled out for (1): the current note's write (it was not yet reached).

--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -0,0 +1,207 @@
+package rlbcontrol
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var background = context.Background()
+
+// publish publishes a note at a controller and lets the fleet settle.
+func (r *rig) publish(at string, note rlbnote.Note) {
+	_, err := r.controllers[at].Publish(background, note)
+	So(err, ShouldBeNil)
+	time.Sleep(10 * time.Second)
+}
+
+// assertVersion checks the version in force at every controller.
+func (r *rig) assertVersion(version uint64) {
+	for _, c := range r.controllers {
+		So(c.Note().Version, ShouldEqual, version)
+	}
+}
+
+func TestNotes(t *testing.T) {
+	withRig(t, 3, 6, func(r *rig) {
+		Convey("an accepted note is in force at every controller, and its models are loaded", t, func() {
+			_, err := r.controllers["c0"].Publish(background, rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b")}})
+			So(err, ShouldBeNil)
+			time.Sleep(time.Second)
+			r.assertVersion(1)
+			time.Sleep(10 * time.Second)
+			So(r.ready("a", "v1"), ShouldNotBeEmpty)
+			So(r.ready("b", "v1"), ShouldNotBeEmpty)
+			r.serve("a", "b")
+		})
+		Convey("of two notes on the same base one is accepted; the other learns what came first", t, func() {
+			_, err := r.controllers["c1"].Publish(background, rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "c")}})
+			So(err, ShouldBeNil)
+			_, err = r.controllers["c2"].Publish(background, rlbnote.Note{ID: "rival", Base: 1, Withdraw: rlbnote.Names{Models: []string{"a"}}})
+			So(rlbnote.Is(err, rlbnote.KindStale), ShouldBeTrue)
+			var refused *PublishError
+			So(errors.As(err, &refused), ShouldBeTrue)
+			So(refused.Current, ShouldEqual, 2)
+			So(refused.Since, ShouldHaveLength, 1)
+			So(refused.Since[0].Note.ID, ShouldEqual, "two")
+		})
+		Convey("a publish whose answer is lost is found by its id and not published twice", t, func() {
+			r.objects.Inject(rlbfake.FaultAnswerLost)
+			note := rlbnote.Note{ID: "three", Base: 2, Add: rlbnote.Items{Adapters: []rlbnote.Adapter{{Name: "x", Model: "a", Version: "v1"}}}}
+			record, err := r.controllers["c0"].Publish(background, note)
+			So(err, ShouldBeNil)
+			So(record.Version, ShouldEqual, 3)
+			again, err := r.controllers["c1"].Publish(background, note)
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, record)
+			time.Sleep(time.Second)
+			r.assertVersion(3)
+		})
+		Convey("the history holds every note", t, func() {
+			past, err := r.controllers["c2"].History(background, 10)
+			So(err, ShouldBeNil)
+			So(past, ShouldHaveLength, 3)
+			So(past[2].Note.ID, ShouldEqual, "one")
+		})
+		Convey("a note that the endpoints cannot hold is refused with the numbers", t, func() {
+			_, err := r.controllers["c0"].Publish(background, rlbnote.Note{ID: "four", Base: 3, Add: rlbnote.Items{Models: models("v1", "huge")}})
+			So(rlbnote.Is(err, rlbnote.KindInfeasible), ShouldBeTrue)
+			So(err.Error(), ShouldContainSubstring, "model huge needs 90GiB on one endpoint")
+		})
+		Convey("a version that the weight store lacks is refused", t, func() {
+			_, err := r.controllers["c0"].Publish(background, rlbnote.Note{ID: "five", Base: 3, Add: rlbnote.Items{Models: models("v1", "stranger")}})
+			So(rlbnote.Is(err, rlbnote.KindInvalid), ShouldBeTrue)
+		})
+	})
+}
+
+func TestChangedAndWithdrawn(t *testing.T) {
+	withRig(t, 3, 3, func(r *rig) {
+		Convey("a changed version is loaded before the old one goes; a withdrawn model goes", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			r.serve("a", "b", "c")
+			r.publish("c1", rlbnote.Note{ID: "two", Base: 1, Change: rlbnote.Items{Models: models("v2", "a", "b", "c")}})
+			time.Sleep(10 * time.Second)
+			for _, name := range []string{"a", "b", "c"} {
+				So(r.ready(name, "v2"), ShouldNotBeEmpty)
+				So(r.ready(name, "v1"), ShouldBeEmpty)
+			}
+			r.serve("a", "b")
+			r.publish("c2", rlbnote.Note{ID: "three", Base: 2, Withdraw: rlbnote.Names{Models: []string{"c"}}})
+			So(r.ready("c", "v2"), ShouldBeEmpty)
+		})
+	})
+}
+
+func TestFullMemory(t *testing.T) {
+	withRig(t, 3, 3, func(r *rig) {
+		Convey("a large model finds room although each endpoint holds a small one: one is moved first", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			r.serve("a", "b", "c")
+			r.publish("c0", rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "big")}})
+			time.Sleep(20 * time.Second)
+			So(r.ready("big", "v1"), ShouldHaveLength, 1)
+		})
+	})
+}
+
+func TestLeaseHolderDies(t *testing.T) {
+	withRig(t, 3, 6, func(r *rig) {
+		Convey("when a controller dies the others take its leases and go on", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a")}})
+			r.controllers["c0"].kill()
+			r.mu.Lock()
+			delete(r.controllers, "c0")
+			r.mu.Unlock()
+			r.serve("a")
+			time.Sleep(15 * time.Second)
+			held := map[string]bool{}
+			for _, c := range r.controllers {
+				for _, node := range c.Status().Nodes {
+					for _, domain := range node.Leases {
+						held[domain] = held[domain] || node.Silent < 1
+					}
+				}
+			}
+			So(held, ShouldResemble, map[string]bool{"d0": true, "d1": true, "d2": true})
+			r.publish("c1", rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "b", "c")}})
+			So(r.ready("b", "v1"), ShouldNotBeEmpty)
+			So(r.ready("c", "v1"), ShouldNotBeEmpty)
+		})
+	})
+}
+
+func TestEndpointLost(t *testing.T) {
+	withRig(t, 3, 6, func(r *rig) {
+		Convey("the models of a lost endpoint are loaded elsewhere; on its return it is used again", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			lost := r.ready("a", "v1")[0]
+			r.fail(lost, true)
+			time.Sleep(30 * time.Second)
+			So(r.ready("a", "v1"), ShouldNotBeEmpty)
+			r.serve("a", "b", "c")
+			r.fail(lost, false)
+			time.Sleep(10 * time.Second)
+			So(r.controllers["c0"].Status().Endpoints, ShouldHaveLength, 6)
+		})
+	})
+}
+
+func TestLostOrders(t *testing.T) {
+	withRig(t, 3, 4, func(r *rig) {
+		Convey("orders whose answers are lost come to their effect once", t, func() {
+			for _, e := range r.engines {
+				e.loseAnswers(2)
+			}
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			time.Sleep(20 * time.Second)
+			for _, name := range []string{"a", "b", "c"} {
+				So(r.ready(name, "v1"), ShouldHaveLength, 1)
+			}
+		})
+	})
+}
+
+func TestOutage(t *testing.T) {
+	withRig(t, 3, 6, func(r *rig) {
+		Convey("through ten minutes without the object API", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			r.serve("b", "c")
+			r.objects.SetDown(true)
+			_, err := r.controllers["c0"].Publish(background, rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "big")}})
+			So(rlbobject.Is(err, rlbobject.KindUnavailable), ShouldBeTrue)
+			fresh := r.start(t, "c9", "d0")
+			time.Sleep(5 * time.Second)
+			So(fresh.Note().Version, ShouldEqual, 1) // from its peers
+			for _, id := range r.ready("a", "v1") {
+				if len(r.ready("b", "v1")) == 0 || r.ready("b", "v1")[0] != id {
+					r.fail(id, true)
+				}
+			}
+			time.Sleep(10 * time.Minute)
+			r.assertVersion(1)
+			for _, c := range r.controllers {
+				for _, node := range c.Status().Nodes {
+					So(node.Leases, ShouldBeEmpty) // no orders meanwhile
+				}
+			}
+			r.objects.SetDown(false)
+			before, beforeWrites := r.objects.Calls()
+			time.Sleep(10 * time.Second)
+			after, afterWrites := r.objects.Calls()
+			So(after-before, ShouldBeLessThan, 10*200) // of 2,000 reads a second
+			So(afterWrites-beforeWrites, ShouldBeLessThan, 10*30)
+			time.Sleep(20 * time.Second)
+			So(r.ready("a", "v1"), ShouldNotBeEmpty)
+			r.serve("b")
+			r.publish("c1", rlbnote.Note{ID: "two", Base: 1, Withdraw: rlbnote.Names{Models: []string{"c"}}})
+			r.assertVersion(2)
+		})
+	})
+}
--- a/rlb-controller/pkg/rlbcontrol/notes.go
+++ b/rlb-controller/pkg/rlbcontrol/notes.go
@@ -89,7 +89,11 @@
 		if err != nil {
 			return rlbnote.Record{}, err
 		}
-		if err := c.writeHistory(ctx, state); err != nil {
+		err = c.writeHistory(ctx, state)
+		if rlbobject.Is(err, rlbobject.KindUnknown) {
+			continue // it is created or not; the next try tells
+		}
+		if err != nil {
 			return rlbnote.Record{}, &PublishError{Cause: err, Current: state.Version}
 		}
 		err = c.writeNote(ctx, next, version)
--- a/rlb-controller/pkg/rlbcontrol/orders.go
+++ b/rlb-controller/pkg/rlbcontrol/orders.go
@@ -15,7 +15,8 @@
 // intentKind is the kind of the objects that hold intents, one for each engine.
 const intentKind = "rlb-intent"
 
-// bookState is the book of one engine.
+// bookState is the book of one engine. It does not change: another instance
+// entry makes another one.
 type bookState struct {
 	book     *rlborder.Book
 	instance rlbworld.Instance
@@ -32,10 +33,12 @@
 		}
 		b, known := c.books[id]
 		if !known || b.book.Fence() != fence {
-			b = &bookState{book: rlborder.New(id, i.Fencing, fence)}
-			c.books[id] = b
+			b = &bookState{rlborder.New(id, i.Fencing, fence), i}
 		}
-		b.instance = i
+		if b.instance != i {
+			b = &bookState{b.book, i}
+		}
+		c.books[id] = b
 		c.refreshBook(b)
 		c.stepBook(ctx, now, b)
 		return true
