Links between controllers follow failure domains

Cause: every controller listened to every other, and each row went on from everyone who knew it: 720 x 719 links, and each row told up to 719 times. Ruled out: gossip to random peers with digests of all rows (a digest of 720 nodes alone is 8.6 KB, three a second break 19 KB/s); a tree (one lost inner node hides a subtree for the time to notice). Change: all controllers of a failure domain listen to each other and are told what the source collects itself or hears from other domains; each pair of domains is linked by two controllers a side, which are told what the source's own domain collects, without loads of a large domain; a delegate's heartbeat carries its domain's summary. Notes and strikes go everywhere.

--- a/lib/pkg/rlblink/client.go
+++ b/lib/pkg/rlblink/client.go
@@ -204,7 +204,7 @@
 	}
 	wire := rlbwire.NewConn(conn, c.opts.Silence)
 	defer func() { _ = wire.Close() }()
-	if err := wire.Send(TypeHello, 0, Hello{Protocol, c.opts.Node, rlbworld.ScopeSlow}); err != nil {
+	if err := wire.Send(TypeHello, 0, Hello{Protocol, c.opts.Node, rlbworld.ScopeForeign}); err != nil {
 		return false
 	}
 	_, err = wire.Receive()
--- a/lib/pkg/rlbmember/membership.go
+++ b/lib/pkg/rlbmember/membership.go
@@ -82,28 +82,86 @@
 	return rank >= 0 && rank < contenders
 }
 
-// Peers returns the control addresses to listen to: all controllers known from
-// heartbeats and from the platform's list, but for this one.
-func Peers(w *rlbworld.World, self string, configured []string) map[string]string {
-	peers := map[string]string{}
-	for _, address := range configured {
-		peers[address] = address
-	}
+// entry is a controller as the platform's list or a heartbeat names it.
+type entry struct{ id, domain, address string }
+
+// Peers returns the control addresses to listen to, with the scope of each: all
+// controllers of the own failure domain and, for each other domain, a few of
+// its controllers if this one is among the few of its own that listen there.
+// The configured addresses count as of another domain until they are known.
+func Peers(w *rlbworld.World, self Controller, configured []string) map[string]rlbworld.Scope {
+	known := map[string]entry{}
 	w.Instances().All(func(id string, i rlbworld.Instance) bool {
-		if i.Type == rlbinstance.TypeEntry && i.Serves() && id != self {
-			peers[i.Control] = i.Control
+		if i.Type == rlbinstance.TypeEntry && i.Serves() {
+			known[id] = entry{id, i.FailureDomain, i.Control}
 		}
 		return true
 	})
 	w.Nodes().All(func(key rlbworld.NodeKey, n rlbworld.Node) bool {
-		if key.Type == rlbworld.NodeController && key.ID != self {
-			peers[n.Address] = n.Address
+		if key.Type == rlbworld.NodeController {
+			known[key.ID] = entry{key.ID, n.FailureDomain, n.Address}
 		}
 		return true
 	})
+	known[self.ID] = entry{self.ID, self.FailureDomain, self.Address}
+	domains := map[string][]string{}
+	for id, e := range known {
+		domains[e.domain] = append(domains[e.domain], id)
+	}
+	peers := map[string]rlbworld.Scope{}
+	if len(known) == 1 {
+		for _, address := range configured {
+			peers[address] = rlbworld.ScopeForeign
+		}
+	}
+	for domain, members := range domains {
+		scope := rlbworld.ScopeDomain
+		if domain != self.FailureDomain {
+			scope = rlbworld.ScopeForeign
+			members = delegates(self, domain, members, domains[self.FailureDomain])
+		}
+		for _, id := range members {
+			peers[known[id].address] = scope
+		}
+	}
+	delete(peers, self.Address)
 	return peers
 }
 
+// delegatesPerPair is how many controllers of a failure domain listen to, and
+// are listened to by, those of another.
+const delegatesPerPair = 2
+
+// delegates returns the controllers of another failure domain that this one
+// listens to.
+func delegates(self Controller, domain string, members, own []string) []string {
+	rank := Rank("listen/"+self.FailureDomain+"/"+domain, self.ID, own)
+	if rank >= delegatesPerPair {
+		return nil
+	}
+	ordered := Ordered("heard/"+domain+"/"+self.FailureDomain, members)
+	return ordered[:min(delegatesPerPair, len(ordered))]
+}
+
+// Delegate reports whether a controller is listened to by other domains, so
+// that it adds its domain's summary to its heartbeat.
+func Delegate(self Controller, live []Controller) bool {
+	domains := map[string]bool{}
+	for _, c := range live {
+		domains[c.FailureDomain] = true
+	}
+	for domain := range domains {
+		if domain == self.FailureDomain {
+			continue
+		}
+		rank := Rank("heard/"+self.FailureDomain+"/"+domain, self.ID, Duty(live, self.FailureDomain))
+		if rank >= 0 && rank < delegatesPerPair {
+			return true
+		}
+	}
+	return false
+}
+
 // Domains returns the failure domains of the endpoints, sorted.
 func Domains(w *rlbworld.World) []string {
 	var domains []string
--- a/lib/pkg/rlbworld/rows.go
+++ b/lib/pkg/rlbworld/rows.go
@@ -110,6 +110,14 @@
 	Leases        []string `json:"leases,omitempty" msgpack:"l,omitempty"`
 	Demand        []Demand `json:"demand,omitempty" msgpack:"d,omitempty"`
 	Draining      bool     `json:"draining,omitempty" msgpack:"x,omitempty"`
+	Domain        *Summary `json:"domain,omitempty" msgpack:"s,omitempty"` // told by a controller to other failure domains
+}
+
+// Summary is a failure domain in short, for the other domains.
+type Summary struct {
+	Gateways    int      `json:"gateways" msgpack:"g"`
+	NoteVersion uint64   `json:"note_version" msgpack:"n"` // lowest in force at its gateways
+	Demand      []Demand `json:"demand,omitempty" msgpack:"d,omitempty"`
 }
 
 // Newer implements rlbtable.Row.
--- a/lib/pkg/rlbworld/world.go
+++ b/lib/pkg/rlbworld/world.go
@@ -1,6 +1,7 @@
 package rlbworld
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
@@ -18,10 +19,25 @@
 	loads     rlbtable.Replica[string, Load]
 	nodes     rlbtable.Replica[NodeKey, Node]
 	strikes   rlbtable.Replica[StrikeKey, Strike]
+	origins   origins
 	heard     map[NodeKey]time.Time // when a node's latest heartbeat came, on this instance's clock
 	reported  map[string]time.Time  // when an engine's latest report came
 }
 
+// origins says for each row where it is from.
+type origins struct {
+	instances, engines, loads originMap[string]
+	nodes                     originMap[NodeKey]
+}
+
+type originMap[K comparable] map[K]Origin
+
+// within returns a function that tells whether a row is from one of the
+// origins.
+func (m originMap[K]) within(scope []Origin) func(K) bool {
+	return func(key K) bool { return slices.Contains(scope, m[key]) }
+}
+
 // New returns an empty world.
 func New() *World {
 	return &World{
@@ -30,8 +46,11 @@
 		loads:     rlbtable.NewReplica[string, Load](),
 		nodes:     rlbtable.NewReplica[NodeKey, Node](),
 		strikes:   rlbtable.NewReplica[StrikeKey, Strike](),
-		heard:     map[NodeKey]time.Time{},
-		reported:  map[string]time.Time{},
+		origins: origins{
+			instances: originMap[string]{}, engines: originMap[string]{}, loads: originMap[string]{}, nodes: originMap[NodeKey]{},
+		},
+		heard:    map[NodeKey]time.Time{},
+		reported: map[string]time.Time{},
 	}
 }
 
@@ -78,7 +97,7 @@
 		if known && old.Instance == instance && !old.Removed {
 			continue
 		}
-		w.instances.Merge(instance.ID, Instance{Instance: instance, Revision: list.Revision})
+		w.collect(Instance{Instance: instance, Revision: list.Revision})
 	}
 	var missing []Instance
 	w.instances.All(func(id string, row Instance) bool {
@@ -89,13 +108,21 @@
 	})
 	for _, row := range missing {
 		row.Removed, row.Revision = true, list.Revision
-		w.instances.Merge(row.ID, row)
+		w.collect(row)
+	}
+}
+
+// collect takes a row of the list that this instance read itself.
+func (w *World) collect(row Instance) {
+	if w.instances.Merge(row.ID, row) {
+		w.origins.instances[row.ID] = OriginSelf
 	}
 }
 
 // MergeState takes an engine's report read at now.
 func (w *World) MergeState(state rlbengine.State, now time.Time) {
 	w.reported[state.ID] = now
+	w.origins.engines[state.ID], w.origins.loads[state.ID] = OriginSelf, OriginSelf
 	w.engines.Merge(state.ID, Engine{
 		ID:          state.ID,
 		Incarnation: state.Incarnation,
@@ -112,9 +139,10 @@
 }
 
 // MergeNode takes a heartbeat that came at now.
-func (w *World) MergeNode(node Node, now time.Time) {
+func (w *World) MergeNode(node Node, origin Origin, now time.Time) {
 	if w.nodes.Merge(node.NodeKey, node) {
 		w.heard[node.NodeKey] = now
+		w.origins.nodes[node.NodeKey] = origin
 	}
 }
 
@@ -140,6 +168,7 @@
 		if at.Before(silentSince) {
 			w.nodes.Delete(key)
 			delete(w.heard, key)
+			delete(w.origins.nodes, key)
 		}
 	}
 }
--- a/rlb-controller/pkg/rlbcontrol/collector.go
+++ b/rlb-controller/pkg/rlbcontrol/collector.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 )
@@ -19,7 +18,7 @@
 			delete(c.polls, id)
 			return true
 		}
-		if now.Before(c.polls[id]) || rlbmember.Collector(id, i.FailureDomain, c.live) != c.id {
+		if now.Before(c.polls[id]) || !c.collects(id, i.FailureDomain) {
 			return true
 		}
 		c.polls[id] = now.Add(period)
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,25 +57,25 @@
 	member    rlbmember.Opts
 	placement rlbplace.Opts
 
-	mu       sync.Mutex
-	world    *rlbworld.World
-	live     []rlbmember.Controller
-	beat     uint64
-	draining bool
-	watching bool
-	polls    map[string]time.Time // when an engine's next report is due
-	peers    map[string]*peer
-	leases   map[string]*leaseState
-	books    map[string]*bookState
-	guards   guardState
-	demand   map[string]float64
-	planned  time.Time
-	plan     []rlbplace.Proposal
-	loads    loadLimit
-	shards   []*shard
-	journal  journal
-	note     noteSource
-	group    sync.WaitGroup
+	mu        sync.Mutex
+	world     *rlbworld.World
+	live      []rlbmember.Controller
+	beat      uint64
+	draining  bool
+	watching  bool
+	polls     map[string]time.Time // when an engine's next report is due
+	peers     map[string]*peer
+	leases    map[string]*leaseState
+	books     map[string]*bookState
+	guards    guardState
+	demand    map[string]float64
+	planned   time.Time
+	plan      []rlbplace.Proposal
+	loads     loadLimit
+	shards    []*shard
+	journal   journal
+	stopWatch context.CancelFunc
+	group     sync.WaitGroup
 }
 
 // New returns a controller that does nothing until Run.
@@ -162,7 +164,34 @@
 			node.Leases = append(node.Leases, domain)
 		}
 	}
-	c.world.MergeNode(node, now)
+	if rlbmember.Delegate(c.member.Self, c.live) {
+		node.Domain = c.summary(now)
+	}
+	c.world.MergeNode(node, rlbworld.OriginSelf, now)
+}
+
+// summary is this failure domain in short.
+func (c *Controller) summary(now time.Time) *rlbworld.Summary {
+	s := &rlbworld.Summary{NoteVersion: c.world.Note().Version}
+	demand := map[string]rlbworld.Demand{}
+	c.eachGateway(now, func(node rlbworld.Node) {
+		if node.FailureDomain != c.domain {
+			return
+		}
+		s.Gateways++
+		s.NoteVersion = min(s.NoteVersion, node.NoteVersion)
+		for _, d := range node.Demand {
+			sum := demand[d.Model]
+			sum.Model = d.Model
+			sum.InFlight += d.InFlight
+			sum.Requests += d.Requests
+			demand[d.Model] = sum
+		}
+	})
+	for _, name := range slices.Sorted(maps.Keys(demand)) {
+		s.Demand = append(s.Demand, demand[name])
+	}
+	return s
 }
 
 // spawn runs f outside of c.mu and waits for it at the end of Run.
@@ -174,46 +203,30 @@
 	}()
 }
 
-// OwnsEngine implements rlbworld.Sources.
-func (c *Controller) OwnsEngine(id string) bool {
-	i, known := c.world.Instances().Get(id)
-	return known && rlbmember.Collector(id, i.FailureDomain, c.live) == c.id
-}
-
-// OwnsNode implements rlbworld.Sources: its own row and those of the gateways
-// that report here.
-func (c *Controller) OwnsNode(key rlbworld.NodeKey) bool {
-	if key.Type == rlbworld.NodeController {
-		return key.ID == c.id
-	}
-	_, reports := c.note.gateways[key.ID]
-	return reports
+// collects reports whether an engine's reports fall to this controller.
+func (c *Controller) collects(id, domain string) bool {
+	return rlbmember.Collector(id, domain, c.live) == c.id
 }
 
 // Delta implements rlblink.Backend.
 func (c *Controller) Delta(cursor *rlbworld.Cursor) rlbworld.Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.world.Delta(cursor, c)
+	return c.world.Delta(cursor)
 }
 
 // Report implements rlblink.Backend.
 func (c *Controller) Report(u rlbworld.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, node := range u.Nodes {
-		if node.Type == rlbworld.NodeGateway {
-			c.note.reported(node.ID)
-		}
-	}
-	c.world.Merge(u, time.Now())
+	c.world.Merge(u, rlbworld.OriginSelf, time.Now())
 }
 
 // merge takes what a peer tells.
-func (c *Controller) merge(u rlbworld.Update) {
+func (c *Controller) merge(u rlbworld.Update, origin rlbworld.Origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.world.Merge(u, time.Now())
+	c.world.Merge(u, origin, time.Now())
 }
 
 // Answer implements rlblink.Backend.
--- a/rlb-controller/pkg/rlbcontrol/notes.go
+++ b/rlb-controller/pkg/rlbcontrol/notes.go
@@ -26,19 +26,6 @@
 // maxPublishTries is how often a write of a note without an answer is repeated.
 const maxPublishTries = 5
 
-// noteSource is what the controller keeps about notes and gateways.
-type noteSource struct {
-	stopWatch context.CancelFunc
-	gateways  map[string]struct{} // that report here
-}
-
-func (n *noteSource) reported(id string) {
-	if n.gateways == nil {
-		n.gateways = map[string]struct{}{}
-	}
-	n.gateways[id] = struct{}{}
-}
-
 // Published is an accepted note in the history.
 type Published struct {
 	Version   uint64       `json:"version"`
--- a/rlb-controller/pkg/rlbcontrol/peers.go
+++ b/rlb-controller/pkg/rlbcontrol/peers.go
@@ -12,38 +12,42 @@
 // peer is the link to another controller.
 type peer struct {
 	client *rlblink.Client
+	scope  rlbworld.Scope
 	close  func()
 }
 
 // linkPeers keeps a link to each known controller; c.mu is held.
 func (c *Controller) linkPeers(ctx context.Context) {
-	wanted := rlbmember.Peers(c.world, c.id, c.Settings.List(rlbsettings.ControllerPeers))
-	delete(wanted, c.Address)
-	for address := range wanted {
+	wanted := rlbmember.Peers(c.world, c.member.Self, c.Settings.List(rlbsettings.ControllerPeers))
+	for address, scope := range wanted {
 		if _, linked := c.peers[address]; !linked {
-			c.peers[address] = c.newPeer(ctx, address)
+			c.peers[address] = c.newPeer(ctx, address, scope)
 		}
 	}
 	for address, p := range c.peers {
-		if _, keep := wanted[address]; !keep {
+		if scope, keep := wanted[address]; !keep || scope != p.scope {
 			delete(c.peers, address)
 			c.spawn(p.close)
 		}
 	}
 }
 
-func (c *Controller) newPeer(ctx context.Context, address string) *peer {
+func (c *Controller) newPeer(ctx context.Context, address string, scope rlbworld.Scope) *peer {
+	origin := rlbworld.OriginDomain
+	if scope == rlbworld.ScopeForeign {
+		origin = rlbworld.OriginForeign
+	}
 	client, closeClient := rlblink.NewClient(ctx, rlblink.ClientOpts{
 		Log:       c.Log,
 		Dial:      c.Dial,
 		Node:      rlbworld.NodeKey{Type: rlbworld.NodeController, ID: c.id},
-		Scope:     rlbworld.ScopeOwn,
+		Scope:     scope,
 		Addresses: func() []string { return []string{address} },
-		Update:    c.merge,
+		Update:    func(u rlbworld.Update) { c.merge(u, origin) },
 		Report:    func() rlbworld.Update { return rlbworld.Update{} },
 		Silence:   silence,
 	})
-	return &peer{client, closeClient}
+	return &peer{client, scope, closeClient}
 }
 
 func (c *Controller) closePeers() {
--- a/rlb-controller/pkg/rlbcontrol/placement.go
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -74,10 +74,32 @@
 	in := rlbplace.Input{
 		Note: c.world.Note(), Engines: c.placementEngines(), Demand: c.demand, Guards: c.guards.value, Settled: true,
 	}
+	_, lowest := c.inForce(now)
+	in.Settled = lowest >= in.Note.Version
+	return in
+}
+
+// inForce returns how many gateways are known, those of other failure domains
+// by summary, and the lowest version in force at one of them; without any, the
+// version here.
+func (c *Controller) inForce(now time.Time) (gateways int, lowest uint64) {
+	lowest = c.world.Note().Version
+	seen := map[string]bool{}
 	c.eachGateway(now, func(node rlbworld.Node) {
-		in.Settled = in.Settled && node.NoteVersion >= in.Note.Version
+		gateways++
+		seen[node.FailureDomain] = true
+		lowest = min(lowest, node.NoteVersion)
 	})
-	return in
+	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
+		if node.Domain == nil || seen[node.FailureDomain] || now.Sub(c.world.Heard(key)) > silence {
+			return true
+		}
+		seen[node.FailureDomain] = true
+		gateways += node.Domain.Gateways
+		lowest = min(lowest, node.Domain.NoteVersion)
+		return true
+	})
+	return gateways, lowest
 }
 
 // placementEngines returns the engines by name; c.mu is held.
@@ -95,7 +117,7 @@
 		engines = append(engines, rlbplace.Engine{
 			ID: id, Domain: i.FailureDomain, Role: i.Role, Memory: e.Memory,
 			Reserved: rlborder.Reserved(record, e.Residents), Residents: e.Residents,
-			Leaving: i.Leaving || e.Draining || c.silent(id),
+			Leaving: i.Leaving || e.Draining || c.silent(i),
 		})
 		return true
 	})
@@ -112,11 +134,11 @@
 // replicas no longer count.
 const engineSilence = 10 * time.Second
 
-// silent reports whether an engine that this controller gives orders to sends
-// no reports; others' engines are judged by their own controllers.
-func (c *Controller) silent(id string) bool {
-	at := c.world.Reported(id)
-	return !at.IsZero() && time.Since(at) > engineSilence && c.OwnsEngine(id)
+// silent reports whether an engine that this controller collects sends no
+// reports; others' engines are judged by their own collectors.
+func (c *Controller) silent(i rlbworld.Instance) bool {
+	at := c.world.Reported(i.ID)
+	return !at.IsZero() && time.Since(at) > engineSilence && c.collects(i.ID, i.FailureDomain)
 }
 
 // propose hands a proposal to the book of its engine, if that is this
--- a/rlb-controller/pkg/rlbcontrol/status.go
+++ b/rlb-controller/pkg/rlbcontrol/status.go
@@ -17,11 +17,9 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	note := c.world.Note()
-	status := rlboperator.Status{Instance: c.id, NoteVersion: note.Version, NoteID: note.Last.ID, InForce: note.Version > 0}
-	c.eachGateway(now, func(node rlbworld.Node) {
-		status.Gateways++
-		status.InForce = status.InForce && node.NoteVersion >= note.Version
-	})
+	status := rlboperator.Status{Instance: c.id, NoteVersion: note.Version, NoteID: note.Last.ID}
+	gateways, lowest := c.inForce(now)
+	status.Gateways, status.InForce = gateways, note.Version > 0 && lowest >= note.Version
 	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
 		status.Nodes = append(status.Nodes, rlboperator.Node{Node: node, Silent: now.Sub(c.world.Heard(key)).Seconds()})
 		return true
@@ -63,7 +61,7 @@
 		e.State = "leaving"
 	case known && engine.Draining:
 		e.State = "draining"
-	case known && c.silent(i.ID):
+	case known && c.silent(i):
 		e.State = "silent"
 	}
 	if !known {
--- a/rlb-controller/pkg/rlbcontrol/watcher.go
+++ b/rlb-controller/pkg/rlbcontrol/watcher.go
@@ -26,13 +26,13 @@
 	if duty && !c.watching {
 		c.watching = true
 		ctx, cancel := context.WithCancel(ctx)
-		c.note.stopWatch = cancel
+		c.stopWatch = cancel
 		c.spawn(func() { c.watchNote(ctx) })
 		c.spawn(func() { c.watchList(ctx) })
 	}
 	if !duty && c.watching {
 		c.watching = false
-		c.note.stopWatch()
+		c.stopWatch()
 	}
 }
 
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -109,7 +109,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	f.world.Merge(u, now)
+	f.world.Merge(u, rlbworld.OriginDomain, now)
 	current := revisions{f.world.Note().Version, f.world.Instances().Revision(), f.world.Engines().Revision()}
 	if current != f.built {
 		f.rebuild()
