--- a/lib/pkg/rlblink/client.go
+++ b/lib/pkg/rlblink/client.go
@@ -18,7 +18,6 @@
 const (
 	minBackoff    = 50 * time.Millisecond
 	maxBackoff    = 2 * time.Second
-	reportPeriod  = 500 * time.Millisecond
 	returnPeriod  = 5 * time.Second // between two tries of a better server
 	dialTimeout   = time.Second
 	maxOpenCalls  = 65536
@@ -43,6 +42,7 @@
 	Addresses func() []string       // servers, the preferred one first
 	Update    func(rlbworld.Update) // takes an update
 	Report    func() rlbworld.Update
+	Every     time.Duration // between two reports
 	Silence   time.Duration
 	Linked    func(address string, linked bool) // may be nil
 }
@@ -159,7 +159,7 @@
 }
 
 func (c *Client) reports(ctx context.Context, wire *rlbwire.Conn) {
-	ticker := time.NewTicker(reportPeriod)
+	ticker := time.NewTicker(c.opts.Every)
 	defer ticker.Stop()
 	for {
 		if err := wire.Send(TypeReport, 0, c.opts.Report()); err != nil {
--- a/lib/pkg/rlblink/server.go
+++ b/lib/pkg/rlblink/server.go
@@ -27,8 +27,12 @@
 type ServerOpts struct {
 	Log      *log.Entry
 	Backend  Backend
-	Interval time.Duration // between two updates
-	Silence  time.Duration // after which a link without messages ends
+	Interval time.Duration // between two updates to gateways
+	// Slower is by how much updates to controllers are rarer; changes that
+	// Urgent tells of go out at once.
+	Slower  int
+	Urgent  <-chan struct{}
+	Silence time.Duration // after which a link without messages ends
 }
 
 // Server accepts links.
@@ -36,17 +40,38 @@
 	opts   ServerOpts
 	mu     sync.Mutex
 	links  map[*rlbwire.Conn]struct{}
+	feeds  map[rlbworld.Scope]*feed
 	closed bool
 	group  sync.WaitGroup
 }
 
+// feed tells the subscribers of one scope the same updates, encoded once.
+type feed struct {
+	cursor      *rlbworld.Cursor
+	subscribers map[*subscriber]struct{}
+}
+
+// subscriber is one link of a feed.
+type subscriber struct {
+	wire    *rlbwire.Conn
+	updates chan []byte
+}
+
+// maxBehind is how many updates a subscriber may be behind before its link
+// ends; it then begins anew.
+const maxBehind = 8
+
 // NewServer returns a server that accepts links from listener, and its
 // clean-up function, which ends the links and waits for them.
 func NewServer(ctx context.Context, listener net.Listener, opts ServerOpts) (*Server, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &Server{opts: opts, links: map[*rlbwire.Conn]struct{}{}}
-	s.group.Add(1)
+	s := &Server{opts: opts, links: map[*rlbwire.Conn]struct{}{}, feeds: map[rlbworld.Scope]*feed{}}
+	for _, scope := range []rlbworld.Scope{rlbworld.ScopeAll, rlbworld.ScopeDomain, rlbworld.ScopeForeign} {
+		s.feeds[scope] = &feed{rlbworld.NewCursor(scope), map[*subscriber]struct{}{}}
+	}
+	s.group.Add(2)
 	go s.accept(ctx, listener)
+	go s.publish(ctx)
 	return s, func() {
 		cancel()
 		_ = listener.Close()
@@ -106,8 +131,14 @@
 		s.opts.Log.WithError(err).Warn("link refused")
 		return
 	}
+	f, known := s.feeds[hello.Scope]
+	if !known {
+		s.opts.Log.WithField("scope", int(hello.Scope)).Warn("link refused")
+		return
+	}
+	sub := &subscriber{wire, make(chan []byte, maxBehind)}
 	s.group.Add(1)
-	go s.tell(ctx, wire, hello)
+	go s.tell(ctx, f, hello.Scope, sub)
 	for {
 		frame, err := wire.Receive()
 		if err != nil {
@@ -135,21 +166,78 @@
 	return hello, nil
 }
 
-// tell sends updates until the link ends.
-func (s *Server) tell(ctx context.Context, wire *rlbwire.Conn, hello Hello) {
+// publish tells every feed what changed, gateways each interval and
+// controllers more rarely, until ctx ends.
+func (s *Server) publish(ctx context.Context) {
 	defer s.group.Done()
-	cursor := rlbworld.NewCursor(hello.Scope)
 	ticker := time.NewTicker(s.opts.Interval)
 	defer ticker.Stop()
-	for {
-		if err := wire.Send(TypeUpdate, 0, s.opts.Backend.Delta(cursor)); err != nil {
-			_ = wire.Close()
+	for tick := 0; ; {
+		all := false
+		select {
+		case <-ctx.Done():
 			return
+		case <-s.opts.Urgent:
+			all = true
+		case <-ticker.C:
+			tick++
+		}
+		for scope, f := range s.feeds {
+			if all || scope == rlbworld.ScopeAll || tick%max(1, s.opts.Slower) == 0 {
+				s.publishFeed(f)
+			}
 		}
+	}
+}
+
+func (s *Server) publishFeed(f *feed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(f.subscribers) == 0 {
+		return // the first one to come is told everything
+	}
+	frame, err := rlbwire.Encode(TypeUpdate, 0, s.opts.Backend.Delta(f.cursor))
+	if err != nil {
+		s.opts.Log.WithError(err).Error("update not told")
+		return
+	}
+	for sub := range f.subscribers {
+		select {
+		case sub.updates <- frame:
+		default:
+			_ = sub.wire.Close()
+		}
+	}
+}
+
+// tell sends everything and then each update until the link ends.
+func (s *Server) tell(ctx context.Context, f *feed, scope rlbworld.Scope, sub *subscriber) {
+	defer s.group.Done()
+	defer func() { _ = sub.wire.Close() }()
+	s.mu.Lock()
+	if len(f.subscribers) == 0 {
+		f.cursor = rlbworld.NewCursor(scope)
+		s.opts.Backend.Delta(f.cursor) // nobody waits for what was before
+	}
+	f.subscribers[sub] = struct{}{}
+	everything := s.opts.Backend.Delta(rlbworld.NewCursor(scope))
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(f.subscribers, sub)
+	}()
+	if err := sub.wire.Send(TypeUpdate, 0, everything); err != nil {
+		return
+	}
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case frame := <-sub.updates:
+			if err := sub.wire.Write(frame); err != nil {
+				return
+			}
 		}
 	}
 }
--- a/lib/pkg/rlbmember/membership.go
+++ b/lib/pkg/rlbmember/membership.go
@@ -60,11 +60,9 @@
 	return all
 }
 
-// Collector returns who collects the reports of an endpoint: a controller of
-// its failure domain if there is one.
-func Collector(endpoint, domain string, live []Controller) string {
-	return Owner("collect/"+endpoint, Duty(live, domain))
-}
+// Collector returns which of the controllers on duty for an endpoint's failure
+// domain collects its reports.
+func Collector(endpoint string, duty []string) string { return Owner("collect/"+endpoint, duty) }
 
 // Watches reports whether a controller is one of the n of its failure domain
 // that watch the object API and read the instance list.
@@ -161,16 +159,3 @@
 	}
 	return false
 }
-
-// Domains returns the failure domains of the endpoints, sorted.
-func Domains(w *rlbworld.World) []string {
-	var domains []string
-	w.Instances().All(func(_ string, i rlbworld.Instance) bool {
-		if i.Type == rlbinstance.TypeEngine && !i.Removed && !slices.Contains(domains, i.FailureDomain) {
-			domains = append(domains, i.FailureDomain)
-		}
-		return true
-	})
-	slices.Sort(domains)
-	return domains
-}
--- a/lib/pkg/rlbtable/table.go
+++ b/lib/pkg/rlbtable/table.go
@@ -118,10 +118,15 @@
 	if full {
 		revision = 0
 	}
-	element := t.order.Back()
+	element, newer := t.order.Back(), 0
 	for element != nil && element.Value.(*entry[K, R]).revision > revision {
 		element = element.Prev()
+		newer++
 	}
+	if newer == 0 {
+		return nil, full
+	}
+	changes = make([]Change[K, R], 0, newer)
 	for element = t.after(element); element != nil; element = element.Next() {
 		e := element.Value.(*entry[K, R])
 		if full && e.deleted {
--- a/lib/pkg/rlbwire/conn.go
+++ b/lib/pkg/rlbwire/conn.go
@@ -95,21 +95,32 @@
 
 // Send writes one message.
 func (c *Conn) Send(t Type, call uint64, body any) error {
+	frame, err := Encode(t, call, body)
+	if err != nil {
+		return err
+	}
+	return c.Write(frame)
+}
+
+// Encode returns one message as Write takes it, so that it can be sent on many
+// connections.
+func Encode(t Type, call uint64, body any) ([]byte, error) {
 	encoded, err := msgpack.Marshal(body)
 	if err != nil {
-		return rlberror.New("encode body", KindMalformed, err)
+		return nil, rlberror.New("encode body", KindMalformed, err)
 	}
 	frame, err := msgpack.Marshal(&Frame{Type: t, Call: call, Body: encoded})
 	if err != nil {
-		return rlberror.New("encode frame", KindMalformed, err)
+		return nil, rlberror.New("encode frame", KindMalformed, err)
 	}
 	if len(frame) > MaxFrame {
-		return rlberror.Newf("send", KindTooLarge, "%d bytes", len(frame))
+		return nil, rlberror.Newf("send", KindTooLarge, "%d bytes", len(frame))
 	}
-	return c.write(frame)
+	return frame, nil
 }
 
-func (c *Conn) write(frame []byte) error {
+// Write writes one encoded message.
+func (c *Conn) Write(frame []byte) error {
 	var length [lengthBytes]byte
 	binary.BigEndian.PutUint32(length[:], uint32(len(frame)))
 	c.mu.Lock()
--- a/lib/pkg/rlbworld/world.go
+++ b/lib/pkg/rlbworld/world.go
@@ -131,7 +131,10 @@
 		Residents:   state.Residents,
 		Draining:    state.Draining,
 	})
-	load := Load{ID: state.ID, Incarnation: state.Incarnation, Report: state.Report, Load: state.Load}
+	load := Load{
+		ID: state.ID, Incarnation: state.Incarnation, Report: state.Report,
+		Running: state.Load.Running, Waiting: state.Load.Waiting, Slots: state.Load.Slots, Adapters: state.Load.Adapters,
+	}
 	if old, known := w.loads.Get(state.ID); known && load.Same(old) {
 		return // an unchanged load is not told again
 	}
--- a/rlb-controller/pkg/rlbapp/app.go
+++ b/rlb-controller/pkg/rlbapp/app.go
@@ -22,8 +22,6 @@
 
 // Fixed terms of a controller's connections.
 const (
-	updatePeriod  = 250 * time.Millisecond
-	linkSilence   = 1500 * time.Millisecond
 	engineConnect = 500 * time.Millisecond
 	engineTimeout = 2 * time.Second
 	engineIdle    = 30 * time.Second
@@ -58,9 +56,7 @@
 		Dial:    rlblink.DialTCP,
 		Address: control.Addr().String(), Metrics: registry,
 	})
-	_, closeServer := rlblink.NewServer(context.Background(), control, rlblink.ServerOpts{
-		Log: common.Log, Backend: controller, Interval: updatePeriod, Silence: linkSilence,
-	})
+	_, closeServer := rlblink.NewServer(context.Background(), control, rlbcontrol.LinkOpts(controller))
 	defer closeServer()
 	console := &http.Server{Handler: rlbconsole.New(controller, registry).Handler(), ReadHeaderTimeout: headerWait}
 	go func() { _ = console.Serve(operators) }() // ends with Close
--- a/rlb-controller/pkg/rlbcontrol/collector.go
+++ b/rlb-controller/pkg/rlbcontrol/collector.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 )
@@ -13,18 +12,13 @@
 // c.mu is held.
 func (c *Controller) collect(ctx context.Context, now time.Time) {
 	period := c.Settings.Duration(rlbsettings.ControllerPoll)
-	c.world.Instances().All(func(id string, i rlbworld.Instance) bool {
-		if i.Type != rlbinstance.TypeEngine || i.Removed {
-			delete(c.polls, id)
-			return true
+	for _, i := range c.duties.collect {
+		if now.Before(c.polls[i.ID]) {
+			continue
 		}
-		if now.Before(c.polls[id]) || !c.collects(id, i.FailureDomain) {
-			return true
-		}
-		c.polls[id] = now.Add(period)
+		c.polls[i.ID] = now.Add(period)
 		c.spawn(func() { c.poll(ctx, i) })
-		return true
-	})
+	}
 }
 
 func (c *Controller) poll(ctx context.Context, i rlbworld.Instance) {
@@ -39,5 +33,5 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.world.MergeState(state, time.Now())
+	c.observe(state)
 }
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -27,13 +27,26 @@
 
 // Fixed terms of a controller.
 const (
-	silence       = 2 * time.Second        // after which a peer without heartbeats counts as dead
-	updatePeriod  = 250 * time.Millisecond // between two updates of a link
+	silence       = 3 * ControllerPeriod // after which a peer without heartbeats counts as dead
 	planPeriod    = time.Second
+	beatPeriod    = time.Second      // between two heartbeats
 	forgetNodes   = 10 * time.Minute // after which a silent node is forgotten
 	engineTimeout = 2 * time.Second  // longest wait for an engine's control side
 )
 
+// Periods of the updates that a controller tells. What is urgent goes at once.
+const (
+	GatewayPeriod    = 250 * time.Millisecond
+	ControllerPeriod = 2 * time.Second
+)
+
+// LinkOpts returns the options of the server of a controller's links.
+func LinkOpts(c *Controller) rlblink.ServerOpts {
+	return rlblink.ServerOpts{
+		Log: c.Log, Backend: c, Interval: GatewayPeriod, Slower: int(ControllerPeriod / GatewayPeriod), Urgent: c.urgent, Silence: silence,
+	}
+}
+
 // Opts are the parts of a controller.
 type Opts struct {
 	*rlbcommon.Common
@@ -61,6 +74,9 @@
 	world     *rlbworld.World
 	live      []rlbmember.Controller
 	beat      uint64
+	beaten    time.Time // the latest heartbeat
+	urgent    chan struct{}
+	duties    duties
 	draining  bool
 	watching  bool
 	polls     map[string]time.Time // when an engine's next report is due
@@ -99,6 +115,7 @@
 		leases: map[string]*leaseState{},
 		books:  map[string]*bookState{},
 		demand: map[string]float64{},
+		urgent: make(chan struct{}, 1),
 		loads:  loadLimit{rate: s.Ratio(rlbsettings.ControllerLoadRate)},
 	}
 	for i := range s.Int(rlbsettings.ControllerShards) {
@@ -142,6 +159,7 @@
 	defer c.mu.Unlock()
 	c.world.Expire(now, now.Add(-forgetNodes))
 	c.live = rlbmember.Live(c.world, now, c.member)
+	c.assign()
 	c.heartbeat(now)
 	c.linkPeers(ctx)
 	c.watch(ctx)
@@ -151,8 +169,20 @@
 	c.runOrders(ctx, now)
 }
 
+// hurry makes the links tell what changed at once.
+func (c *Controller) hurry() {
+	select {
+	case c.urgent <- struct{}{}:
+	default: // it is signalled already
+	}
+}
+
 // heartbeat renews this controller's own row.
 func (c *Controller) heartbeat(now time.Time) {
+	if now.Before(c.beaten.Add(beatPeriod)) {
+		return
+	}
+	c.beaten = now
 	c.beat++
 	node := rlbworld.Node{
 		NodeKey: rlbworld.NodeKey{Type: rlbworld.NodeController, ID: c.id},
@@ -203,11 +233,6 @@
 	}()
 }
 
-// collects reports whether an engine's reports fall to this controller.
-func (c *Controller) collects(id, domain string) bool {
-	return rlbmember.Collector(id, domain, c.live) == c.id
-}
-
 // Delta implements rlblink.Backend.
 func (c *Controller) Delta(cursor *rlbworld.Cursor) rlbworld.Update {
 	c.mu.Lock()
@@ -219,14 +244,35 @@
 func (c *Controller) Report(u rlbworld.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.world.Merge(u, rlbworld.OriginSelf, time.Now())
+	c.take(u, rlbworld.OriginSelf)
 }
 
 // merge takes what a peer tells.
 func (c *Controller) merge(u rlbworld.Update, origin rlbworld.Origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.take(u, origin)
+}
+
+// take merges an update and passes news of notes, strikes and
+// engines on at once; c.mu
+// is held.
+func (c *Controller) take(u rlbworld.Update, origin rlbworld.Origin) {
+	version, strikes, engines := c.world.Note().Version, c.world.Strikes().Revision(), c.world.Engines().Revision()
 	c.world.Merge(u, origin, time.Now())
+	if c.world.Note().Version != version || c.world.Strikes().Revision() != strikes || c.world.Engines().Revision() != engines {
+		c.hurry()
+	}
+}
+
+// observe merges an engine's report, and tells at once if what it holds
+// changed; c.mu is held.
+func (c *Controller) observe(state rlbengine.State) {
+	engines := c.world.Engines().Revision()
+	c.world.MergeState(state, time.Now())
+	if c.world.Engines().Revision() != engines {
+		c.hurry()
+	}
 }
 
 // Answer implements rlblink.Backend.
--- a/rlb-controller/pkg/rlbcontrol/leases.go
+++ b/rlb-controller/pkg/rlbcontrol/leases.go
@@ -22,7 +22,7 @@
 
 // runLeases lets each lease take its next step; c.mu is held.
 func (c *Controller) runLeases(ctx context.Context, now time.Time) {
-	for _, domain := range rlbmember.Domains(c.world) {
+	for _, domain := range c.duties.domains {
 		l, known := c.leases[domain]
 		if !known {
 			l = &leaseState{lease: rlblease.New(rlblease.Opts{
--- a/rlb-controller/pkg/rlbcontrol/orders.go
+++ b/rlb-controller/pkg/rlbcontrol/orders.go
@@ -6,7 +6,6 @@
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborder"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
@@ -25,24 +24,33 @@
 // runOrders lets the book of each engine in the failure domains whose lease is
 // held take its next step; c.mu is held.
 func (c *Controller) runOrders(ctx context.Context, now time.Time) {
-	c.world.Instances().All(func(id string, i rlbworld.Instance) bool {
-		fence, held := c.holds(i.FailureDomain, now)
-		if i.Type != rlbinstance.TypeEngine || i.Removed || !held {
-			delete(c.books, id)
-			return true
+	books := map[string]*bookState{}
+	for _, domain := range c.duties.domains {
+		fence, held := c.holds(domain, now)
+		if !held {
+			continue
 		}
-		b, known := c.books[id]
-		if !known || b.book.Fence() != fence {
-			b = &bookState{rlborder.New(id, i.Fencing, fence), i}
+		for _, i := range c.duties.byDomain[domain] {
+			b := c.bookOf(i, fence)
+			books[i.ID] = b
+			c.refreshBook(b)
+			c.stepBook(ctx, now, b)
 		}
-		if b.instance != i {
-			b = &bookState{b.book, i}
-		}
-		c.books[id] = b
-		c.refreshBook(b)
-		c.stepBook(ctx, now, b)
-		return true
-	})
+	}
+	c.books = books
+}
+
+// bookOf returns the book of an engine under a term of its domain's lease.
+func (c *Controller) bookOf(i rlbworld.Instance, fence uint64) *bookState {
+	b, known := c.books[i.ID]
+	switch {
+	case !known || b.book.Fence() != fence:
+		return &bookState{rlborder.New(i.ID, i.Fencing, fence), i}
+	case b.instance != i:
+		return &bookState{b.book, i}
+	default:
+		return b
+	}
 }
 
 // refreshBook makes the book read the engine's state again when a report shows
@@ -113,7 +121,7 @@
 		return
 	}
 	b.book.StateRead(state)
-	c.world.MergeState(state, time.Now())
+	c.observe(state)
 }
 
 // sendOrder sends an order, unless the lease is no longer held at that moment.
@@ -124,7 +132,7 @@
 	c.tellOrder(b, order, err)
 	if err == nil {
 		b.book.Accepted(order, state)
-		c.world.MergeState(state, time.Now())
+		c.observe(state)
 		return
 	}
 	switch kind, _ := rlberror.KindOf[rlbengine.Kind](err); kind {
--- a/rlb-controller/pkg/rlbcontrol/peers.go
+++ b/rlb-controller/pkg/rlbcontrol/peers.go
@@ -45,6 +45,7 @@
 		Addresses: func() []string { return []string{address} },
 		Update:    func(u rlbworld.Update) { c.merge(u, origin) },
 		Report:    func() rlbworld.Update { return rlbworld.Update{} },
+		Every:     ControllerPeriod,
 		Silence:   silence,
 	})
 	return &peer{client, scope, closeClient}
--- a/rlb-controller/pkg/rlbcontrol/placement.go
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -138,7 +138,7 @@
 // reports; others' engines are judged by their own collectors.
 func (c *Controller) silent(i rlbworld.Instance) bool {
 	at := c.world.Reported(i.ID)
-	return !at.IsZero() && time.Since(at) > engineSilence && c.collects(i.ID, i.FailureDomain)
+	return !at.IsZero() && time.Since(at) > engineSilence && c.collects(i.ID)
 }
 
 // propose hands a proposal to the book of its engine, if that is this
--- a/rlb-controller/pkg/rlbcontrol/watcher.go
+++ b/rlb-controller/pkg/rlbcontrol/watcher.go
@@ -74,6 +74,7 @@
 // mergeNote takes a release state if it is newer; c.mu is held.
 func (c *Controller) mergeNote(state rlbnote.State) {
 	if c.world.MergeNote(state) {
+		c.hurry()
 		c.journal.add(time.Now(), "note", "version %d in force here: note %s", state.Version, state.Last.ID)
 		c.Log.WithField("note_version", state.Version).Info("release note in force")
 	}
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -27,9 +27,10 @@
 const (
 	linkSilence  = 1500 * time.Millisecond // of a controller, after which another is linked
 	sweepPeriod  = time.Second
-	headerWait   = 10 * time.Second // for a caller's request header
-	callerIdle   = 2 * time.Minute  // of a caller's connection
-	lameDuck     = 2 * time.Second  // between not being ready and closing the listener
+	reportPeriod = 500 * time.Millisecond // between two heartbeats to the controller
+	headerWait   = 10 * time.Second       // for a caller's request header
+	callerIdle   = 2 * time.Minute        // of a caller's connection
+	lameDuck     = 2 * time.Second        // between not being ready and closing the listener
 	drainLogTime = 5 * time.Second
 )
 
@@ -119,6 +120,7 @@
 		Addresses: func() []string { return addresses },
 		Update:    a.update,
 		Report:    a.report,
+		Every:     reportPeriod,
 		Linked: func(address string, linked bool) {
 			a.Log.WithField("controller", address).WithField("linked", linked).Info("control link")
 		},
--- a/rlb-load/main.go
+++ b/rlb-load/main.go
@@ -1,6 +1,9 @@
-// Command rlb-load drives gateways with open-loop load.
+// Command rlb-load drives gateways with load and measures what control costs.
 package main
 
-import "fmt"
+import (
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbcommand"
+)
 
-func main() { fmt.Println("rlb-load: see issue 6") }
+func main() { rlbcommon.Execute(rlbcommand.New()) }
--- /dev/null
+++ b/rlb-load/pkg/rlbcapacity/members.go
@@ -0,0 +1,196 @@
+package rlbcapacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbweight"
+	"github.com/rhubarblb/rhubarblb/rlb-controller/pkg/rlbcontrol"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeplatform"
+)
+
+const callTimeout = 5 * time.Second
+
+// Sample is what one controller cost on average while it was measured.
+type Sample struct {
+	Shape        Shape   `json:"shape"`
+	Seconds      float64 `json:"seconds"`
+	Processor    float64 `json:"processor"`     // share of one core
+	LinkBytes    float64 `json:"link_bytes"`    // sent between controllers, a second
+	PollBytes    float64 `json:"poll_bytes"`    // of engines' reports, both ways, a second
+	ObjectReads  float64 `json:"object_reads"`  // of the whole fleet, a second
+	ObjectWrites float64 `json:"object_writes"` // of the whole fleet, a second
+	Heap         float64 `json:"heap"`          // bytes
+}
+
+// counter counts bytes on connections.
+type counter struct{ bytes atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	read, written *counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.bytes.Add(int64(n))
+	return n, err
+}
+
+// countedListener counts what accepted connections send.
+type countedListener struct {
+	net.Listener
+	sent *counter
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, &counter{}, l.sent}, nil
+}
+
+// members are the controllers of one process.
+type members struct {
+	shape    Shape
+	platform string
+	links    counter // sent by listeners and dialers of control links
+	polls    counter
+	engines  *http.Client
+}
+
+// RunMembers runs the controllers of a shape, lets them settle, and measures.
+func RunMembers(ctx context.Context, shape Shape, platform string, firstPort int, settle, measure time.Duration) (Sample, error) {
+	m := &members{shape: shape, platform: platform}
+	m.engines = &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{c, &m.polls, &m.polls}, nil
+		},
+	}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for d := range shape.Domains {
+		for i := range shape.Controllers {
+			if err := m.start(ctx, d, i, firstPort); err != nil {
+				return Sample{}, err
+			}
+		}
+	}
+	time.Sleep(settle)
+	return m.measure(ctx, measure)
+}
+
+func (m *members) start(ctx context.Context, domain, i, firstPort int) error {
+	settings, err := rlbsettings.Parse("capacity", nil, rlbsettings.ForController)
+	if err != nil {
+		return err
+	}
+	for _, o := range []string{"instance.id=" + memberID(domain, i), fmt.Sprintf("instance.failure_domain=d%d", domain), "log.level=error"} {
+		if err := settings.Override(o); err != nil {
+			return err
+		}
+	}
+	common, err := rlbcommon.New(io.Discard, settings)
+	if err != nil {
+		return err
+	}
+	address := memberAddress(m.shape, firstPort, domain, i)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for a controller: %w", err)
+	}
+	objects, _ := rlbobject.NewClient(m.platform, callTimeout, metrics.NewRegistry())
+	instances, _ := rlbinstance.NewClient(m.platform, callTimeout)
+	weights, _ := rlbweight.NewClient(m.platform, callTimeout)
+	controller := rlbcontrol.New(rlbcontrol.Opts{
+		Common: common, Objects: objects, Instances: instances, Weights: weights, Address: address, Metrics: metrics.NewRegistry(),
+		Engine: func(a string) rlbengine.Engine { return rlbengine.NewClient(a, m.engines, callTimeout) },
+		Dial:   m.dial,
+	})
+	rlblink.NewServer(ctx, &countedListener{listener, &m.links}, rlbcontrol.LinkOpts(controller))
+	go controller.Run(ctx)
+	return nil
+}
+
+func (m *members) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := rlblink.DialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, &counter{}, &m.links}, nil
+}
+
+// snapshot is the state of the counters at a moment.
+type snapshot struct {
+	at           time.Time
+	processor    time.Duration
+	links, polls int64
+	calls        rlbfakeplatform.Calls
+}
+
+func (m *members) snapshot(ctx context.Context) (snapshot, error) {
+	s := snapshot{at: time.Now(), links: m.links.bytes.Load(), polls: m.polls.bytes.Load()}
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return s, fmt.Errorf("read processor time: %w", err)
+	}
+	s.processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	_, err := rlbhttp.Call(ctx, http.DefaultClient, http.MethodGet, "http://"+m.platform+"/calls", nil, &s.calls)
+	return s, err
+}
+
+func (m *members) measure(ctx context.Context, d time.Duration) (Sample, error) {
+	before, err := m.snapshot(ctx)
+	if err != nil {
+		return Sample{}, err
+	}
+	time.Sleep(d)
+	after, err := m.snapshot(ctx)
+	if err != nil {
+		return Sample{}, err
+	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	seconds := after.at.Sub(before.at).Seconds()
+	each := float64(m.shape.Controllers*m.shape.Domains) * seconds
+	return Sample{
+		Shape: m.shape, Seconds: seconds,
+		Processor:    (after.processor - before.processor).Seconds() / each,
+		LinkBytes:    float64(after.links-before.links) / each,
+		PollBytes:    float64(after.polls-before.polls) / each,
+		ObjectReads:  float64(after.calls.Reads-before.calls.Reads) / seconds,
+		ObjectWrites: float64(after.calls.Writes-before.calls.Writes) / seconds,
+		Heap:         float64(memory.HeapAlloc) / float64(m.shape.Controllers*m.shape.Domains),
+	}, nil
+}
--- /dev/null
+++ b/rlb-load/pkg/rlbcommand/capacity.go
@@ -0,0 +1,69 @@
+package rlbcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime/pprof"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbcapacity"
+	"github.com/spf13/cobra"
+)
+
+// startProfile begins a processor profile and returns the function that ends it.
+func startProfile(path string) (func(), error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, fmt.Errorf("processor profile: %w", err)
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, fmt.Errorf("processor profile: %w", err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
+
+func capacityCommand() *cobra.Command {
+	var shape rlbcapacity.Shape
+	var platform, profile string
+	var port int
+	var settle, measure time.Duration
+	cmd := &cobra.Command{Use: "capacity", Short: "Measure what controllers cost at a size"}
+	flags := cmd.PersistentFlags()
+	flags.IntVar(&shape.Controllers, "controllers", 3, "controllers in each failure domain")
+	flags.IntVar(&shape.Engines, "engines", 30, "engines in each failure domain")
+	flags.IntVar(&shape.Domains, "domains", 1, "failure domains")
+	flags.IntVar(&shape.Residents, "residents", 3, "models on each engine")
+	flags.StringVar(&platform, "platform", "127.0.0.1:18000", "address of the platform's stand-in")
+	flags.IntVar(&port, "port", 18100, "first port of the controllers")
+	standins := &cobra.Command{Use: "standins", Short: "Serve the platform and the engines", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := untilSignal()
+		defer stop()
+		return rlbcapacity.RunStandins(ctx, shape, platform, port, cmd.OutOrStdout())
+	}}
+	members := &cobra.Command{Use: "members", Short: "Run the controllers, measure, and print one JSON line", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := untilSignal()
+		defer stop()
+		stopProfile, err := startProfile(profile)
+		if err != nil {
+			return err
+		}
+		defer stopProfile()
+		sample, err := rlbcapacity.RunMembers(ctx, shape, platform, port, settle, measure)
+		if err != nil {
+			return err
+		}
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(sample)
+	}}
+	members.Flags().StringVar(&profile, "cpu-profile", "", "file for a processor profile; empty: none")
+	members.Flags().DurationVar(&settle, "settle", 8*time.Second, "time before measuring")
+	members.Flags().DurationVar(&measure, "measure", 8*time.Second, "time of measuring")
+	cmd.AddCommand(standins, members)
+	return cmd
+}
--- a/rlb-standin/pkg/rlbfakeengine/engine.go
+++ b/rlb-standin/pkg/rlbfakeengine/engine.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
@@ -48,6 +49,7 @@
 	runs      map[string]*run
 	record    Record
 	draining  bool
+	extra     atomic.Int64 // reported beyond what runs
 }
 
 type modelKey struct{ name, version string }
@@ -122,9 +124,13 @@
 
 func (e *Engine) state(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) }
 
+// SetLoad makes the engine report that many requests more than it runs.
+func (e *Engine) SetLoad(requests int) { e.extra.Store(int64(requests)) }
+
 // State returns the engine's report.
 func (e *Engine) State() rlbengine.State {
 	running, waiting := e.slots.counts()
+	running += int(e.extra.Load())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.report++
