docs/CAPACITY.md from measured slopes; make faults

Ruled out: slopes from benchmarks alone (they miss links and polls); a direct run of 22 full domains (does not fit the machine).

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -67,6 +67,7 @@
 	StandinLoadRate   = &Key{"standin", "loads_a_second", TypeRatio, "1", "0.01", "1000", "Loads the weight store starts each second.", ForStandin}
 	StandinLoadTime   = &Key{"standin", "load_time", TypeDuration, "300ms", "0s", "10m", "Time of one load at full speed.", ForStandin}
 	StandinLoadSlots  = &Key{"standin", "loads_at_once", TypeInt, "8", "1", "10000", "Loads served at once at full speed.", ForStandin}
+	StandinRecord     = &Key{"standin", "record", TypeText, "", "", "", "File to which each run is appended before it begins; empty: none.", ForStandin}
 	StandinModelBytes = &Key{"standin", "model_memory", TypeBytes, "14GiB", "1MiB", "1048576GiB", "Memory of a model whose name states none (name-20g states 20 GiB).", ForStandin}
 )
 
@@ -81,5 +82,5 @@
 	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefill, StandinStep, StandinStepSlot,
-	StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes,
+	StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes, StandinRecord,
 }
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -139,7 +139,7 @@
 	}
 	for i, name := range []string{"book", "list", "list"} {
 		id := fmt.Sprintf("%s%d", name, i)
-		service := rlbfakeservice.New(id)
+		service := rlbfakeservice.New(id, nil)
 		r.services = append(r.services, service)
 		r.serve(id, service.Handler())
 		r.update.Instances = append(r.update.Instances, rlbworld.Instance{Revision: 1, Instance: rlbinstance.Instance{ID: id, Type: rlbinstance.TypeService, Address: id, Role: name}})
--- /dev/null
+++ b/rlb-load/pkg/rlbclient/client.go
@@ -0,0 +1,191 @@
+// Package rlbclient is a caller that checks its answers: every token of a
+// stand-in's answer follows from the request's body.
+package rlbclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
+)
+
+// HeaderOutcome carries the outcome that a gateway tells.
+const HeaderOutcome = "X-Rlb-Outcome"
+
+// Outcome is what became of a request, as its caller knows it.
+type Outcome string
+
+// The outcomes: those that a gateway tells, and Broken when no gateway told any.
+const (
+	Answered Outcome = "answered"
+	NotRun   Outcome = "not-run"
+	Failed   Outcome = "failed"
+	Unknown  Outcome = "unknown"
+	Broken   Outcome = "broken"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Method string
+	Path   string
+	Body   []byte
+	Key    string // idempotency key; empty: none
+	Tokens int    // expected of a model; 0: a plain service
+	Stream bool
+}
+
+// Reply is what a caller got.
+type Reply struct {
+	Outcome    Outcome
+	RequestID  string // empty if none was told
+	Code       string
+	Begun      time.Time
+	FirstToken time.Duration // of a stream, from Begun
+	Ended      time.Duration // from Begun
+	Tokens     int
+	Doubled    bool // a token came twice
+	Crossed    bool // a part belongs to another request
+	Cut        bool // answered, but not whole, and nothing says so
+}
+
+// Client sends requests over a pool of connections.
+type Client struct{ http *http.Client }
+
+// New returns a client whose requests take at most timeout.
+func New(timeout time.Duration, connections int) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: connections, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}
+	return &Client{&http.Client{Timeout: timeout, Transport: transport}}
+}
+
+// Send sends a request to the gateway at address and checks the answer.
+func (c *Client) Send(ctx context.Context, address string, r *Request) Reply {
+	reply := Reply{Outcome: Broken, Begun: time.Now()}
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return reply
+	}
+	if r.Key != "" {
+		request.Header.Set(rlbrelay.HeaderKey, r.Key)
+		request.GetBody = nil // the transport must not send it again by itself
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		reply.Ended = time.Since(reply.Begun)
+		return reply
+	}
+	defer func() { _ = response.Body.Close() }()
+	reply.Outcome = Outcome(response.Header.Get(HeaderOutcome))
+	reply.RequestID = response.Header.Get(rlbrelay.HeaderRequestID)
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		reply.readStream(response.Body, r)
+	} else {
+		reply.readDocument(response.Body, r)
+	}
+	reply.Ended = time.Since(reply.Begun)
+	return reply
+}
+
+// document is the part of an answer or error that the client reads.
+type document struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Message struct{ Content string }
+		Delta   struct{ Content string }
+	}
+	Error *struct {
+		Outcome Outcome
+		Code    string
+	}
+	Body string // of a plain service: what it received
+}
+
+func (p *Reply) readDocument(body io.Reader, r *Request) {
+	data, err := io.ReadAll(body)
+	var doc document
+	switch {
+	case err != nil:
+		p.Outcome = Broken // the connection ended: the caller knows that it has no answer
+	case json.Unmarshal(data, &doc) != nil:
+		p.Cut = p.Outcome == Answered
+	case doc.Error != nil:
+		p.Code = doc.Error.Code
+	case p.Outcome != Answered:
+	case r.Tokens == 0:
+		p.Crossed = doc.Body != string(r.Body)
+	case len(doc.Choices) == 0 || doc.ID != p.RequestID:
+		p.Crossed = true
+	default:
+		for _, token := range strings.Fields(doc.Choices[0].Message.Content) {
+			p.check(token, r)
+		}
+		p.Cut = p.Tokens != r.Tokens
+	}
+}
+
+// readStream reads a stream's events. The end of the connection without the
+// end marker shows the caller that it has no whole answer only if the transfer
+// encoding breaks off too.
+func (p *Reply) readStream(body io.Reader, r *Request) {
+	reader := rlbrelay.NewEventReader(body)
+	for {
+		event, err := reader.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			p.Cut = p.Outcome == Answered // ended well-formed, without the end marker
+			return
+		case err != nil:
+			p.Outcome = Broken
+			return
+		case bytes.Equal(event.Data, []byte("[DONE]")):
+			p.Cut = p.Tokens != r.Tokens
+			return
+		}
+		var doc document
+		if json.Unmarshal(event.Data, &doc) != nil {
+			p.Crossed = true
+			continue
+		}
+		if doc.Error != nil {
+			p.Outcome, p.Code = doc.Error.Outcome, doc.Error.Code
+			return
+		}
+		if p.Tokens == 0 {
+			p.FirstToken = time.Since(p.Begun)
+		}
+		if doc.ID != p.RequestID || len(doc.Choices) == 0 {
+			p.Crossed = true
+			continue
+		}
+		p.check(strings.TrimSpace(doc.Choices[0].Delta.Content), r)
+	}
+}
+
+// check takes the next token.
+func (p *Reply) check(token string, r *Request) {
+	digest := rlbfakeengine.Digest(r.Body)
+	switch strings.TrimSpace(rlbfakeengine.Token(digest, p.Tokens+1)) {
+	case token:
+		p.Tokens++
+		return
+	}
+	var n int
+	prefix := fmt.Sprintf("%08x-", uint32(digest))
+	if _, err := fmt.Sscanf(strings.TrimPrefix(token, prefix), "%d", &n); err == nil && strings.HasPrefix(token, prefix) {
+		p.Doubled = p.Doubled || n <= p.Tokens
+		p.Cut = p.Cut || n > p.Tokens+1
+		return
+	}
+	p.Crossed = true
+}
--- a/rlb-load/pkg/rlbcommand/capacity.go
+++ b/rlb-load/pkg/rlbcommand/capacity.go
@@ -64,6 +64,18 @@
 	members.Flags().StringVar(&profile, "cpu-profile", "", "file for a processor profile; empty: none")
 	members.Flags().DurationVar(&settle, "settle", 8*time.Second, "time before measuring")
 	members.Flags().DurationVar(&measure, "measure", 8*time.Second, "time of measuring")
-	cmd.AddCommand(standins, members)
+	page := &cobra.Command{Use: "page FILE", Short: "Fit lines to samples and write the measured part of docs/CAPACITY.md", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		file, err := os.Open(args[0])
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		samples, err := rlbcapacity.ReadSamples(file)
+		if err != nil {
+			return err
+		}
+		return rlbcapacity.Page(cmd.OutOrStdout(), samples, rlbcapacity.FittedSamples)
+	}}
+	cmd.AddCommand(standins, members, page)
 	return cmd
 }
--- /dev/null
+++ b/rlb-load/pkg/rlbfaults/record.go
@@ -0,0 +1,49 @@
+package rlbfaults
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
+)
+
+// readRecords compares what callers were told with what the stand-ins recorded.
+func (r *runner) readRecords() error {
+	runs := map[string]int{} // by key, or by request id when there is no key
+	for _, path := range r.opts.Records {
+		if err := eachRun(path, func(run rlbrecord.Run) {
+			if r.notRun[run.RequestID] {
+				r.verdict.FalseNotRun++
+			}
+			name := run.Key
+			if name == "" {
+				name = run.RequestID
+			}
+			if runs[name]++; runs[name] > 1 && r.once[name] {
+				r.verdict.SecondRuns++
+			}
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func eachRun(path string, f func(rlbrecord.Run)) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("read record: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var run rlbrecord.Run
+		if err := json.Unmarshal(lines.Bytes(), &run); err != nil {
+			continue // cut off by the kill of its stand-in
+		}
+		f(run)
+	}
+	return lines.Err()
+}
--- a/rlb-standin/pkg/rlbapp/app.go
+++ b/rlb-standin/pkg/rlbapp/app.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeplatform"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeservice"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
 )
 
 const (
@@ -76,19 +77,29 @@
 			return err
 		}
 	}
+	record, closeRecord, err := rlbrecord.Open(s.Text(rlbsettings.StandinRecord))
+	if err != nil {
+		return err
+	}
+	defer closeRecord()
 	engine := rlbfakeengine.New(rlbfakeengine.Opts{
 		ID: s.Text(rlbsettings.InstanceID), Incarnation: uint64(time.Now().UnixNano()),
 		Memory: s.Bytes(rlbsettings.StandinMemory), Fencing: s.Bool(rlbsettings.StandinFencing),
 		Slots: s.Int(rlbsettings.StandinSlots), PrefillRate: s.Int(rlbsettings.StandinPrefill),
 		Step: s.Duration(rlbsettings.StandinStep), StepSlot: s.Duration(rlbsettings.StandinStepSlot),
 		MaxAdapters: maxAdapters, Fetch: fetch("/weights/"), FetchLora: fetch("/adapters/"),
-		Crash: func() { os.Exit(crashStatus) },
+		Crash: func() { os.Exit(crashStatus) }, Record: record,
 	})
 	return serve(stop, common, out, engine.Handler())
 }
 
 func runService(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
-	service := rlbfakeservice.New(common.Settings.Text(rlbsettings.InstanceID))
+	record, closeRecord, err := rlbrecord.Open(common.Settings.Text(rlbsettings.StandinRecord))
+	if err != nil {
+		return err
+	}
+	defer closeRecord()
+	service := rlbfakeservice.New(common.Settings.Text(rlbsettings.InstanceID), record)
 	return serve(stop, common, out, service.Handler())
 }
 
--- a/rlb-standin/pkg/rlbfakeengine/completion.go
+++ b/rlb-standin/pkg/rlbfakeengine/completion.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
 )
 
 // CrashMarker in a request's body crashes the engine once it decodes it.
@@ -114,6 +115,7 @@
 }
 
 func (e *Engine) started(id, key string) {
+	e.opts.Record.Write(rlbrecord.Run{Endpoint: e.opts.ID, RequestID: id, Key: key})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	count := e.record.Runs[id]
--- a/rlb-standin/pkg/rlbfakeengine/engine.go
+++ b/rlb-standin/pkg/rlbfakeengine/engine.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
 )
 
 // Opts are the parts and the speed of an engine.
@@ -33,6 +34,7 @@
 	Fetch       func(ctx context.Context, name, version string) error
 	FetchLora   func(ctx context.Context, name, version string) error
 	Crash       func() // ends the process
+	Record      *rlbrecord.Writer
 }
 
 // Engine is the stand-in.
--- a/rlb-standin/pkg/rlbfakeservice/service.go
+++ b/rlb-standin/pkg/rlbfakeservice/service.go
@@ -13,11 +13,13 @@
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
 )
 
 // Service is the stand-in.
 type Service struct {
 	id     string
+	record *rlbrecord.Writer
 	faults *rlbfault.Injector
 	mu     sync.Mutex
 	runs   []Run
@@ -35,7 +37,9 @@
 }
 
 // New returns a service that has run nothing.
-func New(id string) *Service { return &Service{id: id, faults: &rlbfault.Injector{}} }
+func New(id string, record *rlbrecord.Writer) *Service {
+	return &Service{id: id, record: record, faults: &rlbfault.Injector{}}
+}
 
 // Faults returns the injector of faults.
 func (s *Service) Faults() *rlbfault.Injector { return s.faults }
@@ -48,7 +52,7 @@
 // and /fault, which are for tests.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /record", s.record)
+	mux.HandleFunc("GET /record", s.showRecord)
 	mux.Handle("/fault", s.faults)
 	mux.HandleFunc("/", s.serve)
 	return mux
@@ -61,7 +65,7 @@
 	return append([]Run{}, s.runs...)
 }
 
-func (s *Service) record(w http.ResponseWriter, _ *http.Request) {
+func (s *Service) showRecord(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Runs())
 }
 
@@ -113,6 +117,7 @@
 		Number: len(s.runs) + 1, Endpoint: s.id, RequestID: r.Header.Get(rlbrelay.HeaderRequestID),
 		Key: r.Header.Get(rlbrelay.HeaderKey), Method: r.Method, Path: r.URL.Path, Body: string(body),
 	}
+	s.record.Write(rlbrecord.Run{Endpoint: s.id, RequestID: run.RequestID, Key: run.Key})
 	s.runs = append(s.runs, run)
 	return run
 }
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -1,12 +1,19 @@
 #!/usr/bin/env bash
 # Runs a trial of Muscat's size on loopback as separate processes: the
 # stand-ins, three controllers and three gateways. Ctrl-C shuts all down.
-# TRIAL_PORT sets the first port, TRIAL_DIR the folder for settings and logs.
+# TRIAL_PORT sets the first port, TRIAL_DIR the folder for settings and logs,
+# TRIAL_NOTE the first note, TRIAL_MODEL the model of the printed line, TRIAL_STEP
+# and TRIAL_LOADS the engines' decoding step and the loads a second. TRIAL_THEN
+# is a command to run once ready; the trial then ends with its status.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 port=${TRIAL_PORT:-7000}
 dir=${TRIAL_DIR:-.trial}
 bin=${TRIAL_BIN:-bin}
+note=${TRIAL_NOTE:-examples/muscat-first.yaml}
+model=${TRIAL_MODEL:-dispatch-14g}
+step=${TRIAL_STEP:-20ms}
+loads=${TRIAL_LOADS:-1}
 rm -rf "$dir"
 mkdir -p "$dir"
 pids=()
@@ -25,6 +32,7 @@
 start() {
   local name=$1
   shift
+  echo "$* --settings $dir/$name.ini" >"$dir/$name.cmd"
   "$@" --settings "$dir/$name.ini" >"$dir/$name.out" 2>"$dir/$name.log" &
   pids+=($!)
   names+=("$name")
@@ -55,20 +63,20 @@
   [ $((i % 4)) -eq 3 ] && fencing=false # not all endpoints check who gives orders
   domain=${domains[$((i % 4))]}
   add "$role$i|engine|$(at $((500 + i)))|$(at $((500 + i)))|$domain|$role|$fencing"
-  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = 20ms\n' \
-    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" >"$dir/$role$i.ini"
+  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nrecord = %s\n' \
+    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$dir/$role$i.record" >"$dir/$role$i.ini"
 done
 for i in 0 1 2 3; do
   service=shifts
   [ "$i" -ge 2 ] && service=stock
   add "$service$i|service|$(at $((550 + i)))||${domains[$i]}|$service|false"
-  printf '[instance]\nid = %s\n[standin]\nlisten = %s\n' "$service$i" "$(at $((550 + i)))" >"$dir/$service$i.ini"
+  printf '[instance]\nid = %s\n[standin]\nlisten = %s\nrecord = %s\n' "$service$i" "$(at $((550 + i)))" "$dir/$service$i.record" >"$dir/$service$i.ini"
 done
-printf '[instance]\nid = platform\n[standin]\nlisten = %s\ninstances = %s\nloads_a_second = 1\nlist_lag = 0s\n' "$platform" "$list" >"$dir/platform.ini"
+printf '[instance]\nid = platform\n[standin]\nlisten = %s\ninstances = %s\nloads_a_second = %s\nlist_lag = 2s\n' "$platform" "$list" "$loads" >"$dir/platform.ini"
 peers="$(at 100),$(at 101),$(at 102)"
 for i in 0 1 2; do
-  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[platform]\nobjects = %s\ninstances = %s\nweights = %s\n[controller]\nlisten = %s\noperators = %s\npeers = %s\n' \
-    "$i" "${domains[$i]}" "$platform" "$platform" "$platform" "$(at $((100 + i)))" "$(at $((200 + i)))" "$peers" >"$dir/controller$i.ini"
+  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[platform]\nobjects = %s\ninstances = %s\nweights = %s\n[controller]\nlisten = %s\noperators = %s\npeers = %s\nloads_a_second = %s\n' \
+    "$i" "${domains[$i]}" "$platform" "$platform" "$platform" "$(at $((100 + i)))" "$(at $((200 + i)))" "$peers" "$loads" >"$dir/controller$i.ini"
   others=$(echo "$peers" | tr , '\n' | grep -v "^$(at $((100 + i)))$" | paste -sd,)
   printf '[instance]\nid = entry%s\nfailure_domain = %s\n[gateway]\nlisten = %s\ncontrollers = %s,%s\n' \
     "$i" "${domains[$i]}" "$(at $i)" "$(at $((100 + i)))" "$others" >"$dir/gateway$i.ini"
@@ -86,11 +94,10 @@
 
 ctl="$bin/rlbctl --settings $dir/ctl.ini"
 for _ in $(seq 50); do # the controllers must know the endpoints first
-  if $ctl note publish --wait 10s examples/muscat-first.yaml >"$dir/publish.log" 2>&1; then break; fi
+  if $ctl note publish --wait 10s "$note" >"$dir/publish.log" 2>&1; then break; fi
   sleep 0.2
 done
 cat "$dir/publish.log"
-model=dispatch-14g
 for _ in $(seq 200); do
   curl -s "http://$(at 0)/v1/models" | grep -q "\"id\":\"$model\",\"object\":\"model\",\"version\":\"v1\",\"ready\":true" && break
   sleep 0.1
