Requests that crash endpoints: two at most, and every innocent answered

Cause: suspects were kept apart by each gateway for itself only, and a refusal or a second run did not wait until other gateways knew of the crash. A test with 40 innocent streams and six resends failed in one of three runs: an innocent shared its second endpoint with the cause and was refused with it. Ruled out: assigning suspects by their place in the list of all (tried first; when one made way the others moved onto endpoints that were in use: the same failure, one run in three); asking the endpoint's collector for a slot (control would stand on the request path). Change: a strike is told to every gateway, and echoed, before the request runs again or is refused; each suspect has an endpoint by rendezvous hashing of its own fingerprint, runs there only as the first of those that chose it, after its turn stood for 50 ms, and tells that it runs; pure decision in rlbsuspect. Not covered: copies sent at the same moment to several gateways may each meet a first endpoint.

--- a/lib/pkg/rlbroute/endpoint.go
+++ b/lib/pkg/rlbroute/endpoint.go
@@ -26,7 +26,6 @@
 	opts     EndpointOpts
 	hash     uint64
 	inFlight atomic.Int64
-	suspects atomic.Int64 // requests in flight that were on a crashed endpoint before
 	avoid    atomic.Int64 // Unix time in nanoseconds until which others are preferred
 	report   atomic.Pointer[report]
 }
@@ -95,23 +94,12 @@
 	e.report.Store(r)
 }
 
-// Enter counts a request in and returns the function that counts it out. A
-// suspect is a request that was on a crashed endpoint before.
-func (e *Endpoint) Enter(suspect bool) (leave func()) {
+// Enter counts a request in and returns the function that counts it out.
+func (e *Endpoint) Enter() (leave func()) {
 	e.inFlight.Add(1)
-	if !suspect {
-		return func() { e.inFlight.Add(-1) }
-	}
-	e.suspects.Add(1)
-	return func() {
-		e.inFlight.Add(-1)
-		e.suspects.Add(-1)
-	}
+	return func() { e.inFlight.Add(-1) }
 }
 
-// Suspects returns the number of suspects in flight.
-func (e *Endpoint) Suspects() int { return int(e.suspects.Load()) }
-
 // Avoid prefers other endpoints until a deadline.
 func (e *Endpoint) Avoid(until time.Time) { e.avoid.Store(until.UnixNano()) }
 
--- a/lib/pkg/rlbworld/rows.go
+++ b/lib/pkg/rlbworld/rows.go
@@ -143,8 +143,26 @@
 // Strike is a strike until a deadline.
 type Strike struct {
 	StrikeKey `msgpack:",inline"`
-	Deadline  int64 `json:"deadline" msgpack:"d"` // Unix time in seconds
+	Model     string      `json:"model" msgpack:"m"`
+	Deadline  int64       `json:"deadline" msgpack:"d"` // Unix time in seconds
+	Phase     StrikePhase `json:"phase,omitempty" msgpack:"h,omitempty"`
+	RunsOn    string      `json:"runs_on,omitempty" msgpack:"r,omitempty"` // endpoint of PhaseRunning
 }
 
+// StrikePhase is how far a request with a strike is.
+type StrikePhase uint8
+
+// The phases, in their order.
+const (
+	StrikeWaiting StrikePhase = iota // for its turn to run again
+	StrikeRunning                    // on an endpoint without other suspects
+	StrikeCleared                    // it ran again without a crash
+)
+
 // Newer implements rlbtable.Row.
-func (s Strike) Newer(old Strike) bool { return s.Deadline > old.Deadline }
+func (s Strike) Newer(old Strike) bool {
+	if s.Phase != old.Phase {
+		return s.Phase > old.Phase
+	}
+	return s.Deadline > old.Deadline
+}
--- a/lib/pkg/rlbworld/world_test.go
+++ b/lib/pkg/rlbworld/world_test.go
@@ -176,7 +176,7 @@
 		w := New()
 		w.MergeState(engine(1, 1, 1, 1), start)
 		w.MergeNode(Node{NodeKey: NodeKey{NodeGateway, "g"}, Epoch: 1, Demand: []Demand{{Model: "m", Requests: 2}}}, OriginSelf, start)
-		w.MergeStrike(Strike{StrikeKey{1, "e", 1}, 9})
+		w.MergeStrike(Strike{StrikeKey: StrikeKey{1, "e", 1}, Deadline: 9})
 		w.MergeList(rlbinstance.List{Revision: 1, Instances: []rlbinstance.Instance{{ID: "a", Fencing: true}}})
 		sent := w.Delta(NewCursor(ScopeAll))
 		body, err := msgpack.Marshal(sent)
@@ -190,7 +190,7 @@
 func TestExpire(t *testing.T) {
 	Convey("strikes past their deadline and silent nodes are dropped", t, func() {
 		w := New()
-		w.MergeStrike(Strike{StrikeKey{1, "e", 1}, start.Unix() + 10})
+		w.MergeStrike(Strike{StrikeKey: StrikeKey{1, "e", 1}, Deadline: start.Unix() + 10})
 		w.MergeNode(Node{NodeKey: NodeKey{NodeGateway, "g"}, Epoch: 1}, OriginSelf, start)
 		w.Expire(start.Add(9*time.Second), start.Add(-time.Second))
 		So(w.Strikes().Len()+w.Nodes().Len(), ShouldEqual, 2)
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -145,9 +145,10 @@
 	}}}
 }
 
-// strike tells the fleet that a request was running on an endpoint that crashed.
-func (a *app) strike(strike rlbworld.Strike) {
-	if err := a.link.Push(rlbworld.Update{Strikes: []rlbworld.Strike{strike}}); err != nil {
+// strike tells the fleet which requests were running on an endpoint that
+// crashed, or are cleared of it.
+func (a *app) strike(strikes []rlbworld.Strike) {
+	if err := a.link.Push(rlbworld.Update{Strikes: strikes}); err != nil {
 		a.Log.WithError(err).Warn("strike not told")
 	}
 }
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -46,7 +46,7 @@
 	leave := s.demand.enter(model.Name)
 	c.once = model.Once || c.key != ""
 	x := &completer{Server: s, in: in, model: model, tracker: rlbrelay.NewTracker(c.id)}
-	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body)}
+	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name}
 	x.routing.Prefix = in.prefix()
 	if adapter != nil {
 		x.adapter = adapter.Name + "@" + adapter.Version
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsuspect"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 )
@@ -18,8 +19,6 @@
 const (
 	avoidTime     = time.Second            // for an endpoint that could not be reached
 	retryJitter   = 20 * time.Millisecond  // longest wait before a retry
-	strikeTime    = 10 * time.Minute       // for which a strike counts
-	maxStrikes    = 2                      // endpoints that one request may take down
 	busyRetryWait = 100 * time.Millisecond // longest wait before a refused request is tried elsewhere
 )
 
@@ -30,6 +29,7 @@
 	candidates  func() []*rlbroute.Endpoint
 	send        func(context.Context, *rlbroute.Endpoint, *rlbroute.Exchange) *attemptError
 	fingerprint uint64
+	model       string // or plain service
 	exchange    *rlbroute.Exchange
 	failed      []*rlbroute.Endpoint // not to be tried again
 }
@@ -92,54 +92,56 @@
 // attempt runs the request on one endpoint.
 func (s *Server) attempt(ctx context.Context, w *work) (*rlbroute.Endpoint, *attemptError) {
 	strikes := s.Fleet.Strikes(w.fingerprint)
-	if strikes >= maxStrikes {
-		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
+	var endpoint *rlbroute.Endpoint
+	switch strikes {
+	case 0:
+		endpoint = s.choose(w)
+	case 1:
+		endpoint = s.awaitTurn(ctx, w)
 	}
-	endpoint := s.choose(w, strikes > 0)
 	if endpoint == nil {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
 	}
-	leave := endpoint.Enter(strikes > 0)
+	leave := endpoint.Enter()
 	defer leave()
 	w.exchange.Begin()
 	failure := w.send(ctx, endpoint, w.exchange)
-	if failure == nil {
-		return endpoint, nil
+	crashed := failure != nil && s.examine(ctx, w, endpoint, failure.fault)
+	if strikes == 1 && !crashed {
+		s.Strike(s.Fleet.Advance(w.fingerprint, rlbworld.StrikeCleared, "")) // it is not to blame, and others may have the endpoint
 	}
-	s.examine(ctx, w, endpoint, failure.fault)
 	return endpoint, failure
 }
 
-// examine notes what a fault says of the endpoint.
-func (s *Server) examine(ctx context.Context, w *work, e *rlbroute.Endpoint, fault rlbroute.Fault) {
+// examine notes what a fault says of the endpoint, and reports whether the
+// endpoint crashed.
+func (s *Server) examine(ctx context.Context, w *work, e *rlbroute.Endpoint, fault rlbroute.Fault) bool {
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	switch fault {
 	case rlbroute.FaultNotSent:
 		e.Avoid(time.Now().Add(avoidTime))
+		return false
 	case rlbroute.FaultCut:
 		if s.Dispatcher.Probe(ctx, e.Address()) {
-			return // only the connection ended
+			return false // only the connection ended
 		}
 		e.Avoid(time.Now().Add(avoidTime))
-		strike := rlbworld.Strike{
-			StrikeKey: rlbworld.StrikeKey{Fingerprint: w.fingerprint, Endpoint: e.ID(), Incarnation: e.Incarnation()},
-			Deadline:  time.Now().Add(strikeTime).Unix(),
-		}
-		if s.Fleet.AddStrike(strike) {
-			s.Strike(strike)
-		}
+		s.strike(ctx, w, e)
+		return true
+	default:
+		return false
 	}
 }
 
 // choose returns the endpoint of the next attempt, or nil.
-func (s *Server) choose(w *work, suspect bool) *rlbroute.Endpoint {
+func (s *Server) choose(w *work) *rlbroute.Endpoint {
 	w.routing.Now = time.Now()
 	candidates := w.candidates()
 	eligible := make([]*rlbroute.Endpoint, 0, len(candidates))
 	for _, e := range candidates {
-		if e.InFlight() < s.limits.perEndpoint && !slices.Contains(w.failed, e) && (!suspect || e.Suspects() == 0) {
+		if e.InFlight() < s.limits.perEndpoint && !slices.Contains(w.failed, e) {
 			eligible = append(eligible, e)
 		}
 	}
@@ -177,12 +179,7 @@
 	if fault == rlbroute.FaultRefused {
 		longest = busyRetryWait
 	}
-	timer := time.NewTimer(rand.N(longest))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	sleep(ctx, rand.N(longest))
 }
 
 // passOn gives the caller the endpoint's own error.
@@ -194,7 +191,7 @@
 }
 
 func (s *Server) refusalOf(w *work, d rlbroute.Decision, fault rlbroute.Fault) *Refusal {
-	if s.Fleet.Strikes(w.fingerprint) >= maxStrikes {
+	if s.Fleet.Strikes(w.fingerprint) >= rlbsuspect.MaxStrikes {
 		return newRefusal(rlbroute.Failed, CodeCrashes)
 	}
 	return newRefusal(d.Outcome, codeOf(fault, d.Outcome))
--- a/rlb-gateway/pkg/rlbcaller/faults_test.go
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -165,19 +165,37 @@
 	})
 }
 
+// TestCrashingRequest sends a request that crashes engines, together with
+// innocent streams, through 1, 3 and 8 gateways, and again each time it is
+// refused, to another gateway.
 func TestCrashingRequest(t *testing.T) {
-	withRig(t, 6, func(r *rig) {
-		Convey("a request that crashes endpoints takes down two, however often it is sent", t, func() {
-			body := fmt.Sprintf(`{"model":%q,"messages":[%q]}`, testModel, rlbfakeengine.CrashMarker)
-			for range 5 {
-				got := r.send("POST", "/v1/chat/completions", body)
-				So(got.outcome, ShouldEqual, "failed")
-				So(got.code, ShouldEqual, CodeCrashes)
-			}
-			So(r.alive(), ShouldEqual, 4)
-			assertWhole(r.completion(testModel, true))
+	const engines, innocents, resends = 12, 40, 6
+	for _, gateways := range []int{1, 3, 8} {
+		t.Run(fmt.Sprint(gateways, " gateways"), func(t *testing.T) {
+			withGateways(t, gateways, engines, func(r *rig) {
+				Convey("it takes down two engines, and every innocent request is answered", t, func() {
+					replies := make(chan reply, innocents)
+					for i := range innocents {
+						go func() {
+							body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":["innocent %d"]}`, testModel, testTokens, i)
+							replies <- r.sendTo(i%gateways, "POST", "/v1/chat/completions", body)
+						}()
+					}
+					synctest.Wait()
+					body := fmt.Sprintf(`{"model":%q,"messages":[%q]}`, testModel, rlbfakeengine.CrashMarker)
+					for i := range resends {
+						got := r.sendTo(i%gateways, "POST", "/v1/chat/completions", body)
+						So(got.outcome, ShouldEqual, "failed")
+						So(got.code, ShouldEqual, CodeCrashes)
+					}
+					for range innocents {
+						assertWhole(<-replies)
+					}
+					So(r.alive(), ShouldEqual, engines-2)
+				})
+			})
 		})
-	})
+	}
 }
 
 // alive returns how many engines take connections.
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -40,14 +40,16 @@
 	testTokens  = 8
 )
 
-// rig is one gateway before stand-in endpoints, on an in-memory network and a
+// rig is one or more gateways before stand-in endpoints, on an in-memory network and a
 // fake clock.
 type rig struct {
 	network  *rlbfake.Network
 	engines  []*rlbfakeengine.Engine
 	services []*rlbfakeservice.Service
-	fleet    *rlbfleet.Fleet
-	server   *Server
+	fleets   []*rlbfleet.Fleet
+	servers  []*Server
+	fleet    *rlbfleet.Fleet // of the first gateway
+	server   *Server         // the first gateway
 	client   *http.Client
 	claims   *memoryClaims
 	update   rlbworld.Update
@@ -55,30 +57,45 @@
 }
 
 // withRig runs f in a bubble with a fake clock.
-func withRig(t *testing.T, engines int, f func(r *rig), overrides ...string) {
+func withRig(t *testing.T, engines int, f func(r *rig)) {
+	t.Helper()
+	withGateways(t, 1, engines, f)
+}
+
+// withGateways runs f with several gateways.
+func withGateways(t *testing.T, gateways, engines int, f func(r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, engines, overrides)
+		r := newRig(t, gateways, engines)
 		defer r.close()
 		f(r)
 	})
 }
 
-func newRig(t *testing.T, engines int, overrides []string) *rig {
+func newRig(t *testing.T, gateways, engines int) *rig {
 	settings, err := rlbsettings.Parse("test", nil, rlbsettings.ForGateway)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, o := range overrides {
-		if err := settings.Override(o); err != nil {
-			t.Fatal(err)
-		}
-	}
 	common, err := rlbcommon.New(io.Discard, settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{network: rlbfake.NewNetwork(), fleet: rlbfleet.New("here", time.Now), claims: newMemoryClaims()}
+	r := &rig{network: rlbfake.NewNetwork(), claims: newMemoryClaims()}
+	for i := range gateways {
+		r.addGateway(common, fmt.Sprint("gateway", i))
+	}
+	r.fleet, r.server = r.fleets[0], r.servers[0]
+	r.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return r.network.Dial(ctx, strings.TrimSuffix(address, ":80"))
+	}}}
+	r.publish(engines)
+	return r
+}
+
+// addGateway adds a gateway. Strikes go from each gateway to all of them, after
+// the time that controllers take.
+func (r *rig) addGateway(common *rlbcommon.Common, address string) {
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		Dial: r.network.Dial, FirstByte: 10 * time.Second, NextByte: 3 * time.Second, SweepEvery: time.Second,
 	})
@@ -90,19 +107,28 @@
 		return seed.Uint64()
 	})
 	if err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
-	r.server = New(Opts{
-		Common: common, Fleet: r.fleet, Dispatcher: dispatcher, Policy: policy, Claims: r.claims,
-		Strike: func(rlbworld.Strike) {}, Metrics: metrics.NewRegistry(),
+	fleet := rlbfleet.New("here", time.Now)
+	server := New(Opts{
+		Common: common, Fleet: fleet, Dispatcher: dispatcher, Policy: policy, Claims: r.claims,
+		Strike: r.tellStrikes, Metrics: metrics.NewRegistry(),
 	})
+	r.fleets, r.servers = append(r.fleets, fleet), append(r.servers, server)
 	r.closers = append(r.closers, closeDispatcher)
-	r.serve("gateway", r.server.Handler())
-	r.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return r.network.Dial(ctx, "gateway")
-	}}}
-	r.publish(engines)
-	return r
+	r.serve(address, server.Handler())
+}
+
+// tellTime is how long strikes take from one gateway to all.
+const tellTime = 20 * time.Millisecond
+
+func (r *rig) tellStrikes(strikes []rlbworld.Strike) {
+	go func() {
+		time.Sleep(tellTime)
+		for _, f := range r.fleets {
+			f.Update(rlbworld.Update{Strikes: strikes})
+		}
+	}()
 }
 
 func (r *rig) close() {
@@ -110,7 +136,10 @@
 	for _, c := range r.closers {
 		c()
 	}
-	r.server.Wait()
+	for _, server := range r.servers {
+		server.Wait()
+	}
+	time.Sleep(2 * tellTime)
 }
 
 func (r *rig) serve(address string, handler http.Handler) {
@@ -144,7 +173,9 @@
 		r.serve(id, service.Handler())
 		r.update.Instances = append(r.update.Instances, rlbworld.Instance{Revision: 1, Instance: rlbinstance.Instance{ID: id, Type: rlbinstance.TypeService, Address: id, Role: name}})
 	}
-	r.fleet.Update(r.update)
+	for _, f := range r.fleets {
+		f.Update(r.update)
+	}
 }
 
 func (r *rig) addEngine(id string) {
@@ -187,7 +218,12 @@
 }
 
 func (r *rig) send(method, path, body string, header ...string) reply {
-	request, err := http.NewRequest(method, "http://gateway"+path, strings.NewReader(body))
+	return r.sendTo(0, method, path, body, header...)
+}
+
+// sendTo sends a request to one of the gateways.
+func (r *rig) sendTo(gateway int, method, path, body string, header ...string) reply {
+	request, err := http.NewRequest(method, fmt.Sprintf("http://gateway%d%s", gateway, path), strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/rlb-gateway/pkg/rlbcaller/server.go
+++ b/rlb-gateway/pkg/rlbcaller/server.go
@@ -29,7 +29,7 @@
 	Dispatcher *rlbdispatch.Dispatcher
 	Policy     rlbroute.Policy[*rlbroute.Endpoint]
 	Claims     Claims
-	Strike     func(rlbworld.Strike) // tells the fleet
+	Strike     func([]rlbworld.Strike) // tells the fleet
 	Metrics    metrics.Registry
 }
 
--- a/rlb-gateway/pkg/rlbcaller/service.go
+++ b/rlb-gateway/pkg/rlbcaller/service.go
@@ -34,7 +34,7 @@
 	c.once = !slices.Contains(service.Idempotent, c.r.Method) || c.key != ""
 	x := &serviceCall{Server: s, service: service}
 	x.work = &work{
-		call: c, send: x.send, fingerprint: fingerprint(c.r.Method+c.r.URL.RequestURI(), c.body),
+		call: c, send: x.send, model: service.Name, fingerprint: fingerprint(c.r.Method+c.r.URL.RequestURI(), c.body),
 		candidates: func() []*rlbroute.Endpoint { return s.Fleet.Routes().Service(service.Name) },
 	}
 	return s.claimed(ctx, c, x.fingerprint, func() *Refusal { return s.run(ctx, x.work) })
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -52,6 +52,15 @@
 	return endpoints, version
 }
 
+// Candidates returns the endpoints of a model or plain service.
+func (r *Routes) Candidates(name string) []*rlbroute.Endpoint {
+	if m, inForce := r.note.Models[name]; inForce {
+		endpoints, _ := r.Model(name, m.Version)
+		return endpoints
+	}
+	return r.services[name]
+}
+
 // Version returns the endpoints that serve exactly a version of a model.
 func (r *Routes) Version(name, version string) []*rlbroute.Endpoint {
 	for _, s := range r.models[name] {
@@ -85,6 +94,7 @@
 	endpoints map[string]*rlbroute.Endpoint
 	built     revisions
 	loads     rlbtable.Revision
+	echoes    map[rlbworld.StrikeKey]chan struct{} // strikes that the controllers have yet to tell
 	routes    atomic.Pointer[Routes]
 }
 
@@ -96,7 +106,7 @@
 
 // New returns the view of a gateway in a failure domain.
 func New(domain string, now func() time.Time) *Fleet {
-	f := &Fleet{domain: domain, now: now, world: rlbworld.New(), endpoints: map[string]*rlbroute.Endpoint{}}
+	f := &Fleet{domain: domain, now: now, world: rlbworld.New(), endpoints: map[string]*rlbroute.Endpoint{}, echoes: map[rlbworld.StrikeKey]chan struct{}{}}
 	f.routes.Store(&Routes{})
 	return f
 }
@@ -110,6 +120,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.world.Merge(u, rlbworld.OriginDomain, now)
+	f.echo(u.Strikes)
 	current := revisions{f.world.Note().Version, f.world.Instances().Revision(), f.world.Engines().Revision()}
 	if current != f.built {
 		f.rebuild()
@@ -118,30 +129,6 @@
 	f.report(now)
 }
 
-// AddStrike notes a strike, and reports whether it was new.
-func (f *Fleet) AddStrike(strike rlbworld.Strike) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.world.MergeStrike(strike)
-}
-
-// Strikes returns on how many crashed endpoints a request was running.
-func (f *Fleet) Strikes(fingerprint uint64) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.world.Strikes().Len() == 0 {
-		return 0
-	}
-	now, n := f.now().Unix(), 0
-	f.world.Strikes().All(func(key rlbworld.StrikeKey, s rlbworld.Strike) bool {
-		if key.Fingerprint == fingerprint && s.Deadline > now {
-			n++
-		}
-		return true
-	})
-	return n
-}
-
 // rebuild makes new routes; f.mu is held.
 func (f *Fleet) rebuild() {
 	routes := &Routes{
