--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial capacity faults
+.PHONY: build test race lint trial capacity faults cost
 
 build:
 	@mkdir -p bin
@@ -30,3 +30,6 @@
 
 faults: build
 	scripts/faults.sh
+
+cost: build
+	TRIAL_PORT=16000 TRIAL_DIR=.trial/cost TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_STEP=0s TRIAL_STEP_SLOT=0s TRIAL_LOADS=20 TRIAL_THEN=scripts/cost_run.sh scripts/trial.sh
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/bench_test.go
@@ -0,0 +1,168 @@
+package rlbcaller
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbfleet"
+)
+
+// The benchmarks run a gateway before one endpoint over TCP on loopback, all in
+// one process, and the same calls to the endpoint directly. The endpoint writes
+// prepared answers, so that little of the time is its own.
+
+const benchTokens = 2000
+
+// prepared answers model requests with a prepared stream.
+func prepared(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(rlbrelay.HeaderRequestID)
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(rlbrelay.HeaderRequestID, id)
+	if r.Header.Get("X-Bench") == "" && strings.HasSuffix(r.URL.Path, "/chat/completions") {
+		_, _ = fmt.Fprintf(w, `{"id":%q,"choices":[]}`, id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	var b strings.Builder
+	for n := 1; n <= benchTokens; n++ {
+		fmt.Fprintf(&b, "id: %s/%d\ndata: {\"id\":\"%s\",\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n", id, n, id)
+	}
+	fmt.Fprintf(&b, "id: %s/%d\ndata: [DONE]\n\n", id, benchTokens+1)
+	_, _ = io.WriteString(w, b.String())
+}
+
+// benchGateway returns the addresses of a gateway and of its endpoint.
+func benchGateway(b *testing.B) (gateway, endpoint string) {
+	settings, err := rlbsettings.Parse("bench", nil, rlbsettings.ForGateway)
+	if err != nil {
+		b.Fatal(err)
+	}
+	common, err := rlbcommon.New(io.Discard, settings)
+	if err != nil {
+		b.Fatal(err)
+	}
+	engine := httptest.NewServer(http.HandlerFunc(prepared))
+	b.Cleanup(engine.Close)
+	endpoint = strings.TrimPrefix(engine.URL, "http://")
+	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		Dial: rlbdispatch.DialTCP(time.Second), FirstByte: time.Minute, NextByte: time.Minute, SweepEvery: time.Second,
+	})
+	b.Cleanup(closeDispatcher)
+	policy, err := rlbroute.NewPolicy[*rlbroute.Endpoint]("cost", func() uint64 { return 1 })
+	if err != nil {
+		b.Fatal(err)
+	}
+	fleet := rlbfleet.New("here", time.Now)
+	state, err := rlbnote.State{}.Apply(rlbnote.Note{ID: "bench", Add: rlbnote.Items{Models: []rlbnote.Model{{Name: "m", Version: "v"}}}}, time.Now())
+	if err != nil {
+		b.Fatal(err)
+	}
+	fleet.Update(rlbworld.Update{
+		Note:      &state,
+		Instances: []rlbworld.Instance{{Revision: 1, Instance: rlbinstance.Instance{ID: "e", Type: rlbinstance.TypeEngine, Address: endpoint}}},
+		Engines: []rlbworld.Engine{{ID: "e", Incarnation: 1, Memory: rlbunit.GiB, Residents: []rlbengine.Resident{
+			{Name: "m", Version: "v", Phase: rlbengine.PhaseReady}}}},
+	})
+	server := New(Opts{
+		Common: common, Fleet: fleet, Dispatcher: dispatcher, Policy: policy, Claims: newMemoryClaims(),
+		Strike: func([]rlbworld.Strike) {}, Metrics: metrics.NewRegistry(),
+	})
+	front := httptest.NewServer(server.Handler())
+	b.Cleanup(front.Close)
+	return strings.TrimPrefix(front.URL, "http://"), endpoint
+}
+
+// post sends one request and reads the answer to its end.
+func post(b *testing.B, address, path, body string) int64 {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set(rlbrelay.HeaderRequestID, "direct")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if err != nil || response.StatusCode != http.StatusOK {
+		b.Fatal(response.StatusCode, err)
+	}
+	return n
+}
+
+func BenchmarkRequest(b *testing.B) {
+	gateway, endpoint := benchGateway(b)
+	for name, address := range map[string]string{"direct": endpoint, "gateway": gateway} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				post(b, address, "/v1/chat/completions", `{"model":"m","messages":[]}`)
+			}
+		})
+	}
+}
+
+func BenchmarkRelay(b *testing.B) {
+	gateway, endpoint := benchGateway(b)
+	for name, address := range map[string]string{"direct": endpoint, "gateway": gateway} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				post(b, address, "/v1/completions", `{"model":"m","stream":true}`)
+			}
+			b.ReportMetric(float64(benchTokens)*float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
+
+// discardWriter is a caller that takes everything.
+type discardWriter struct{ header http.Header }
+
+func (w *discardWriter) Header() http.Header         { return w.header }
+func (w *discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (*discardWriter) WriteHeader(int)               {}
+func (*discardWriter) Flush()                        {}
+
+// BenchmarkRelayLoop measures the relay's own work for a token: reading from a
+// connection in memory, checking, writing to a caller that takes everything.
+func BenchmarkRelayLoop(b *testing.B) {
+	const id = "0123456789"
+	token := fmt.Sprintf("data: {\"id\":\"%s\",\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n", id)
+	near, far := net.Pipe()
+	go func() {
+		for n := 1; ; n++ {
+			if _, err := fmt.Fprintf(far, "id: %s/%d\n%s", id, n, token); err != nil {
+				return
+			}
+		}
+	}()
+	defer near.Close()
+	reader := rlbrelay.NewEventReader(near)
+	tracker := rlbrelay.NewTracker(id)
+	w := &discardWriter{http.Header{}}
+	b.ReportAllocs()
+	for b.Loop() {
+		event, err := reader.Next()
+		if err != nil || tracker.Check(event) != rlbrelay.Forward {
+			b.Fatal(err)
+		}
+		_, _ = w.Write(event.Raw)
+	}
+}
--- a/rlb-load/pkg/rlbcapacity/members.go
+++ b/rlb-load/pkg/rlbcapacity/members.go
@@ -82,10 +82,23 @@
 	links    counter // sent by listeners and dialers of control links
 	polls    counter
 	engines  *http.Client
+	running  []*rlbcontrol.Controller
 }
 
 // RunMembers runs the controllers of a shape, lets them settle, and measures.
 func RunMembers(ctx context.Context, shape Shape, platform string, firstPort int, settle, measure time.Duration) (Sample, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m, err := startMembers(ctx, shape, platform, firstPort)
+	if err != nil {
+		return Sample{}, err
+	}
+	time.Sleep(settle)
+	return m.measure(ctx, measure)
+}
+
+// startMembers starts the controllers of a shape.
+func startMembers(ctx context.Context, shape Shape, platform string, firstPort int) (*members, error) {
 	m := &members{shape: shape, platform: platform}
 	m.engines = &http.Client{Timeout: callTimeout, Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1,
@@ -97,17 +110,14 @@
 			return &countedConn{c, &m.polls, &m.polls}, nil
 		},
 	}}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	for d := range shape.Domains {
 		for i := range shape.Controllers {
 			if err := m.start(ctx, d, i, firstPort); err != nil {
-				return Sample{}, err
+				return nil, err
 			}
 		}
 	}
-	time.Sleep(settle)
-	return m.measure(ctx, measure)
+	return m, nil
 }
 
 func (m *members) start(ctx context.Context, domain, i, firstPort int) error {
@@ -138,6 +148,7 @@
 		Dial:   m.dial,
 	})
 	rlblink.NewServer(ctx, &countedListener{listener, &m.links}, rlbcontrol.LinkOpts(controller))
+	m.running = append(m.running, controller)
 	go controller.Run(ctx)
 	return nil
 }
--- a/rlb-load/pkg/rlbclient/client.go
+++ b/rlb-load/pkg/rlbclient/client.go
@@ -41,6 +41,7 @@
 	Key    string // idempotency key; empty: none
 	Tokens int    // expected of a model; 0: a plain service
 	Stream bool
+	Header http.Header // further headers
 }
 
 // Reply is what a caller got.
@@ -76,6 +77,9 @@
 	if err != nil {
 		return reply
 	}
+	for name, values := range r.Header {
+		request.Header[name] = values
+	}
 	if r.Key != "" {
 		request.Header.Set(rlbrelay.HeaderKey, r.Key)
 		request.GetBody = nil // the transport must not send it again by itself
--- a/rlb-load/pkg/rlbcommand/capacity.go
+++ b/rlb-load/pkg/rlbcommand/capacity.go
@@ -76,6 +76,22 @@
 		}
 		return rlbcapacity.Page(cmd.OutOrStdout(), samples, rlbcapacity.FittedSamples)
 	}}
-	cmd.AddCommand(standins, members, page)
+	var claims rlbcapacity.ClaimOpts
+	claim := &cobra.Command{Use: "claims", Short: "Measure claims at a rate: group commit, or an object a key", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := untilSignal()
+		defer stop()
+		claims.Platform, claims.FirstPort = platform, port
+		result, err := rlbcapacity.MeasureClaims(ctx, claims)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(cmd.OutOrStdout(), result)
+		return err
+	}}
+	claim.Flags().BoolVar(&claims.PerKey, "per-key", false, "write one object a key")
+	claim.Flags().Float64Var(&claims.Rate, "rate", 100, "claims a second")
+	claim.Flags().DurationVar(&claims.Time, "time", 8*time.Second, "time of measuring")
+	claim.Flags().DurationVar(&claims.Delay, "delay", 3*time.Millisecond, "of each call of the object API")
+	cmd.AddCommand(standins, members, page, claim)
 	return cmd
 }
--- /dev/null
+++ b/rlb-load/pkg/rlbcost/cost.go
@@ -0,0 +1,144 @@
+// Package rlbcost measures what a gateway adds to a request and to a token,
+// against direct calls to an endpoint in the same run.
+package rlbcost
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
+	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbclient"
+)
+
+// Opts describe a measurement.
+type Opts struct {
+	Gateway    string // address
+	Endpoint   string // address of the endpoint that serves the model
+	Model      string
+	Version    string
+	Requests   int // of each kind
+	Streams    int // at once, for the relay
+	Tokens     int // of each stream
+	GatewayPID int
+}
+
+// Result is what was measured.
+type Result struct {
+	DirectP50, DirectP99   time.Duration
+	GatewayP50, GatewayP99 time.Duration
+	TokensPerCore          float64 // relayed for a second of the gateway's processor time
+	Tokens                 int
+}
+
+// String is the result in one line.
+func (r Result) String() string {
+	return fmt.Sprintf("direct_p50=%s direct_p99=%s gateway_p50=%s gateway_p99=%s added_p50=%s added_p99=%s tokens=%d tokens_per_core=%.0f",
+		r.DirectP50, r.DirectP99, r.GatewayP50, r.GatewayP99, r.GatewayP50-r.DirectP50, r.GatewayP99-r.DirectP99, r.Tokens, r.TokensPerCore)
+}
+
+const (
+	timeout       = time.Minute
+	highestMicros = 60_000_000
+	digits        = 3
+	warmUp        = 200 // requests that are not counted
+)
+
+// Measure runs the measurement. Direct and relayed requests alternate, so that
+// both meet the same machine.
+func Measure(ctx context.Context, o Opts) (Result, error) {
+	var r Result
+	client := rlbclient.New(timeout, o.Streams)
+	direct, relayed := hdrhistogram.New(1, highestMicros, digits), hdrhistogram.New(1, highestMicros, digits)
+	for n := range o.Requests + warmUp {
+		for _, way := range []struct {
+			address string
+			into    *hdrhistogram.Histogram
+		}{{o.Endpoint, direct}, {o.Gateway, relayed}} {
+			reply := client.Send(ctx, way.address, o.request(n, 1, false))
+			if reply.Tokens != 1 {
+				return r, fmt.Errorf("request %d to %s: %s %s", n, way.address, reply.Outcome, reply.Code)
+			}
+			if n < warmUp {
+				continue
+			}
+			if err := way.into.RecordValue(reply.Ended.Microseconds()); err != nil {
+				return r, err
+			}
+		}
+	}
+	r.DirectP50, r.DirectP99 = quantile(direct, 50), quantile(direct, 99)
+	r.GatewayP50, r.GatewayP99 = quantile(relayed, 50), quantile(relayed, 99)
+	return r, o.relay(ctx, client, &r)
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func (o Opts) request(n, tokens int, stream bool) *rlbclient.Request {
+	body := fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"%d"}]}`, o.Model, stream, tokens, n)
+	header := http.Header{rlbrelay.HeaderRequestID: {fmt.Sprint("cost-", n)}, rlbrelay.HeaderModel: {o.Model}, rlbrelay.HeaderVersion: {o.Version}}
+	return &rlbclient.Request{Method: http.MethodPost, Path: "/v1/chat/completions", Body: body, Tokens: tokens, Stream: stream, Header: header}
+}
+
+// relay sends streams and divides their tokens by the gateway's processor time.
+func (o Opts) relay(ctx context.Context, client *rlbclient.Client, r *Result) error {
+	before, err := processorTime(o.GatewayPID)
+	if err != nil {
+		return err
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for n := range o.Streams {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			reply := client.Send(ctx, o.Gateway, o.request(n, o.Tokens, true))
+			mu.Lock()
+			defer mu.Unlock()
+			r.Tokens += reply.Tokens
+		}()
+	}
+	group.Wait()
+	after, err := processorTime(o.GatewayPID)
+	if err != nil {
+		return err
+	}
+	if r.Tokens != o.Streams*o.Tokens {
+		return fmt.Errorf("%d of %d tokens came", r.Tokens, o.Streams*o.Tokens)
+	}
+	r.TokensPerCore = float64(r.Tokens) / (after - before).Seconds()
+	return nil
+}
+
+// Positions in /proc/PID/stat after the command's name, and its unit.
+const (
+	statUser     = 11
+	statSystem   = 12
+	ticksASecond = 100
+)
+
+// processorTime returns the time a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, fmt.Errorf("processor time: %w", err)
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	ticks := 0
+	for _, at := range []int{statUser, statSystem} {
+		n, err := strconv.Atoi(fields[at])
+		if err != nil {
+			return 0, fmt.Errorf("processor time: %w", err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksASecond, nil
+}
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -13,6 +13,7 @@
 note=${TRIAL_NOTE:-examples/muscat-first.yaml}
 model=${TRIAL_MODEL:-dispatch-14g}
 step=${TRIAL_STEP:-20ms}
+step_slot=${TRIAL_STEP_SLOT:-500us}
 loads=${TRIAL_LOADS:-1}
 rm -rf "$dir"
 mkdir -p "$dir"
@@ -63,8 +64,8 @@
   [ $((i % 4)) -eq 3 ] && fencing=false # not all endpoints check who gives orders
   domain=${domains[$((i % 4))]}
   add "$role$i|engine|$(at $((500 + i)))|$(at $((500 + i)))|$domain|$role|$fencing"
-  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nrecord = %s\n' \
-    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$dir/$role$i.record" >"$dir/$role$i.ini"
+  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nstep_per_request = %s\nrecord = %s\n' \
+    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$step_slot" "$dir/$role$i.record" >"$dir/$role$i.ini"
 done
 for i in 0 1 2 3; do
   service=shifts
