Spare replicas, and lost endpoints known to every planner

Cause: the loss of the only endpoint of a model made it unreachable until it was loaded again, in an outage of the object API for as long as that lasted. With spare replicas a test then found that a lost endpoint in another failure domain still counted as a replica: only its collector knew that it was silent. Ruled out: dropping the row of a silent engine (its last state is needed for memory); a shorter silence (a frozen engine would be given up within seconds). Change: each model keeps `replicas` (2) where memory is free, in different failure domains, and nothing gives way for them; a collector tells that an engine is lost, within the engine's own version, so that late copies change nothing; a new collector counts silence from when it took over. The tests without spare replicas now say so (replicas=1).

--- a/lib/pkg/rlboperator/message.go
+++ b/lib/pkg/rlboperator/message.go
@@ -65,7 +65,7 @@
 	Type          string   `json:"type"`
 	FailureDomain string   `json:"failure_domain"`
 	Role          string   `json:"role,omitempty"`
-	State         string   `json:"state"` // live, leaving, removed, draining, silent
+	State         string   `json:"state"` // live, leaving, removed, draining, lost
 	Memory        string   `json:"memory,omitempty"`
 	Used          string   `json:"used,omitempty"`
 	Residents     []string `json:"residents,omitempty"` // name@version phase
--- a/lib/pkg/rlbplace/input.go
+++ b/lib/pkg/rlbplace/input.go
@@ -39,6 +39,7 @@
 	MoveWeight  float64 // relief that a move must bring to be worth it
 	Slots       float64 // requests that a replica serves at once
 	LoadsAtOnce int     // that the weight store serves at full speed
+	Replicas    int     // that each model keeps where memory is free, in different failure domains
 }
 
 // Proposal is a change that a plan proposes.
--- a/lib/pkg/rlbplace/place_test.go
+++ b/lib/pkg/rlbplace/place_test.go
@@ -88,6 +88,15 @@
 	for _, c := range cases {
 		Convey(c.name, t, func() { So(lines(Plan(c.in, testOpts)), ShouldResemble, c.want) })
 	}
+	Convey("spare replicas go into free memory of other failure domains, and nothing gives way for them", t, func() {
+		spare := testOpts
+		spare.Replicas = 2
+		in := Input{Note: noteOf(a, c), Engines: []Engine{engineOf("e0", 12, readyOf(a)), engineOf("e1", 4, readyOf(c)), engineOf("e2", 4)}}
+		in.Engines[0].Domain, in.Engines[2].Domain = "x", "x"
+		So(lines(Plan(in, spare)), ShouldResemble, []string{"load c@v1 on e0: spare replica"})
+		in.Engines[1].Domain = "x"
+		So(Plan(in, spare), ShouldBeEmpty)
+	})
 	Convey("a higher weight of moves means fewer moves", t, func() {
 		in := Input{Note: noteOf(a), Demand: map[string]float64{"a": 40}, Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10)}}
 		heavy := testOpts
--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -37,6 +37,7 @@
 	p.unloadReplaced()
 	p.placeMissing()
 	p.followDemand()
+	p.spread()
 	return p.proposals
 }
 
@@ -257,6 +258,25 @@
 	}
 }
 
+// spread loads further replicas into free memory, in failure domains without
+// one, so that the loss of an endpoint leaves every model reachable. It never
+// unloads anything for that.
+func (p *planner) spread() {
+	for _, w := range p.models {
+		m := w.Model
+		if n := p.replicas(m); n == 0 || n >= p.opts.Replicas || p.growing(m) {
+			continue
+		}
+		if p.loading >= p.opts.LoadsAtOnce {
+			return
+		}
+		i := p.roomiest(m)
+		if i >= 0 && p.perDomain(m)[p.engines[i].Domain] == 0 {
+			p.load(i, m, "spare replica")
+		}
+	}
+}
+
 func (p *planner) load(i int, m rlbnote.Model, reason string) {
 	if p.loading >= p.opts.LoadsAtOnce {
 		return
--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -42,6 +42,7 @@
 	ControllerLoadRate  = &Key{"controller", "loads_a_second", TypeRatio, "1", "0.01", "1000", "Loads the weight store allows to start each second.", ForController}
 	ControllerLoadSlots = &Key{"controller", "loads_at_once", TypeInt, "8", "1", "10000", "Loads the weight store serves at once at full speed.", ForController}
 	ControllerMoves     = &Key{"controller", "move_weight", TypeRatio, "0.2", "0", "100", "Cost of one move in replica-loads of relief; higher means fewer moves.", ForController}
+	ControllerReplicas  = &Key{"controller", "replicas", TypeInt, "2", "1", "16", "Replicas that each model keeps where memory is free, in different failure domains.", ForController}
 	ControllerWatchers  = &Key{"controller", "watchers", TypeInt, "2", "1", "16", "Controllers of each failure domain that watch the object API.", ForController}
 	ControllerRetention = &Key{"controller", "claim_retention", TypeDuration, "6h", "1m", "720h", "Time for which an idempotency key is kept; a dated key older than that is refused.", ForGateway | ForController}
 	ControllerCommit    = &Key{"controller", "claim_commit", TypeDuration, "5ms", "0s", "1s", "Longest time a claim waits for others to share its write.", ForController}
@@ -79,7 +80,7 @@
 	GatewayConnect, GatewayFirstToken, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayMaxAttempts, GatewayRetryShare,
 	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
-	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
+	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerReplicas, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefill, StandinStep, StandinStepSlot,
 	StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes, StandinRecord,
--- a/lib/pkg/rlbworld/rows.go
+++ b/lib/pkg/rlbworld/rows.go
@@ -33,14 +33,20 @@
 	Memory      rlbunit.Bytes        `json:"memory" msgpack:"m"`
 	Residents   []rlbengine.Resident `json:"residents" msgpack:"r"`
 	Draining    bool                 `json:"draining,omitempty" msgpack:"d,omitempty"`
+	Lost        bool                 `json:"lost,omitempty" msgpack:"l,omitempty"`    // its collector hears nothing
+	Changes     uint64               `json:"changes,omitempty" msgpack:"h,omitempty"` // of Lost, within one sequence
 }
 
 // Newer implements rlbtable.Row.
 func (e Engine) Newer(old Engine) bool {
-	if e.Incarnation != old.Incarnation {
+	switch {
+	case e.Incarnation != old.Incarnation:
 		return e.Incarnation > old.Incarnation
+	case e.Sequence != old.Sequence:
+		return e.Sequence > old.Sequence
+	default:
+		return e.Changes > old.Changes
 	}
-	return e.Sequence > old.Sequence
 }
 
 // Ready reports whether the engine serves the version of a model.
--- a/lib/pkg/rlbworld/world.go
+++ b/lib/pkg/rlbworld/world.go
@@ -131,6 +131,7 @@
 		Residents:   state.Residents,
 		Draining:    state.Draining,
 	})
+	w.SetLost(state.ID, false)
 	load := Load{
 		ID: state.ID, Incarnation: state.Incarnation, Report: state.Report,
 		Running: state.Load.Running, Waiting: state.Load.Waiting, Slots: state.Load.Slots, Adapters: state.Load.Adapters,
@@ -141,6 +142,19 @@
 	w.loads.Merge(state.ID, load)
 }
 
+// SetLost notes whether the collector of an engine hears from it. It reports
+// whether that changed.
+func (w *World) SetLost(id string, lost bool) bool {
+	row, known := w.engines.Get(id)
+	if !known || row.Lost == lost {
+		return false
+	}
+	row.Lost = lost
+	row.Changes++
+	w.origins.engines[id] = OriginSelf
+	return w.engines.Merge(id, row)
+}
+
 // MergeNode takes a heartbeat that came at now.
 func (w *World) MergeNode(node Node, origin Origin, now time.Time) {
 	if w.nodes.Merge(node.NodeKey, node) {
--- a/lib/pkg/rlbworld/world_test.go
+++ b/lib/pkg/rlbworld/world_test.go
@@ -105,6 +105,25 @@
 	})
 }
 
+func TestLostEngine(t *testing.T) {
+	Convey("that an engine is lost reaches those who had its row, and so does its return", t, func() {
+		collector, other := New(), New()
+		cursor := NewCursor(ScopeDomain)
+		lost := func() bool {
+			other.Merge(collector.Delta(cursor), OriginDomain, start)
+			row, _ := other.Engines().Get("e")
+			return row.Lost
+		}
+		collector.MergeState(engine(1, 1, 1, 0), start)
+		So(lost(), ShouldBeFalse)
+		So(collector.SetLost("e", true), ShouldBeTrue)
+		So(collector.SetLost("e", true), ShouldBeFalse)
+		So(lost(), ShouldBeTrue)
+		collector.MergeState(engine(1, 1, 2, 0), start)
+		So(lost(), ShouldBeFalse)
+	})
+}
+
 func TestInstanceList(t *testing.T) {
 	list := func(revision uint64, instances ...rlbinstance.Instance) rlbinstance.List {
 		return rlbinstance.List{Revision: revision, Instances: instances}
--- a/rlb-controller/pkg/rlbcontrol/collector.go
+++ b/rlb-controller/pkg/rlbcontrol/collector.go
@@ -13,6 +13,10 @@
 func (c *Controller) collect(ctx context.Context, now time.Time) {
 	period := c.Settings.Duration(rlbsettings.ControllerPoll)
 	for _, i := range c.duties.collect {
+		if c.silent(i) && c.world.SetLost(i.ID, true) {
+			c.journal.add(now, "endpoint/"+i.ID, "lost: no report for %s", engineSilence)
+			c.hurry()
+		}
 		if now.Before(c.polls[i.ID]) {
 			continue
 		}
--- a/rlb-controller/pkg/rlbcontrol/control_test.go
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -205,3 +205,22 @@
 		})
 	})
 }
+
+func TestSpareReplicas(t *testing.T) {
+	withReplicas(t, 2, 3, 6, func(r *rig) {
+		Convey("with spare replicas no loss of one endpoint makes a model unreachable, also in an outage", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			time.Sleep(20 * time.Second)
+			for _, name := range []string{"a", "b", "c"} {
+				So(r.ready(name, "v1"), ShouldHaveLength, 2)
+			}
+			r.serve("a", "b", "c")
+			r.objects.SetDown(true)
+			r.fail(r.ready("a", "v1")[0], true)
+			time.Sleep(time.Minute)
+			r.objects.SetDown(false)
+			time.Sleep(time.Minute)
+			So(r.ready("a", "v1"), ShouldHaveLength, 2)
+		})
+	})
+}
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -108,6 +108,7 @@
 			MoveWeight:  s.Ratio(rlbsettings.ControllerMoves),
 			Slots:       defaultSlots,
 			LoadsAtOnce: s.Int(rlbsettings.ControllerLoadSlots),
+			Replicas:    s.Int(rlbsettings.ControllerReplicas),
 		},
 		world:  rlbworld.New(),
 		polls:  map[string]time.Time{},
@@ -159,7 +160,7 @@
 	defer c.mu.Unlock()
 	c.world.Expire(now, now.Add(-forgetNodes))
 	c.live = rlbmember.Live(c.world, now, c.member)
-	c.assign()
+	c.assign(now)
 	c.heartbeat(now)
 	c.linkPeers(ctx)
 	c.watch(ctx)
--- a/rlb-controller/pkg/rlbcontrol/duties.go
+++ b/rlb-controller/pkg/rlbcontrol/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
@@ -15,18 +16,18 @@
 	list     rlbtable.Revision
 	live     []rlbmember.Controller
 	collect  []rlbworld.Instance            // engines whose reports fall to this controller
-	mine     map[string]struct{}            // their names
+	since    map[string]time.Time           // from when they do
 	byDomain map[string][]rlbworld.Instance // engines by failure domain
 	domains  []string                       // with engines, sorted
 }
 
 // assign works the duties out; c.mu is held.
-func (c *Controller) assign() {
+func (c *Controller) assign(now time.Time) {
 	revision := c.world.Instances().Revision()
-	if c.duties.mine != nil && c.duties.list == revision && slices.Equal(c.duties.live, c.live) {
+	if c.duties.byDomain != nil && c.duties.list == revision && slices.Equal(c.duties.live, c.live) {
 		return
 	}
-	d := duties{list: revision, live: c.live, mine: map[string]struct{}{}, byDomain: map[string][]rlbworld.Instance{}}
+	d := duties{list: revision, live: c.live, since: map[string]time.Time{}, byDomain: map[string][]rlbworld.Instance{}}
 	c.world.Instances().All(func(_ string, i rlbworld.Instance) bool {
 		if i.Type == rlbinstance.TypeEngine && !i.Removed {
 			d.byDomain[i.FailureDomain] = append(d.byDomain[i.FailureDomain], i)
@@ -39,16 +40,13 @@
 		for _, i := range engines {
 			if rlbmember.Collector(i.ID, members) == c.id {
 				d.collect = append(d.collect, i)
-				d.mine[i.ID] = struct{}{}
+				d.since[i.ID] = now
+				if before, kept := c.duties.since[i.ID]; kept {
+					d.since[i.ID] = before
+				}
 			}
 		}
 	}
 	slices.Sort(d.domains)
 	c.duties = d
 }
-
-// collects reports whether an engine's reports fall to this controller.
-func (c *Controller) collects(id string) bool {
-	_, mine := c.duties.mine[id]
-	return mine
-}
--- a/rlb-controller/pkg/rlbcontrol/placement.go
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -117,7 +117,7 @@
 		engines = append(engines, rlbplace.Engine{
 			ID: id, Domain: i.FailureDomain, Role: i.Role, Memory: e.Memory,
 			Reserved: rlborder.Reserved(record, e.Residents), Residents: e.Residents,
-			Leaving: i.Leaving || e.Draining || c.silent(i),
+			Leaving: i.Leaving || e.Draining || e.Lost,
 		})
 		return true
 	})
@@ -135,10 +135,13 @@
 const engineSilence = 10 * time.Second
 
 // silent reports whether an engine that this controller collects sends no
-// reports; others' engines are judged by their own collectors.
+// reports.
 func (c *Controller) silent(i rlbworld.Instance) bool {
 	at := c.world.Reported(i.ID)
-	return !at.IsZero() && time.Since(at) > engineSilence && c.collects(i.ID)
+	if since := c.duties.since[i.ID]; since.After(at) {
+		at = since // the former collector may be gone with it
+	}
+	return time.Since(at) > engineSilence
 }
 
 // propose hands a proposal to the book of its engine, if that is this
--- a/rlb-controller/pkg/rlbcontrol/rig_test.go
+++ b/rlb-controller/pkg/rlbcontrol/rig_test.go
@@ -41,6 +41,7 @@
 	controllers map[string]*running
 	broken      []string // promises that the watchdog saw broken
 	served      map[string]bool
+	replicas    int
 	stop        context.CancelFunc
 	group       sync.WaitGroup
 }
@@ -120,13 +121,19 @@
 // withRig runs f with controllers c0.. in as many failure domains and engines
 // e0.. over all of them, every second of which ignores fencing numbers.
 func withRig(t *testing.T, controllers, engines int, f func(r *rig)) {
+	t.Helper()
+	withReplicas(t, 1, controllers, engines, f)
+}
+
+// withReplicas is withRig with a number of replicas that each model keeps.
+func withReplicas(t *testing.T, replicas, controllers, engines int, f func(r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		r := &rig{
 			objects: rlbfake.NewObjects(), network: rlbfake.NewNetwork(), list: rlbinstance.List{Revision: 1}, stop: cancel,
-			memory:  map[string]rlbunit.Bytes{"a": 4 * rlbunit.GiB, "b": 4 * rlbunit.GiB, "c": 4 * rlbunit.GiB, "big": 9 * rlbunit.GiB, "huge": 90 * rlbunit.GiB},
-			engines: map[string]*engine{}, controllers: map[string]*running{}, served: map[string]bool{},
+			memory:   map[string]rlbunit.Bytes{"a": 4 * rlbunit.GiB, "b": 4 * rlbunit.GiB, "c": 4 * rlbunit.GiB, "big": 9 * rlbunit.GiB, "huge": 90 * rlbunit.GiB},
+			replicas: replicas, engines: map[string]*engine{}, controllers: map[string]*running{}, served: map[string]bool{},
 		}
 		for i := range engines {
 			r.addEngine(fmt.Sprint("e", i), fmt.Sprint("d", i%controllers), i%2 == 0, 1)
@@ -196,7 +203,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, o := range []string{"instance.id=" + id, "instance.failure_domain=" + domain, "controller.peers=c0,c1,c2", "controller.loads_a_second=4"} {
+	for _, o := range []string{"instance.id=" + id, "instance.failure_domain=" + domain, "controller.peers=c0,c1,c2", "controller.loads_a_second=4", fmt.Sprint("controller.replicas=", r.replicas)} {
 		if err := settings.Override(o); err != nil {
 			t.Fatal(err)
 		}
--- a/rlb-controller/pkg/rlbcontrol/status.go
+++ b/rlb-controller/pkg/rlbcontrol/status.go
@@ -61,8 +61,8 @@
 		e.State = "leaving"
 	case known && engine.Draining:
 		e.State = "draining"
-	case known && c.silent(i):
-		e.State = "silent"
+	case known && engine.Lost:
+		e.State = "lost"
 	}
 	if !known {
 		return e
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -32,6 +32,7 @@
 type served struct {
 	version   string
 	endpoints []*rlbroute.Endpoint
+	lost      bool // all of them: none of which control hears has the version
 }
 
 // Note returns the release state in force.
@@ -71,15 +72,21 @@
 	return nil
 }
 
-// add notes that an endpoint serves a version of a model.
-func (r *Routes) add(name, version string, e *rlbroute.Endpoint) {
+// add notes that an endpoint serves a version of a model. One that control
+// calls lost is used only while there is no other.
+func (r *Routes) add(name, version string, e *rlbroute.Endpoint, lost bool) {
 	for i, s := range r.models[name] {
-		if s.version == version {
+		switch {
+		case s.version != version:
+			continue
+		case s.lost && !lost:
+			r.models[name][i] = served{version, []*rlbroute.Endpoint{e}, false}
+		case s.lost == lost:
 			r.models[name][i].endpoints = append(s.endpoints, e)
-			return
 		}
+		return
 	}
-	r.models[name] = append(r.models[name], served{version, []*rlbroute.Endpoint{e}})
+	r.models[name] = append(r.models[name], served{version, []*rlbroute.Endpoint{e}, lost})
 }
 
 // Service returns the endpoints of a plain service.
@@ -160,7 +167,7 @@
 	e := f.endpoint(instance, engine.Incarnation)
 	for _, resident := range engine.Residents {
 		if resident.Phase == rlbengine.PhaseReady {
-			routes.add(resident.Name, resident.Version, e)
+			routes.add(resident.Name, resident.Version, e, engine.Lost)
 		}
 	}
 }
