--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial capacity faults cost
+.PHONY: build test race lint trial capacity faults cost replace outage
 
 build:
 	@mkdir -p bin
@@ -32,4 +32,10 @@
 	scripts/faults.sh
 
 cost: build
-	TRIAL_PORT=16000 TRIAL_DIR=.trial/cost TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_STEP=0s TRIAL_STEP_SLOT=0s TRIAL_LOADS=20 TRIAL_THEN=scripts/cost_run.sh scripts/trial.sh
+	TRIAL_PORT=16000 TRIAL_DIR=.trial/cost TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_STEP=0s TRIAL_STEP_SLOT=0s TRIAL_PREFILL=100000000 TRIAL_LOADS=20 TRIAL_THEN=scripts/cost_run.sh scripts/trial.sh
+
+replace: build
+	TRIAL_PORT=14000 TRIAL_DIR=.trial/replace TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_STEP=10ms TRIAL_LOADS=20 TRIAL_THEN=scripts/replace_run.sh scripts/trial.sh
+
+outage: build
+	TRIAL_PORT=13000 TRIAL_DIR=.trial/outage TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_LOADS=4 TRIAL_THEN=scripts/outage_run.sh scripts/trial.sh
--- a/lib/pkg/rlboperator/client.go
+++ b/lib/pkg/rlboperator/client.go
@@ -60,6 +60,12 @@
 	return status, c.get(ctx, "/operator/status", &status)
 }
 
+// Snapshot returns everything that a controller knows.
+func (c *Client) Snapshot(ctx context.Context) (Snapshot, error) {
+	var snapshot Snapshot
+	return snapshot, c.get(ctx, "/operator/snapshot", &snapshot)
+}
+
 // Explain returns the events about a word, from every controller that answers.
 func (c *Client) Explain(ctx context.Context, word string) ([]Event, error) {
 	var all []Event
--- a/lib/pkg/rlboperator/message.go
+++ b/lib/pkg/rlboperator/message.go
@@ -3,7 +3,8 @@
 //
 // Routes: POST /operator/note (publish), POST /operator/note/validate, GET
 // /operator/note, GET /operator/note/history, GET /operator/status, GET
-// /operator/explain.
+// /operator/explain, GET
+// /operator/snapshot.
 package rlboperator
 
 import (
--- a/rlb-controller/pkg/rlbconsole/console.go
+++ b/rlb-controller/pkg/rlbconsole/console.go
@@ -37,6 +37,7 @@
 	mux.HandleFunc("GET /operator/note/history", c.history)
 	mux.HandleFunc("GET /operator/status", c.status)
 	mux.HandleFunc("GET /operator/explain", c.explain)
+	mux.HandleFunc("GET /operator/snapshot", c.snapshot)
 	mux.HandleFunc("GET /metrics", c.showMetrics)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	return mux
@@ -143,6 +144,10 @@
 	writeJSON(w, http.StatusOK, c.controller.Explain(r.URL.Query().Get("about")))
 }
 
+func (c *Console) snapshot(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, c.controller.Snapshot())
+}
+
 func (c *Console) showMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(c.metrics, w)
--- a/rlb-load/pkg/rlbclient/client.go
+++ b/rlb-load/pkg/rlbclient/client.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
 )
@@ -24,13 +25,16 @@
 // Outcome is what became of a request, as its caller knows it.
 type Outcome string
 
-// The outcomes: those that a gateway tells, and Broken when no gateway told any.
+// The outcomes: those that a gateway tells; Broken when a connection ended
+// before it told any; Unreached when no connection could be made.
 const (
 	Answered Outcome = "answered"
 	NotRun   Outcome = "not-run"
 	Failed   Outcome = "failed"
 	Unknown  Outcome = "unknown"
 	Broken   Outcome = "broken"
+
+	Unreached Outcome = "unreached"
 )
 
 // Request is one request of a caller.
@@ -87,10 +91,16 @@
 	response, err := c.http.Do(request)
 	if err != nil {
 		reply.Ended = time.Since(reply.Begun)
+		if rlbhttp.NotSent(err) {
+			reply.Outcome = Unreached
+		}
 		return reply
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply.Outcome = Outcome(response.Header.Get(HeaderOutcome))
+	if reply.Outcome == "" && response.StatusCode == http.StatusOK {
+		reply.Outcome = Answered // an endpoint, without a gateway between
+	}
 	reply.RequestID = response.Header.Get(rlbrelay.HeaderRequestID)
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		reply.readStream(response.Body, r)
--- /dev/null
+++ b/rlb-load/pkg/rlbcommand/watch.go
@@ -0,0 +1,29 @@
+package rlbcommand
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbwatch"
+	"github.com/spf13/cobra"
+)
+
+func watchCommand() *cobra.Command {
+	var opts rlbwatch.Opts
+	cmd := &cobra.Command{Use: "watch", Short: "Count broken promises of control until SIGTERM", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		ctx, stop := untilSignal()
+		defer stop()
+		verdict := rlbwatch.Watch(ctx, opts)
+		_, _ = fmt.Fprintf(cmd.OutOrStdout(), "looks=%d\n%s\n", verdict.Looks, verdict)
+		if verdict.Broken() {
+			return errPromiseBroken
+		}
+		return nil
+	}}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&opts.Engines, "engines", nil, "addresses of engines")
+	flags.StringSliceVar(&opts.Gateways, "gateways", nil, "addresses of gateways")
+	flags.DurationVar(&opts.Period, "period", 100*time.Millisecond, "time between two looks")
+	flags.DurationVar(&opts.InForce, "in-force", 15*time.Second, "time within which every gateway must have a note")
+	return cmd
+}
--- a/rlbctl/pkg/rlbcommand/command_test.go
+++ b/rlbctl/pkg/rlbcommand/command_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -126,3 +127,37 @@
 		So(code, ShouldEqual, ExitUsage)
 	})
 }
+
+func TestSnapshot(t *testing.T) {
+	m := rlbnote.Model{Name: "a", Version: "v1", Memory: 6}
+	snapshot := rlboperator.Snapshot{
+		Instance: "c0", Leases: map[string]string{"x": "c0"},
+		Input: rlbplace.Input{Note: rlbnote.State{Version: 1, Models: map[string]rlbnote.Model{"a": m}}, Engines: []rlbplace.Engine{{ID: "e0", Memory: 10}}},
+		Opts:  rlbplace.Opts{Slots: 32, LoadsAtOnce: 8, Replicas: 1},
+	}
+	snapshot.Plan = rlbplace.Plan(snapshot.Input, snapshot.Opts)
+	first, second := filepath.Join(t.TempDir(), "first"), filepath.Join(t.TempDir(), "second")
+	Convey("a saved snapshot is shown and replays to the recorded plan", t, func() {
+		code, out, _ := run(&console{200, snapshot, ""}, "snapshot", "save", first)
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldStartWith, "saved what c0 knew")
+		code, out, _ = run(&console{}, "snapshot", "show", first)
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, "load a@v1 on e0: no replica")
+		code, out, _ = run(&console{}, "replay", first)
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, "1 proposals, the same as recorded: true")
+	})
+	Convey("a record that does not replay is told", t, func() {
+		changed := snapshot
+		changed.Plan = nil
+		changed.Leases = map[string]string{"x": "c1"}
+		code, _, _ := run(&console{200, changed, ""}, "snapshot", "save", second)
+		So(code, ShouldEqual, ExitOK)
+		code, _, _ = run(&console{}, "replay", second)
+		So(code, ShouldEqual, ExitInvalid)
+		code, out, _ := run(&console{}, "snapshot", "diff", first, second)
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldEqual, "lease x: c0 -> c1\n")
+	})
+}
--- a/scripts/faults_run.sh
+++ b/scripts/faults_run.sh
@@ -43,7 +43,7 @@
 records=$(for name in $engines $services; do touch "$dir/$name.record"; printf '%s,' "$dir/$name.record"; done)
 arm
 "${TRIAL_BIN:-bin}/rlb-load" faults --requests "$requests" --seed "$seed" --gateways "$(at 0),$(at 1),$(at 2)" \
-  --models draft-8g,route-8g,plan-20g,draft-ruwi --once-model reassign-8g --records "${records%,}" --concurrency "${FAULTS_CONCURRENCY:-64}" &
+  --models draft-8g,route-8g,plan-20g,draft-ruwi --once-model reassign-8g --records "${records%,}" --concurrency "${FAULTS_CONCURRENCY:-64}" >"$dir/verdict" &
 load=$!
 
 events=0
@@ -74,4 +74,5 @@
 status=0
 wait "$load" || status=$?
 load=
+cat "$dir/verdict"
 exit $status
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -3,7 +3,8 @@
 # stand-ins, three controllers and three gateways. Ctrl-C shuts all down.
 # TRIAL_PORT sets the first port, TRIAL_DIR the folder for settings and logs,
 # TRIAL_NOTE the first note, TRIAL_MODEL the model of the printed line, TRIAL_STEP
-# and TRIAL_LOADS the engines' decoding step and the loads a second. TRIAL_THEN
+# TRIAL_STEP_SLOT and TRIAL_PREFILL the speed of engines, TRIAL_LOADS the loads a
+# second. TRIAL_THEN
 # is a command to run once ready; the trial then ends with its status.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -14,6 +15,7 @@
 model=${TRIAL_MODEL:-dispatch-14g}
 step=${TRIAL_STEP:-20ms}
 step_slot=${TRIAL_STEP_SLOT:-500us}
+prefill=${TRIAL_PREFILL:-8000}
 loads=${TRIAL_LOADS:-1}
 rm -rf "$dir"
 mkdir -p "$dir"
@@ -64,8 +66,8 @@
   [ $((i % 4)) -eq 3 ] && fencing=false # not all endpoints check who gives orders
   domain=${domains[$((i % 4))]}
   add "$role$i|engine|$(at $((500 + i)))|$(at $((500 + i)))|$domain|$role|$fencing"
-  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nstep_per_request = %s\nrecord = %s\n' \
-    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$step_slot" "$dir/$role$i.record" >"$dir/$role$i.ini"
+  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nstep_per_request = %s\nprefill_rate = %s\nrecord = %s\n' \
+    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$step_slot" "$prefill" "$dir/$role$i.record" >"$dir/$role$i.ini"
 done
 for i in 0 1 2 3; do
   service=shifts
