Silent connections: two seconds on a used one, then a new one

Cause: a request on an idle connection that had gone silent waited the whole ten seconds for a first byte, and its endpoint was then excluded although only the connection was at fault. Ruled out: a liveness request on every used connection (a round trip each); a short wait for all (a batch request may queue for long before its first byte). Change: on a connection that was used before the wait for the first byte is 2 s, then the request goes to the same endpoint on a new connection, and all idle ones to it are dropped; batch requests always use new ones. Figures on the fake clock: idle 10 s -> 2.0 to 2.5 s for one request, the next under 0.5 s; in the middle of a stream under 3.5 s; a once request under 1 s.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -22,6 +22,7 @@
 	GatewayMaxDeadline  = &Key{"gateway", "max_deadline", TypeDuration, "12h", "1s", "24h", "Longest time a caller may state.", ForGateway}
 	GatewayConnect      = &Key{"gateway", "connect_timeout", TypeDuration, "500ms", "10ms", "10s", "Longest wait for a connection to an endpoint.", ForGateway}
 	GatewayFirstToken   = &Key{"gateway", "first_token_timeout", TypeDuration, "10s", "100ms", "1h", "Longest wait for the first byte of an answer.", ForGateway}
+	GatewayReused       = &Key{"gateway", "reused_first_token_timeout", TypeDuration, "2s", "50ms", "1h", "The same on a connection that was used before; then the request is sent again on a new one.", ForGateway}
 	GatewayNextToken    = &Key{"gateway", "next_token_timeout", TypeDuration, "3s", "50ms", "1m", "Longest silence within a stream.", ForGateway}
 	GatewayDrain        = &Key{"gateway", "drain", TypeDuration, "10m", "1s", "24h", "Longest time a shutdown waits for requests in progress.", ForGateway}
 	GatewayPolicy       = &Key{"gateway", "policy", TypeText, "cost", "", "", "Routing policy: cost, least-in-flight, two-choices, round-robin, random, prefix-hash.", ForGateway}
@@ -77,7 +78,7 @@
 	InstanceID, InstanceDomain, InstanceRegion, LogLevel,
 	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
 	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
-	GatewayConnect, GatewayFirstToken, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayMaxAttempts, GatewayRetryShare,
+	GatewayConnect, GatewayFirstToken, GatewayReused, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayMaxAttempts, GatewayRetryShare,
 	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
 	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerReplicas, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -66,6 +66,7 @@
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		Dial:       rlbdispatch.DialTCP(settings.Duration(rlbsettings.GatewayConnect)),
 		FirstByte:  settings.Duration(rlbsettings.GatewayFirstToken),
+		Reused:     settings.Duration(rlbsettings.GatewayReused),
 		NextByte:   settings.Duration(rlbsettings.GatewayNextToken),
 		SweepEvery: sweepPeriod,
 	})
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -99,7 +99,9 @@
 		return &attemptError{fault: rlbroute.FaultNoEndpoint} // another engine may give other tokens
 	}
 	out := &rlbdispatch.Outgoing{
-		Method: http.MethodPost, Path: x.r.URL.Path, Header: x.header(), Body: x.body, Deadline: x.deadline, Fresh: x.once,
+		Method: http.MethodPost, Path: x.r.URL.Path, Header: x.header(), Body: x.body, Deadline: x.deadline,
+		// A batch request may wait long for its first byte, and needs no saved round trip.
+		Fresh: x.once || x.model.Class == rlbnote.ClassBatch,
 	}
 	in, failure := x.dispatch(ctx, x.work, e, exchange, out, engineFault)
 	if failure != nil {
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -37,7 +37,8 @@
 // attemptError is how an attempt ended without the whole answer.
 type attemptError struct {
 	fault  rlbroute.Fault
-	status int // of an answer to pass on
+	reused bool // it may be the fault of a connection that was used before
+	status int  // of an answer to pass on
 	header http.Header
 	body   []byte
 }
@@ -45,7 +46,7 @@
 func faultOf(err error) *attemptError {
 	var e *rlbdispatch.Error
 	if errors.As(err, &e) {
-		return &attemptError{fault: e.Kind()}
+		return &attemptError{fault: e.Kind(), reused: errors.Is(err, rlbdispatch.ErrReused)}
 	}
 	return &attemptError{fault: rlbroute.FaultCut}
 }
@@ -66,7 +67,7 @@
 		switch d.Action {
 		case rlbroute.ActionRetry, rlbroute.ActionResume:
 			s.counters.retries.Inc(1)
-			s.remember(w, ended, failure.fault)
+			s.remember(w, ended, failure)
 			pause(ctx, failure.fault)
 		case rlbroute.ActionPass:
 			s.passOn(w, failure)
@@ -160,12 +161,14 @@
 	return preferred[s.Policy.Choose(&w.routing, preferred)]
 }
 
-// remember excludes an endpoint from further attempts. One whose connection
+// remember excludes an endpoint from further attempts, unless only a connection
+// that was used before went silent. One whose connection
 // failed but that is alive stays a last resort when it is the only one.
-func (s *Server) remember(w *work, e *rlbroute.Endpoint, fault rlbroute.Fault) {
-	if e == nil {
+func (s *Server) remember(w *work, e *rlbroute.Endpoint, failure *attemptError) {
+	if e == nil || failure.reused && failure.fault == rlbroute.FaultSilent {
 		return
 	}
+	fault := failure.fault
 	gone := fault == rlbroute.FaultNotSent || fault == rlbroute.FaultRefused || e.Avoided(time.Now())
 	if !gone && len(w.candidates()) <= len(w.failed)+1 {
 		return
@@ -253,5 +256,5 @@
 		return nil, faultOf(err)
 	}
 	in.Done()
-	return nil, &attemptError{kind, in.StatusCode, in.Header, body}
+	return nil, &attemptError{fault: kind, status: in.StatusCode, header: in.Header, body: body}
 }
--- a/rlb-gateway/pkg/rlbcaller/faults_test.go
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -153,14 +153,29 @@
 
 func TestOpenConnectionsGoSilent(t *testing.T) {
 	withRig(t, 1, func(r *rig) {
-		Convey("pooled connections that went silent cost an idempotent request one wait, a once request none", t, func() {
+		Convey("when every open connection goes silent, each kind of request is answered within its limit", t, func() {
 			assertWhole(r.completion(testModel, true))
+			running := make(chan reply)
+			go func() { running <- r.completion(testModel, true) }()
+			synctest.Wait()
+			time.Sleep(50 * time.Millisecond) // some tokens have come
 			r.network.Silence("engine0", false)
 			began := time.Now()
-			assertWhole(r.completion(onceModel, false)) // on a new connection
+			assertWhole(r.completion(onceModel, false)) // always on a new connection
 			So(time.Since(began), ShouldBeLessThan, time.Second)
+			assertWhole(<-running) // in the middle of its stream
+			So(time.Since(began), ShouldBeLessThan, 3500*time.Millisecond)
+		})
+		Convey("an idle connection costs one request two seconds; the endpoint is not blamed", t, func() {
+			assertWhole(r.completion(testModel, true))
+			assertWhole(r.completion(testModel, true))
+			r.network.Silence("engine0", false)
+			began := time.Now()
 			assertWhole(r.completion(testModel, true))
+			So(time.Since(began), ShouldBeBetween, 2*time.Second, 2500*time.Millisecond)
+			began = time.Now()
 			assertWhole(r.completion(testModel, true))
+			So(time.Since(began), ShouldBeLessThan, 500*time.Millisecond)
 		})
 	})
 }
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -16,6 +16,7 @@
 type Opts struct {
 	Dial       Dial
 	FirstByte  time.Duration // longest wait for an answer's header
+	Reused     time.Duration // the same on a connection that was used before
 	NextByte   time.Duration // longest silence within an answer
 	SweepEvery time.Duration
 }
@@ -32,6 +33,10 @@
 // Error tells which fault an exchange met.
 type Error = rlberror.Error[rlbroute.Fault]
 
+// ErrReused is in the chain of an error that a connection met which had been
+// used before: it may be the connection's fault alone.
+var ErrReused = errors.New("on a connection that was used before")
+
 // New returns a dispatcher, and its clean-up function, which closes the idle
 // connections.
 func New(opts Opts) (*Dispatcher, func()) {
@@ -77,6 +82,9 @@
 	in := &Incoming{dispatcher: d, address: address, conn: c}
 	in.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.limit, c.silence, c.wrote = out.Deadline, d.opts.FirstByte, false
+	if c.reused {
+		c.silence = min(c.silence, d.opts.Reused)
+	}
 	sent()
 	if err := write(c, address, out); err != nil {
 		in.Abort()
@@ -86,6 +94,9 @@
 	in.Response, err = readResponse(c, request)
 	if err != nil {
 		in.Abort()
+		if c.reused {
+			err = errors.Join(ErrReused, err)
+		}
 		return nil, rlberror.New("read answer", d.faultOf(c, address, err), err)
 	}
 	c.silence = d.opts.NextByte
--- a/rlb-load/pkg/rlbcapacity/claims.go
+++ b/rlb-load/pkg/rlbcapacity/claims.go
@@ -24,6 +24,7 @@
 	Rate      float64       // claims a second, each followed by its finish
 	Time      time.Duration // of the measurement
 	Delay     time.Duration // of each call of the object API
+	Overrides []string      // of the controllers' settings
 }
 
 // ClaimResult is what was measured.
@@ -54,7 +55,7 @@
 func MeasureClaims(ctx context.Context, o ClaimOpts) (ClaimResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	m, err := startMembers(ctx, Shape{Controllers: controllers, Engines: 1, Domains: 1}, o.Platform, o.FirstPort)
+	m, err := startMembers(ctx, Shape{Controllers: controllers, Engines: 1, Domains: 1}, o.Platform, o.FirstPort, o.Overrides...)
 	if err != nil {
 		return ClaimResult{}, err
 	}
--- a/rlb-load/pkg/rlbcapacity/members.go
+++ b/rlb-load/pkg/rlbcapacity/members.go
@@ -83,6 +83,8 @@
 	polls    counter
 	engines  *http.Client
 	running  []*rlbcontrol.Controller
+	// overrides are settings of every controller.
+	overrides []string
 }
 
 // RunMembers runs the controllers of a shape, lets them settle, and measures.
@@ -98,8 +100,8 @@
 }
 
 // startMembers starts the controllers of a shape.
-func startMembers(ctx context.Context, shape Shape, platform string, firstPort int) (*members, error) {
-	m := &members{shape: shape, platform: platform}
+func startMembers(ctx context.Context, shape Shape, platform string, firstPort int, overrides ...string) (*members, error) {
+	m := &members{shape: shape, platform: platform, overrides: overrides}
 	m.engines = &http.Client{Timeout: callTimeout, Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -125,7 +127,8 @@
 	if err != nil {
 		return err
 	}
-	for _, o := range []string{"instance.id=" + memberID(domain, i), fmt.Sprintf("instance.failure_domain=d%d", domain), "log.level=error"} {
+	own := []string{"instance.id=" + memberID(domain, i), fmt.Sprintf("instance.failure_domain=d%d", domain), "log.level=error"}
+	for _, o := range append(own, m.overrides...) {
 		if err := settings.Override(o); err != nil {
 			return err
 		}
--- a/rlb-load/pkg/rlbcommand/capacity.go
+++ b/rlb-load/pkg/rlbcommand/capacity.go
@@ -89,6 +89,7 @@
 		return err
 	}}
 	claim.Flags().BoolVar(&claims.PerKey, "per-key", false, "write one object a key")
+	claim.Flags().StringArrayVar(&claims.Overrides, "set", nil, "a setting of the controllers as section.key=value")
 	claim.Flags().Float64Var(&claims.Rate, "rate", 100, "claims a second")
 	claim.Flags().DurationVar(&claims.Time, "time", 8*time.Second, "time of measuring")
 	claim.Flags().DurationVar(&claims.Delay, "delay", 3*time.Millisecond, "of each call of the object API")
