Admission by target, measured service times, report on service-level burn

Ruled out: a fixed limit of requests in progress (right for one model only). Change: the wait for a slot is the excess over the slots times the endpoint's moving average of service time; a request that would wait longer than its model's target for the first token is refused at once as not run; gateways count requests by good, late, refused, failed; controllers keep six hours in buckets; rlbctl burn in text, JSON and HTML; alerts over two pairs of windows.

--- a/lib/pkg/rlboperator/client.go
+++ b/lib/pkg/rlboperator/client.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
@@ -68,18 +69,30 @@
 
 // Explain returns the events about a word, from every controller that answers.
 func (c *Client) Explain(ctx context.Context, word string) ([]Event, error) {
-	var all []Event
+	return gather[Event](ctx, c, "/operator/explain?about="+url.QueryEscape(word))
+}
+
+// Burn returns what became of each model's requests, summed over every
+// controller that answers.
+func (c *Client) Burn(ctx context.Context) ([]rlbburn.Report, error) {
+	reports, err := gather[rlbburn.Report](ctx, c, "/operator/burn")
+	return rlbburn.Sum(reports), err
+}
+
+// gather joins the answers of every controller that answers.
+func gather[T any](ctx context.Context, c *Client, path string) ([]T, error) {
+	all := []T{}
 	var last error
 	answered := false
 	for _, address := range c.addresses {
-		var events []Event
-		if last = c.getFrom(ctx, address, "/operator/explain?about="+url.QueryEscape(word), &events); last == nil {
+		var part []T
+		if last = c.getFrom(ctx, address, path, &part); last == nil {
 			answered = true
-			all = append(all, events...)
+			all = append(all, part...)
 		}
 	}
 	if !answered {
-		return nil, rlberror.New("explain", KindUnavailable, last)
+		return nil, rlberror.New("get "+path, KindUnavailable, last)
 	}
 	return all, nil
 }
--- a/lib/pkg/rlbroute/cost_policy.go
+++ b/lib/pkg/rlbroute/cost_policy.go
@@ -5,7 +5,6 @@
 // Costs in time that the cost policy expects.
 const (
 	costPerRequest  = 600 * time.Microsecond // each request in the batch slows a step
-	costWaiting     = 400 * time.Millisecond // a full batch's turn-over
 	costAdapterMiss = 15 * time.Millisecond
 	prefixGain      = 30 * time.Millisecond // prefill saved by a cached prefix
 	maxCompared     = 16                    // candidates compared for one request
@@ -43,15 +42,23 @@
 func cost[C Candidate](request *Request, c C) time.Duration {
 	requests := c.InFlight() + c.Others(request.Now)
 	total := 2*c.Distance() + time.Duration(requests)*costPerRequest
-	if excess := requests - c.Slots() + 1; excess > 0 && c.Slots() > 0 {
-		total += costWaiting * time.Duration(excess) / time.Duration(c.Slots())
-	}
+	total += Wait(requests, c)
 	if request.Adapter != "" && !c.HasAdapter(request.Adapter) {
 		total += costAdapterMiss
 	}
 	return total
 }
 
+// Wait returns how long a request would wait for a slot of an endpoint that has
+// that many requests: a full batch turns over once in a service time.
+func Wait[C Candidate](requests int, c C) time.Duration {
+	excess := requests - c.Slots() + 1
+	if excess <= 0 || c.Slots() == 0 {
+		return 0
+	}
+	return c.ServiceTime() * time.Duration(excess) / time.Duration(c.Slots())
+}
+
 // rendezvous returns the candidate with the highest hash for key.
 func rendezvous[C Candidate](key uint64, candidates []C) int {
 	best, highest := 0, uint64(0)
--- a/lib/pkg/rlbroute/endpoint.go
+++ b/lib/pkg/rlbroute/endpoint.go
@@ -27,9 +27,16 @@
 	hash     uint64
 	inFlight atomic.Int64
 	avoid    atomic.Int64 // Unix time in nanoseconds until which others are preferred
+	service  atomic.Int64 // moving average of a request's time, in nanoseconds
 	report   atomic.Pointer[report]
 }
 
+// Terms of the moving average of a request's time.
+const (
+	firstServiceTime  = 500 * time.Millisecond // before any was seen
+	serviceTimeWeight = 8                      // one in that many counts for the latest
+)
+
 // report is a load report with what this gateway had in flight at its arrival.
 type report struct {
 	others   int // requests of other gateways
@@ -41,6 +48,7 @@
 func NewEndpoint(opts EndpointOpts) *Endpoint {
 	e := &Endpoint{opts: opts, hash: xxhash.Sum64String(opts.ID)}
 	e.report.Store(&report{})
+	e.service.Store(int64(firstServiceTime))
 	return e
 }
 
@@ -68,6 +76,16 @@
 // Distance implements Candidate.
 func (e *Endpoint) Distance() time.Duration { return e.opts.Distance }
 
+// ServiceTime implements Candidate.
+func (e *Endpoint) ServiceTime() time.Duration { return time.Duration(e.service.Load()) }
+
+// Served notes the time of a request that was answered. Concurrent calls may
+// lose one of two times.
+func (e *Endpoint) Served(took time.Duration) {
+	average := e.service.Load()
+	e.service.Store(average + (int64(took)-average)/serviceTimeWeight)
+}
+
 // Others implements Candidate.
 func (e *Endpoint) Others(now time.Time) int {
 	r := e.report.Load()
--- a/lib/pkg/rlbroute/policy.go
+++ b/lib/pkg/rlbroute/policy.go
@@ -12,6 +12,7 @@
 	InFlight() int               // requests of this gateway
 	Others(now time.Time) int    // requests of other gateways, by an aged report
 	Slots() int                  // requests it batches at once
+	ServiceTime() time.Duration  // of a request that need not wait, as last seen
 	Distance() time.Duration     // one way
 	HasAdapter(name string) bool // whether an adapter, as name@version, is resident
 }
--- a/lib/pkg/rlbworld/update.go
+++ b/lib/pkg/rlbworld/update.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbtable"
 )
@@ -17,6 +18,14 @@
 	Loads     []Load         `msgpack:"l,omitempty"`
 	Nodes     []Node         `msgpack:"o,omitempty"`
 	Strikes   []Strike       `msgpack:"s,omitempty"`
+	// Burn is only in a gateway's report. It is counted, not merged.
+	Burn []Burn `msgpack:"b,omitempty"`
+}
+
+// Burn is what became of a model's requests since a gateway's last report.
+type Burn struct {
+	Model         string `msgpack:"m"`
+	rlbburn.Count `msgpack:",inline"`
 }
 
 // Scope selects what a subscriber is told, so that each row reaches it once or
--- a/rlb-controller/pkg/rlbconsole/console.go
+++ b/rlb-controller/pkg/rlbconsole/console.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
 	"github.com/rhubarblb/rhubarblb/rlb-controller/pkg/rlbcontrol"
@@ -38,6 +39,7 @@
 	mux.HandleFunc("GET /operator/status", c.status)
 	mux.HandleFunc("GET /operator/explain", c.explain)
 	mux.HandleFunc("GET /operator/snapshot", c.snapshot)
+	mux.HandleFunc("GET /operator/burn", c.burn)
 	mux.HandleFunc("GET /metrics", c.showMetrics)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	return mux
@@ -144,6 +146,14 @@
 	writeJSON(w, http.StatusOK, c.controller.Explain(r.URL.Query().Get("about")))
 }
 
+func (c *Console) burn(w http.ResponseWriter, _ *http.Request) {
+	reports := c.controller.Burn()
+	if reports == nil {
+		reports = []rlbburn.Report{}
+	}
+	writeJSON(w, http.StatusOK, reports)
+}
+
 func (c *Console) snapshot(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, c.controller.Snapshot())
 }
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/burn.go
@@ -0,0 +1,42 @@
+package rlbcontrol
+
+import (
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// countBurn records what became of a gateway's requests, and tells when a
+// model's budget begins or ceases to burn too fast; c.mu is held.
+func (c *Controller) countBurn(counts []rlbworld.Burn, now time.Time) {
+	for _, b := range counts {
+		c.burn.Add(b.Model, b.Count, now)
+	}
+	if len(counts) == 0 {
+		return
+	}
+	for _, report := range c.burn.Reports(now) {
+		pair, alert := report.Alert()
+		if alert == c.alerted[report.Model] {
+			continue
+		}
+		c.alerted[report.Model] = alert
+		entry := c.Log.WithField("model", report.Model).WithField("budget_left", report.Left())
+		if !alert {
+			entry.Info("service-level budget no longer burns too fast")
+			continue
+		}
+		worst := report.Windows[pair.Short.String()]
+		entry.WithField("window", pair.Short.String()).WithField("burn", worst.Burn()).WithField("cause", string(worst.Worst())).
+			Warn("service-level budget burns too fast")
+		c.journal.add(now, "model/"+report.Model, "budget burns %.1f times too fast over %s, most of it %s", worst.Burn(), pair.Short, worst.Worst())
+	}
+}
+
+// Burn returns what became of the requests of the gateways that report here.
+func (c *Controller) Burn() []rlbburn.Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.burn.Reports(time.Now())
+}
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
@@ -90,6 +91,8 @@
 	loads     loadLimit
 	shards    []*shard
 	journal   journal
+	burn      *rlbburn.Record
+	alerted   map[string]bool // models whose budget burns too fast
 	stopWatch context.CancelFunc
 	group     sync.WaitGroup
 }
@@ -116,6 +119,7 @@
 		leases: map[string]*leaseState{},
 		books:  map[string]*bookState{},
 		demand: map[string]float64{},
+		burn:   rlbburn.NewRecord(), alerted: map[string]bool{},
 		urgent: make(chan struct{}, 1),
 		loads:  loadLimit{rate: s.Ratio(rlbsettings.ControllerLoadRate)},
 	}
@@ -246,6 +250,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.take(u, rlbworld.OriginSelf)
+	c.countBurn(u.Burn, time.Now())
 }
 
 // merge takes what a peer tells.
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -138,11 +138,12 @@
 
 // report is this gateway's heartbeat.
 func (a *app) report() rlbworld.Update {
-	return rlbworld.Update{Nodes: []rlbworld.Node{{
+	demand, burn := a.server.Demand(time.Now())
+	return rlbworld.Update{Burn: burn, Nodes: []rlbworld.Node{{
 		NodeKey: rlbworld.NodeKey{Type: rlbworld.NodeGateway, ID: a.id},
 		Epoch:   a.epoch, Beat: a.beat.Add(1), FailureDomain: a.domain, Address: a.listen,
 		NoteVersion: a.fleet.Routes().Note().Version,
-		Demand:      a.server.Demand(time.Now()),
+		Demand:      demand,
 	}}}
 }
 
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/admission_test.go
@@ -0,0 +1,62 @@
+package rlbcaller
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// target gives the test model a target for its first token and tells the
+// engines' slots.
+func (r *rig) target(d time.Duration, slots int) {
+	m := r.update.Note.Models[testModel]
+	m.FirstToken = d
+	r.update.Note.Models[testModel] = m
+	note := *r.update.Note
+	note.Version++
+	r.update.Note = &note
+	for _, e := range r.update.Engines {
+		r.update.Loads = append(r.update.Loads, rlbworld.Load{ID: e.ID, Incarnation: 1, Report: 1, Slots: slots})
+	}
+	for i := range r.update.Engines {
+		r.update.Engines[i].Sequence++
+	}
+	r.fleet.Update(r.update)
+}
+
+func TestAdmission(t *testing.T) {
+	const slots = 8
+	withRig(t, 1, func(r *rig) {
+		Convey("a request that would wait longer than its target is refused at once, as not run", t, func() {
+			r.target(300*time.Millisecond, slots)
+			const load = 4 * slots
+			replies := make(chan reply, load)
+			for range load {
+				go func() { replies <- r.completion(testModel, true) }()
+			}
+			synctest.Wait()
+			began := time.Now()
+			got := r.completion(testModel, true)
+			So(got.outcome, ShouldEqual, "not-run")
+			So(got.code, ShouldEqual, CodeOverloaded)
+			So(time.Since(began), ShouldBeLessThan, 500*time.Millisecond)
+			answered := 0
+			for range load {
+				if (<-replies).outcome == "answered" {
+					answered++
+				}
+			}
+			So(answered, ShouldBeGreaterThanOrEqualTo, slots)
+			So(r.started(), ShouldEqual, answered)
+			_, counts := r.server.Demand(time.Now())
+			So(counts, ShouldHaveLength, 1)
+			So(counts[0].Refused, ShouldEqual, load+1-answered)
+		})
+		Convey("a request without a target waits", t, func() {
+			assertWhole(r.completion(onceModel, true))
+		})
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -31,6 +32,7 @@
 	tracker       *rlbrelay.Tracker
 	deterministic bool
 	source        *rlbroute.Endpoint // that sent the tokens the caller has
+	firstToken    time.Duration      // from the request's arrival
 }
 
 // complete serves one model request.
@@ -46,17 +48,45 @@
 	leave := s.demand.enter(model.Name)
 	c.once = model.Once || c.key != ""
 	x := &completer{Server: s, in: in, model: model, tracker: rlbrelay.NewTracker(c.id)}
-	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name}
+	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name, target: model.FirstToken}
 	x.routing.Prefix = in.prefix()
 	if adapter != nil {
 		x.adapter = adapter.Name + "@" + adapter.Version
 		x.routing.Adapter = x.adapter
 	}
 	refusal = s.claimed(ctx, c, x.fingerprint, func() *Refusal { return s.run(ctx, x.work) })
-	leave(refusal != nil)
+	leave(x.count(refusal))
 	return refusal
 }
 
+// count tells whether the request met its targets.
+func (x *completer) count(refusal *Refusal) rlbburn.Count {
+	switch {
+	case refusal == nil && x.late():
+		return rlbburn.Count{Late: 1}
+	case refusal == nil:
+		return rlbburn.Count{Good: 1}
+	case refusal.Outcome == rlbroute.NotRun:
+		return rlbburn.Count{Refused: 1}
+	default:
+		return rlbburn.Count{Failed: 1}
+	}
+}
+
+// late reports whether a stream missed its model's targets. Other answers have
+// none but the caller's deadline.
+func (x *completer) late() bool {
+	tokens := time.Duration(x.tracker.Sent())
+	if tokens == 0 {
+		return false
+	}
+	if x.model.FirstToken > 0 && x.firstToken > x.model.FirstToken {
+		return true
+	}
+	rest := time.Since(x.arrived) - x.firstToken
+	return x.model.NextToken > 0 && rest > tokens*x.model.NextToken
+}
+
 // endpoints returns the endpoints that serve the model. Once the caller has a
 // token, only the version that it came from can go on.
 func (x *completer) endpoints() []*rlbroute.Endpoint {
@@ -189,7 +219,8 @@
 	x.w.Header().Set("Content-Type", "text/event-stream")
 	x.w.Header().Set("Cache-Control", "no-cache")
 	x.w.WriteHeader(http.StatusOK)
-	x.counters.firstToken.Update(time.Since(x.arrived).Microseconds())
+	x.firstToken = time.Since(x.arrived)
+	x.counters.firstToken.Update(x.firstToken.Microseconds())
 }
 
 func (x *completer) flush(flusher *http.ResponseController) {
--- a/rlb-gateway/pkg/rlbcaller/demand.go
+++ b/rlb-gateway/pkg/rlbcaller/demand.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 )
 
@@ -14,7 +15,10 @@
 	models map[string]*modelDemand
 }
 
-type modelDemand struct{ arrived, refused, inFlight int }
+type modelDemand struct {
+	arrived, inFlight int
+	count             rlbburn.Count
+}
 
 func newDemandMeter() *demandMeter {
 	return &demandMeter{from: time.Now(), models: map[string]*modelDemand{}}
@@ -30,35 +34,35 @@
 }
 
 // enter counts a request in and returns the function that counts it out.
-func (d *demandMeter) enter(model string) (leave func(refused bool)) {
+func (d *demandMeter) enter(model string) (leave func(rlbburn.Count)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.of(model)
 	m.arrived++
 	m.inFlight++
-	return func(refused bool) {
+	return func(c rlbburn.Count) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		m.inFlight--
-		if refused {
-			m.refused++
-		}
+		m.count = m.count.Add(c)
 	}
 }
 
-// take returns the rates since the last call and starts anew. Models without
-// demand are left out.
-func (d *demandMeter) take(now time.Time) []rlbworld.Demand {
+// take returns the rates and counts since the last call and starts anew.
+// Models without demand are left out.
+func (d *demandMeter) take(now time.Time) (all []rlbworld.Demand, counts []rlbworld.Burn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	seconds := max(now.Sub(d.from).Seconds(), time.Millisecond.Seconds())
 	d.from = now
-	var all []rlbworld.Demand
 	for name, m := range d.models {
 		if m.arrived > 0 || m.inFlight > 0 {
-			all = append(all, rlbworld.Demand{Model: name, Requests: float64(m.arrived) / seconds, InFlight: m.inFlight, Refused: float64(m.refused) / seconds})
+			all = append(all, rlbworld.Demand{Model: name, Requests: float64(m.arrived) / seconds, InFlight: m.inFlight, Refused: float64(m.count.Refused) / seconds})
+		}
+		if m.count.Total() > 0 {
+			counts = append(counts, rlbworld.Burn{Model: name, Count: m.count})
 		}
-		m.arrived, m.refused = 0, 0
+		m.arrived, m.count = 0, rlbburn.Count{}
 	}
-	return all
+	return all, counts
 }
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -29,7 +29,8 @@
 	candidates  func() []*rlbroute.Endpoint
 	send        func(context.Context, *rlbroute.Endpoint, *rlbroute.Exchange) *attemptError
 	fingerprint uint64
-	model       string // or plain service
+	model       string        // or plain service
+	target      time.Duration // for the first token; 0: none
 	exchange    *rlbroute.Exchange
 	failed      []*rlbroute.Endpoint // not to be tried again
 }
@@ -103,10 +104,17 @@
 	if endpoint == nil {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
 	}
+	if w.tooLate(endpoint) {
+		return endpoint, &attemptError{fault: rlbroute.FaultRefused}
+	}
+	begun := time.Now()
 	leave := endpoint.Enter()
 	defer leave()
 	w.exchange.Begin()
 	failure := w.send(ctx, endpoint, w.exchange)
+	if failure == nil {
+		endpoint.Served(time.Since(begun))
+	}
 	crashed := failure != nil && s.examine(ctx, w, endpoint, failure.fault)
 	if strikes == 1 && !crashed {
 		s.Strike(s.Fleet.Advance(w.fingerprint, rlbworld.StrikeCleared, "")) // it is not to blame, and others may have the endpoint
@@ -114,6 +122,16 @@
 	return endpoint, failure
 }
 
+// tooLate reports whether a request that was not sent yet would wait on the
+// best endpoint for longer than its target: it is refused now, so that its
+// caller knows and the endpoint keeps to those that it can answer in time.
+func (w *work) tooLate(e *rlbroute.Endpoint) bool {
+	if w.target == 0 || w.exchange.Attempts() > 0 {
+		return false
+	}
+	return rlbroute.Wait(e.InFlight()+e.Others(time.Now()), e) > w.target
+}
+
 // examine notes what a fault says of the endpoint, and reports whether the
 // endpoint crashed.
 func (s *Server) examine(ctx context.Context, w *work, e *rlbroute.Endpoint, fault rlbroute.Fault) bool {
--- a/rlb-gateway/pkg/rlbcaller/server.go
+++ b/rlb-gateway/pkg/rlbcaller/server.go
@@ -118,8 +118,11 @@
 // which the balancer opens to others.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Demand returns the demand for each model since the last call.
-func (s *Server) Demand(now time.Time) []rlbworld.Demand { return s.demand.take(now) }
+// Demand returns the demand for each model since the last call, and what became
+// of the requests that ended.
+func (s *Server) Demand(now time.Time) ([]rlbworld.Demand, []rlbworld.Burn) {
+	return s.demand.take(now)
+}
 
 // call is one request of a caller.
 type call struct {
--- a/rlbctl/pkg/rlbcommand/command.go
+++ b/rlbctl/pkg/rlbcommand/command.go
@@ -80,7 +80,7 @@
 		}
 		return nil
 	}
-	root.AddCommand(a.noteCommand(), a.statusCommand(), a.explainCommand(), a.settingsCommand(), a.snapshotCommand(), a.replayCommand())
+	root.AddCommand(a.noteCommand(), a.statusCommand(), a.explainCommand(), a.settingsCommand(), a.snapshotCommand(), a.replayCommand(), a.burnCommand())
 	err := root.Execute()
 	if err == nil {
 		return ExitOK
--- a/rlbctl/pkg/rlbcommand/command_test.go
+++ b/rlbctl/pkg/rlbcommand/command_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
@@ -161,3 +162,18 @@
 		So(out, ShouldEqual, "lease x: c0 -> c1\n")
 	})
 }
+
+func TestBurn(t *testing.T) {
+	reports := []rlbburn.Report{{Model: "a", Windows: map[string]rlbburn.Count{
+		"5m0s": {Good: 5, Late: 5}, "1h0m0s": {Good: 50, Late: 50}, "30m0s": {Good: 25, Late: 25}, "6h0m0s": {Good: 50, Late: 50},
+	}}}
+	Convey("burn tells the budget left, the cause and the alert, and writes a page", t, func() {
+		page := filepath.Join(t.TempDir(), "burn.html")
+		code, out, _ := run(&console{200, reports, ""}, "burn", "--html", page)
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, "-900.0% late     6x over 1h0m0s")
+		written, err := os.ReadFile(page)
+		So(err, ShouldBeNil)
+		So(string(written), ShouldContainSubstring, "<td>50.00%<td>10.00")
+	})
+}
--- a/rlbctl/pkg/rlbcommand/text.go
+++ b/rlbctl/pkg/rlbcommand/text.go
@@ -19,5 +19,6 @@
 	textShowSnapshot  = "Show a saved snapshot"
 	textDiffSnapshots = "Show what changed between two snapshots"
 	textReplay        = "Run the placement on a saved snapshot and compare with what it recorded"
+	textBurn          = "Show how fast service-level budgets burn"
 	textPage          = "Write the documentation page of all settings"
 )
