--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -38,6 +38,7 @@
 // attemptError is how an attempt ended without the whole answer.
 type attemptError struct {
 	fault  rlbroute.Fault
+	busy   bool // nothing was sent: the best endpoint is too busy
 	reused bool // it may be the fault of a connection that was used before
 	status int  // of an answer to pass on
 	header http.Header
@@ -63,6 +64,9 @@
 		if failure == nil {
 			return nil
 		}
+		if failure.busy {
+			return newRefusal(rlbroute.NotRun, CodeOverloaded)
+		}
 		failure.fault = s.classify(ctx, w, failure.fault)
 		d := w.exchange.Fault(time.Now(), failure.fault)
 		switch d.Action {
@@ -105,7 +109,7 @@
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
 	}
 	if w.tooLate(endpoint) {
-		return endpoint, &attemptError{fault: rlbroute.FaultRefused}
+		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint, busy: true}
 	}
 	begun := time.Now()
 	leave := endpoint.Enter()
