Load scenarios, comparison of policies, rolling replacement; claims in two shards

Change: claim_shards 16 -> 2, claim_commit 5 -> 10 ms; rlb-load run, compare; scenario of Muscat's morning; engines with a prefix cache; setting for admission; scripts of make bench and make replace.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial capacity faults cost replace outage
+.PHONY: build test race lint trial capacity faults cost replace outage bench
 
 build:
 	@mkdir -p bin
@@ -39,3 +39,6 @@
 
 outage: build
 	TRIAL_PORT=13000 TRIAL_DIR=.trial/outage TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_LOADS=4 TRIAL_THEN=scripts/outage_run.sh scripts/trial.sh
+
+bench: build
+	scripts/bench.sh
--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -26,6 +26,7 @@
 	GatewayNextToken    = &Key{"gateway", "next_token_timeout", TypeDuration, "3s", "50ms", "1m", "Longest silence within a stream.", ForGateway}
 	GatewayDrain        = &Key{"gateway", "drain", TypeDuration, "10m", "1s", "24h", "Longest time a shutdown waits for requests in progress.", ForGateway}
 	GatewayPolicy       = &Key{"gateway", "policy", TypeText, "cost", "", "", "Routing policy: cost, least-in-flight, two-choices, round-robin, random, prefix-hash.", ForGateway}
+	GatewayAdmission    = &Key{"gateway", "admission", TypeBool, "true", "", "", "Whether a request that would wait longer than its model's target for the first token is refused at once.", ForGateway}
 	GatewayMaxAttempts  = &Key{"gateway", "max_attempts", TypeInt, "4", "1", "16", "Most attempts for one request.", ForGateway}
 	GatewayRetryShare   = &Key{"gateway", "retry_share", TypeRatio, "0.1", "0", "1", "Retries allowed as a share of requests.", ForGateway}
 	GatewayMaxInFlight  = &Key{"gateway", "max_in_flight", TypeInt, "20000", "1", "1000000", "Most requests in progress in one gateway.", ForGateway}
@@ -46,8 +47,8 @@
 	ControllerReplicas  = &Key{"controller", "replicas", TypeInt, "2", "1", "16", "Replicas that each model keeps where memory is free, in different failure domains.", ForController}
 	ControllerWatchers  = &Key{"controller", "watchers", TypeInt, "2", "1", "16", "Controllers of each failure domain that watch the object API.", ForController}
 	ControllerRetention = &Key{"controller", "claim_retention", TypeDuration, "6h", "1m", "720h", "Time for which an idempotency key is kept; a dated key older than that is refused.", ForGateway | ForController}
-	ControllerCommit    = &Key{"controller", "claim_commit", TypeDuration, "5ms", "0s", "1s", "Longest time a claim waits for others to share its write.", ForController}
-	ControllerShards    = &Key{"controller", "claim_shards", TypeInt, "16", "1", "4096", "Shards of idempotency keys; the same in the whole fleet.", ForController}
+	ControllerCommit    = &Key{"controller", "claim_commit", TypeDuration, "10ms", "0s", "1s", "Longest time a claim waits for others to share its write.", ForController}
+	ControllerShards    = &Key{"controller", "claim_shards", TypeInt, "2", "1", "4096", "Shards of idempotency keys; the same in the whole fleet.", ForController}
 
 	KeysCert = &Key{"keys", "cert", TypeText, "", "", "", "PEM file with this instance's certificate for control links; empty: plain TCP.", ForGateway | ForController | ForCtl}
 	KeysKey  = &Key{"keys", "key", TypeText, "", "", "", "PEM file with the key of cert.", ForGateway | ForController | ForCtl}
@@ -66,6 +67,7 @@
 	StandinStepSlot   = &Key{"standin", "step_per_request", TypeDuration, "500us", "0s", "1s", "Time each request in the batch adds to a decoding step.", ForStandin}
 	StandinInstances  = &Key{"standin", "instances", TypeList, "", "", "", "Instance list: id|kind|address|control|failure_domain|role|fencing, in one item each.", ForStandin}
 	StandinLag        = &Key{"standin", "list_lag", TypeDuration, "2s", "0s", "10m", "Lag of the instance list.", ForStandin}
+	StandinPrefixes   = &Key{"standin", "prefixes", TypeInt, "64", "0", "1000000", "Prompt prefixes that the engine's cache holds.", ForStandin}
 	StandinLoadRate   = &Key{"standin", "loads_a_second", TypeRatio, "1", "0.01", "1000", "Loads the weight store starts each second.", ForStandin}
 	StandinLoadTime   = &Key{"standin", "load_time", TypeDuration, "300ms", "0s", "10m", "Time of one load at full speed.", ForStandin}
 	StandinLoadSlots  = &Key{"standin", "loads_at_once", TypeInt, "8", "1", "10000", "Loads served at once at full speed.", ForStandin}
@@ -78,11 +80,11 @@
 	InstanceID, InstanceDomain, InstanceRegion, LogLevel,
 	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
 	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
-	GatewayConnect, GatewayFirstToken, GatewayReused, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayMaxAttempts, GatewayRetryShare,
+	GatewayConnect, GatewayFirstToken, GatewayReused, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayAdmission, GatewayMaxAttempts, GatewayRetryShare,
 	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
 	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerReplicas, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefill, StandinStep, StandinStepSlot,
-	StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes, StandinRecord,
+	StandinPrefixes, StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes, StandinRecord,
 }
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -108,7 +108,7 @@
 	if endpoint == nil {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
 	}
-	if w.tooLate(endpoint) {
+	if s.limits.admission && w.tooLate(endpoint) {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint, busy: true}
 	}
 	begun := time.Now()
--- a/rlb-gateway/pkg/rlbcaller/server.go
+++ b/rlb-gateway/pkg/rlbcaller/server.go
@@ -53,6 +53,7 @@
 	maxAttempts           int
 	maxInFlight           int64
 	perEndpoint           int
+	admission             bool
 }
 
 // counters count requests by outcome.
@@ -82,6 +83,7 @@
 			maxAttempts: s.Int(rlbsettings.GatewayMaxAttempts),
 			maxInFlight: int64(s.Int(rlbsettings.GatewayMaxInFlight)),
 			perEndpoint: s.Int(rlbsettings.GatewayEndpointLoad),
+			admission:   s.Bool(rlbsettings.GatewayAdmission),
 		},
 		budget: rlbroute.NewRetryBudget(s.Ratio(rlbsettings.GatewayRetryShare)),
 		demand: newDemandMeter(),
--- /dev/null
+++ b/rlb-load/pkg/rlbcommand/bench.go
@@ -0,0 +1,71 @@
+package rlbcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbbench"
+	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbscenario"
+	"github.com/spf13/cobra"
+)
+
+func runCommand() *cobra.Command {
+	var opts rlbbench.Opts
+	cmd := &cobra.Command{Use: "run SCENARIO", Short: "Run a scenario and print its result as one JSON line", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) (err error) {
+		if opts.Scenario, err = rlbscenario.Load(args[0]); err != nil {
+			return err
+		}
+		ctx, stop := untilSignal()
+		defer stop()
+		result, err := rlbbench.Run(ctx, opts)
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(cmd.ErrOrStderr(), "%s %s load %g seed %d: attainment %.3f, goodput %.1f, moves %d\n",
+			result.Scenario, result.Label, result.Load, result.Seed, result.Attainment(), result.Goodput(), result.Moves)
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(result)
+	}}
+	flags := cmd.Flags()
+	flags.Uint64Var(&opts.Seed, "seed", 1, "seed of the arrivals")
+	flags.Float64Var(&opts.Load, "load", 1, "factor on every rate")
+	flags.StringVar(&opts.Label, "label", "", "name of what is measured")
+	flags.StringSliceVar(&opts.Gateways, "gateways", nil, "addresses of gateways")
+	flags.StringSliceVar(&opts.Engines, "engines", nil, "control addresses of engines")
+	return cmd
+}
+
+func compareCommand() *cobra.Command {
+	var page, morning string
+	cmd := &cobra.Command{Use: "compare FILE", Short: "Compare results over their seeds", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		file, err := os.Open(args[0])
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		results, err := rlbbench.Read(file)
+		if err != nil {
+			return err
+		}
+		groups := rlbbench.Groups(results)
+		if page != "" {
+			html, err := os.Create(page)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = html.Close() }()
+			if err := rlbbench.WriteHTML(html, groups); err != nil {
+				return err
+			}
+		}
+		if err := rlbbench.WriteTable(cmd.OutOrStdout(), groups); err != nil {
+			return err
+		}
+		ratio, baseline := rlbbench.Best(groups, morning, 1)
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "\nbest baseline at %s: %s\nattainment_ratio=%.3f goodput_at_twice=%.3f\n", morning, baseline, ratio, rlbbench.GoodputAtTwice(groups, morning))
+		return err
+	}}
+	cmd.Flags().StringVar(&page, "html", "", "also write a page to this file")
+	cmd.Flags().StringVar(&morning, "scenario", "muscat-morning", "scenario of the ratio")
+	return cmd
+}
--- /dev/null
+++ b/rlb-load/pkg/rlbscenario/scenario.go
@@ -0,0 +1,124 @@
+// Package rlbscenario reads load scenarios and draws their arrivals.
+package rlbscenario
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Scenario is an open-loop load: its arrivals do not wait for answers.
+type Scenario struct {
+	Name     string
+	Duration time.Duration
+	Classes  []Class
+}
+
+// Class is a kind of requests.
+type Class struct {
+	Name       string
+	Models     []string
+	Rate       float64 // arrivals a second at the beginning
+	Rise       float64 // factor by which the rate has grown at the end
+	Tokens     int     // mean of an answer
+	Prompt     int     // tokens of a prompt
+	Sessions   int     // prompts begin alike within a session
+	FirstToken time.Duration
+	NextToken  time.Duration // mean of the tokens after the first
+}
+
+// classPrefix begins the name of a class's section.
+const classPrefix = "class."
+
+// Load reads a scenario from an INI file.
+func Load(path string) (Scenario, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("read scenario: %w", err)
+	}
+	r := &reader{path: path}
+	head := file.Section("scenario")
+	s := Scenario{Name: head.Key("name").String(), Duration: r.duration(head, "duration")}
+	for _, section := range file.Sections() {
+		name, isClass := strings.CutPrefix(section.Name(), classPrefix)
+		if !isClass {
+			continue
+		}
+		s.Classes = append(s.Classes, Class{
+			Name: name, Models: section.Key("models").Strings(","),
+			Rate: r.number(section, "rate"), Rise: r.number(section, "rise"),
+			Tokens: int(r.number(section, "tokens")), Prompt: int(r.number(section, "prompt")), Sessions: int(r.number(section, "sessions")),
+			FirstToken: r.duration(section, "first_token"), NextToken: r.duration(section, "next_token"),
+		})
+	}
+	if r.err == nil && len(s.Classes) == 0 {
+		r.err = fmt.Errorf("%s: no section [%sNAME]", path, classPrefix)
+	}
+	return s, r.err
+}
+
+// reader keeps the first problem.
+type reader struct {
+	path string
+	err  error
+}
+
+func (r *reader) duration(s *ini.Section, key string) time.Duration {
+	d, err := s.Key(key).Duration()
+	r.note(s, key, err)
+	return d
+}
+
+func (r *reader) number(s *ini.Section, key string) float64 {
+	f, err := s.Key(key).Float64()
+	if err == nil && f <= 0 {
+		err = fmt.Errorf("%g is not above 0", f)
+	}
+	r.note(s, key, err)
+	return f
+}
+
+func (r *reader) note(s *ini.Section, key string, err error) {
+	if err != nil && r.err == nil {
+		r.err = fmt.Errorf("%s: [%s] %s: %w", r.path, s.Name(), key, err)
+	}
+}
+
+// Arrival is one request.
+type Arrival struct {
+	At      time.Duration // from the beginning
+	Class   int
+	Model   string
+	Session int
+	Tokens  int
+	Number  int
+}
+
+// Arrivals draws the arrivals of a seed, by time. Load multiplies every rate.
+func (s Scenario) Arrivals(seed uint64, load float64) []Arrival {
+	var all []Arrival
+	for i, c := range s.Classes {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		for at := time.Duration(0); ; {
+			grown := 1 + (c.Rise-1)*at.Seconds()/s.Duration.Seconds()
+			at += time.Duration(rng.ExpFloat64() / (c.Rate * load * grown) * float64(time.Second))
+			if at >= s.Duration {
+				break
+			}
+			all = append(all, Arrival{
+				At: at, Class: i, Model: c.Models[rng.IntN(len(c.Models))], Session: rng.IntN(c.Sessions),
+				Tokens: 1 + rng.IntN(2*c.Tokens-1),
+			})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	for n := range all {
+		all[n].Number = n
+	}
+	return all
+}
--- a/rlb-standin/pkg/rlbapp/app.go
+++ b/rlb-standin/pkg/rlbapp/app.go
@@ -87,7 +87,7 @@
 		Memory: s.Bytes(rlbsettings.StandinMemory), Fencing: s.Bool(rlbsettings.StandinFencing),
 		Slots: s.Int(rlbsettings.StandinSlots), PrefillRate: s.Int(rlbsettings.StandinPrefill),
 		Step: s.Duration(rlbsettings.StandinStep), StepSlot: s.Duration(rlbsettings.StandinStepSlot),
-		MaxAdapters: maxAdapters, Fetch: fetch("/weights/"), FetchLora: fetch("/adapters/"),
+		MaxAdapters: maxAdapters, Prefixes: s.Int(rlbsettings.StandinPrefixes), Fetch: fetch("/weights/"), FetchLora: fetch("/adapters/"),
 		Crash: func() { os.Exit(crashStatus) }, Record: record,
 	})
 	return serve(stop, common, out, engine.Handler())
--- a/rlb-standin/pkg/rlbfakeengine/completion.go
+++ b/rlb-standin/pkg/rlbfakeengine/completion.go
@@ -88,7 +88,11 @@
 		}
 	}
 	e.started(job.id, r.Header.Get(rlbrelay.HeaderKey))
-	sleep(r.Context(), time.Duration(len(body)/bytesPerToken)*time.Second/time.Duration(e.opts.PrefillRate))
+	prefill := time.Duration(len(body)/bytesPerToken) * time.Second / time.Duration(e.opts.PrefillRate)
+	if e.prefixes.use(body) {
+		prefill = time.Duration(float64(prefill) * hitShare)
+	}
+	sleep(r.Context(), prefill)
 	e.answer(w, r, job, in.Stream)
 }
 
--- a/rlb-standin/pkg/rlbfakeengine/engine.go
+++ b/rlb-standin/pkg/rlbfakeengine/engine.go
@@ -31,6 +31,7 @@
 	Step        time.Duration // of one decoding step with an empty batch
 	StepSlot    time.Duration // that each request in the batch adds
 	MaxAdapters int           // resident at once
+	Prefixes    int           // prompt prefixes that the cache holds
 	Fetch       func(ctx context.Context, name, version string) error
 	FetchLora   func(ctx context.Context, name, version string) error
 	Crash       func() // ends the process
@@ -42,6 +43,7 @@
 	opts      Opts
 	faults    *rlbfault.Injector
 	slots     *slots
+	prefixes  *prefixCache
 	mu        sync.Mutex
 	sequence  uint64
 	report    uint64
@@ -83,6 +85,7 @@
 		opts:      opts,
 		faults:    &rlbfault.Injector{},
 		slots:     newSlots(opts.Slots),
+		prefixes:  newPrefixCache(opts.Prefixes),
 		residents: map[modelKey]*resident{},
 		runs:      map[string]*run{},
 		record:    Record{Runs: map[string]RunCount{}},
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -4,7 +4,7 @@
 # TRIAL_PORT sets the first port, TRIAL_DIR the folder for settings and logs,
 # TRIAL_NOTE the first note, TRIAL_MODEL the model of the printed line, TRIAL_STEP
 # TRIAL_STEP_SLOT and TRIAL_PREFILL the speed of engines, TRIAL_LOADS the loads a
-# second. TRIAL_THEN
+# second, TRIAL_POLICY, TRIAL_ADMISSION and TRIAL_MOVES those settings. TRIAL_THEN
 # is a command to run once ready; the trial then ends with its status.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -17,6 +17,10 @@
 step_slot=${TRIAL_STEP_SLOT:-500us}
 prefill=${TRIAL_PREFILL:-8000}
 loads=${TRIAL_LOADS:-1}
+slots=${TRIAL_SLOTS:-32}
+policy=${TRIAL_POLICY:-cost}
+admission=${TRIAL_ADMISSION:-true}
+moves=${TRIAL_MOVES:-0.2}
 rm -rf "$dir"
 mkdir -p "$dir"
 pids=()
@@ -66,8 +70,8 @@
   [ $((i % 4)) -eq 3 ] && fencing=false # not all endpoints check who gives orders
   domain=${domains[$((i % 4))]}
   add "$role$i|engine|$(at $((500 + i)))|$(at $((500 + i)))|$domain|$role|$fencing"
-  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nstep_per_request = %s\nprefill_rate = %s\nrecord = %s\n' \
-    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$step_slot" "$prefill" "$dir/$role$i.record" >"$dir/$role$i.ini"
+  printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nstep_per_request = %s\nprefill_rate = %s\nslots = %s\nrecord = %s\n' \
+    "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$step_slot" "$prefill" "$slots" "$dir/$role$i.record" >"$dir/$role$i.ini"
 done
 for i in 0 1 2 3; do
   service=shifts
@@ -78,11 +82,11 @@
 printf '[instance]\nid = platform\n[standin]\nlisten = %s\ninstances = %s\nloads_a_second = %s\nlist_lag = 2s\n' "$platform" "$list" "$loads" >"$dir/platform.ini"
 peers="$(at 100),$(at 101),$(at 102)"
 for i in 0 1 2; do
-  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[platform]\nobjects = %s\ninstances = %s\nweights = %s\n[controller]\nlisten = %s\noperators = %s\npeers = %s\nloads_a_second = %s\n' \
-    "$i" "${domains[$i]}" "$platform" "$platform" "$platform" "$(at $((100 + i)))" "$(at $((200 + i)))" "$peers" "$loads" >"$dir/controller$i.ini"
+  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[platform]\nobjects = %s\ninstances = %s\nweights = %s\n[controller]\nlisten = %s\noperators = %s\npeers = %s\nloads_a_second = %s\nmove_weight = %s\n' \
+    "$i" "${domains[$i]}" "$platform" "$platform" "$platform" "$(at $((100 + i)))" "$(at $((200 + i)))" "$peers" "$loads" "$moves" >"$dir/controller$i.ini"
   others=$(echo "$peers" | tr , '\n' | grep -v "^$(at $((100 + i)))$" | paste -sd,)
-  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[gateway]\nlisten = %s\ncontrollers = %s,%s\n' \
-    "$i" "${domains[$i]}" "$(at $i)" "$(at $((100 + i)))" "$others" >"$dir/gateway$i.ini"
+  printf '[instance]\nid = entry%s\nfailure_domain = %s\n[gateway]\nlisten = %s\ncontrollers = %s,%s\npolicy = %s\nadmission = %s\n' \
+    "$i" "${domains[$i]}" "$(at $i)" "$(at $((100 + i)))" "$others" "$policy" "$admission" >"$dir/gateway$i.ini"
 done
 printf '[ctl]\ncontrollers = %s,%s,%s\n' "$(at 200)" "$(at 201)" "$(at 202)" >"$dir/ctl.ini"
 
