Mutual TLS between our processes and for operators, TLS for callers

Cause: settings named keys that no program used. Ruled out: pinning certificates without an authority (each replacement would touch every instance). Connections to endpoints and platform stay plain.

--- a/rlb-controller/pkg/rlbapp/app.go
+++ b/rlb-controller/pkg/rlbapp/app.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbkey"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
@@ -40,6 +41,10 @@
 	if err != nil {
 		return err
 	}
+	keys, err := rlbkey.Control(s)
+	if err != nil {
+		return err
+	}
 	registry := metrics.NewRegistry()
 	timeout := s.Duration(rlbsettings.PlatformTimeout)
 	objects, closeObjects := rlbobject.NewClient(s.Text(rlbsettings.PlatformObjects), timeout, registry)
@@ -53,13 +58,13 @@
 	controller := rlbcontrol.New(rlbcontrol.Opts{
 		Common: common, Objects: objects, Instances: instances, Weights: weights,
 		Engine:  func(address string) rlbengine.Engine { return rlbengine.NewClient(address, engines, engineTimeout) },
-		Dial:    rlblink.DialTCP,
+		Dial:    keys.Dial(rlblink.DialTCP),
 		Address: control.Addr().String(), Metrics: registry,
 	})
-	_, closeServer := rlblink.NewServer(context.Background(), control, rlbcontrol.LinkOpts(controller))
+	_, closeServer := rlblink.NewServer(context.Background(), keys.Listener(control), rlbcontrol.LinkOpts(controller))
 	defer closeServer()
 	console := &http.Server{Handler: rlbconsole.New(controller, registry).Handler(), ReadHeaderTimeout: headerWait}
-	go func() { _ = console.Serve(operators) }() // ends with Close
+	go func() { _ = console.Serve(keys.Listener(operators)) }() // ends with Close
 	defer func() { _ = console.Close() }()
 	ready := rlbcommon.Ready{
 		Program: "rlb-controller", Instance: s.Text(rlbsettings.InstanceID),
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbkey"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
@@ -54,6 +55,14 @@
 	if err != nil {
 		return fmt.Errorf("[gateway] policy: %w", err)
 	}
+	callerKeys, err := rlbkey.Load(rlbkey.Files{Cert: settings.Text(rlbsettings.GatewayTLSCert), Key: settings.Text(rlbsettings.GatewayTLSKey)})
+	if err != nil {
+		return fmt.Errorf("[gateway] tls_cert: %w", err)
+	}
+	controlKeys, err := rlbkey.Control(settings)
+	if err != nil {
+		return err
+	}
 	listener, err := rlbcommon.Listen(settings, rlbsettings.GatewayListen)
 	if err != nil {
 		return err
@@ -75,7 +84,7 @@
 		Common: common, Fleet: a.fleet, Dispatcher: dispatcher, Policy: policy, Claims: a, Strike: a.strike,
 		Metrics: metrics.NewRegistry(),
 	})
-	link, closeLink := rlblink.NewClient(context.Background(), a.linkOpts())
+	link, closeLink := rlblink.NewClient(context.Background(), a.linkOpts(controlKeys.Dial(rlblink.DialTCP)))
 	a.link = link
 	defer closeLink()
 	httpServer := &http.Server{
@@ -83,7 +92,7 @@
 		MaxHeaderBytes: int(settings.Bytes(rlbsettings.GatewayMaxHeader)),
 	}
 	served := make(chan error, 1)
-	go func() { served <- httpServer.Serve(listener) }()
+	go func() { served <- httpServer.Serve(callerKeys.Listener(listener)) }()
 	if err := rlbcommon.PrintReady(out, rlbcommon.Ready{Program: "rlb-gateway", Instance: a.id, Listen: map[string]string{"callers": a.listen}}); err != nil {
 		return err
 	}
@@ -113,10 +122,10 @@
 	return err
 }
 
-func (a *app) linkOpts() rlblink.ClientOpts {
+func (a *app) linkOpts(dial rlblink.Dial) rlblink.ClientOpts {
 	addresses := a.Settings.List(rlbsettings.GatewayControllers)
 	return rlblink.ClientOpts{
-		Log: a.Log, Dial: rlblink.DialTCP, Scope: rlbworld.ScopeAll, Silence: linkSilence,
+		Log: a.Log, Dial: dial, Scope: rlbworld.ScopeAll, Silence: linkSilence,
 		Node:      rlbworld.NodeKey{Type: rlbworld.NodeGateway, ID: a.id},
 		Addresses: func() []string { return addresses },
 		Update:    a.update,
--- a/rlbctl/pkg/rlbcommand/command.go
+++ b/rlbctl/pkg/rlbcommand/command.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbkey"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlboperator"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	"github.com/spf13/cobra"
@@ -106,14 +108,27 @@
 	if err != nil {
 		return nil, nil, nil, &exitError{ExitInvalid, err}
 	}
+	keys, err := rlbkey.Control(settings)
+	if err != nil {
+		return nil, nil, nil, &exitError{ExitInvalid, err}
+	}
+	secured, err := keys.Client()
+	if err != nil {
+		return nil, nil, nil, &exitError{ExitInvalid, err}
+	}
+	scheme := "http"
+	if secured != nil {
+		scheme = "https"
+	}
 	timeout := settings.Duration(rlbsettings.CtlTimeout)
 	client, closeIdle := rlbhttp.NewClient(timeout, timeout, 1)
+	client.Transport.(*http.Transport).TLSClientConfig = secured
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	cleanUp := func() {
 		cancel()
 		closeIdle()
 	}
-	return rlboperator.NewClient(settings.List(rlbsettings.CtlControllers), client, "http"), ctx, cleanUp, nil
+	return rlboperator.NewClient(settings.List(rlbsettings.CtlControllers), client, scheme), ctx, cleanUp, nil
 }
 
 // print writes v as JSON, or as text by the given function.
