A leaving endpoint is known to every gateway within two seconds

Cause: the promise had a test at one gateway only, and the stand-in engine did not leave gracefully: it ended its listener at once. Ruled out: a shorter lag of the list (it is the platform's). Change: the stand-in reports that it drains, refuses new requests, and ends two seconds later; a test subscribes to three controllers as gateways do.

--- a/rlb-controller/pkg/rlbcontrol/control_test.go
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -224,3 +227,51 @@
 		})
 	})
 }
+
+// listen subscribes to a controller as a gateway does, and returns a function
+// that tells whether it has heard that an engine drains.
+func (r *rig) listen(at string) (drains func(id string) bool, stop func()) {
+	var mu sync.Mutex
+	draining := map[string]bool{}
+	_, stop = rlblink.NewClient(background, rlblink.ClientOpts{
+		Log: r.controllers[at].Log, Dial: r.network.Dial, Scope: rlbworld.ScopeAll, Silence: silence, Every: time.Second,
+		Addresses: func() []string { return []string{at} },
+		Report:    func() rlbworld.Update { return rlbworld.Update{} },
+		Update: func(u rlbworld.Update) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, e := range u.Engines {
+				draining[e.ID] = e.Draining
+			}
+		},
+	})
+	return func(id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return draining[id]
+	}, stop
+}
+
+func TestLeavingEndpoint(t *testing.T) {
+	withRig(t, 3, 6, func(r *rig) {
+		Convey("every gateway hears within 2 s that an endpoint leaves, although the list does not say so; its model moves", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a")}})
+			r.serve("a")
+			leaving := r.ready("a", "v1")[0]
+			var heard []func(string) bool
+			for _, at := range []string{"c0", "c1", "c2"} {
+				drains, stop := r.listen(at)
+				defer stop()
+				heard = append(heard, drains)
+			}
+			time.Sleep(time.Second)
+			r.engines[leaving].Drain()
+			time.Sleep(2 * time.Second)
+			for _, drains := range heard {
+				So(drains(leaving), ShouldBeTrue)
+			}
+			time.Sleep(20 * time.Second)
+			So(len(r.ready("a", "v1")), ShouldEqual, 2) // the leaving one lets its requests end
+		})
+	})
+}
--- a/rlb-standin/pkg/rlbapp/app.go
+++ b/rlb-standin/pkg/rlbapp/app.go
@@ -24,7 +24,8 @@
 const (
 	crashStatus  = 3 // exit status of a crashed stand-in
 	drainTime    = 30 * time.Second
-	maxAdapters  = 16 // resident on one engine
+	drainNotice  = 2 * time.Second // for control to see that an engine leaves
+	maxAdapters  = 16              // resident on one engine
 	fetchConnect = time.Second
 	fetchIdle    = time.Minute
 	fetchConns   = 64
@@ -63,7 +64,7 @@
 			ModelMemory:    s.Bytes(rlbsettings.StandinModelBytes),
 		}),
 	)
-	return serve(stop, common, out, platform.Handler())
+	return serve(stop, common, out, platform.Handler(), func() {})
 }
 
 func runEngine(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
@@ -90,7 +91,10 @@
 		MaxAdapters: maxAdapters, Prefixes: s.Int(rlbsettings.StandinPrefixes), Fetch: fetch("/weights/"), FetchLora: fetch("/adapters/"),
 		Crash: func() { os.Exit(crashStatus) }, Record: record,
 	})
-	return serve(stop, common, out, engine.Handler())
+	return serve(stop, common, out, engine.Handler(), func() {
+		engine.Drain()
+		time.Sleep(drainNotice)
+	})
 }
 
 func runService(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
@@ -100,11 +104,12 @@
 	}
 	defer closeRecord()
 	service := rlbfakeservice.New(common.Settings.Text(rlbsettings.InstanceID), record)
-	return serve(stop, common, out, service.Handler())
+	return serve(stop, common, out, service.Handler(), func() {})
 }
 
-// serve serves until stop ends and the requests in progress end.
-func serve(stop context.Context, common *rlbcommon.Common, out io.Writer, handler http.Handler) error {
+// serve serves until stop ends, calls leave, and lets the requests in progress
+// end.
+func serve(stop context.Context, common *rlbcommon.Common, out io.Writer, handler http.Handler, leave func()) error {
 	listener, err := rlbcommon.Listen(common.Settings, rlbsettings.StandinListen)
 	if err != nil {
 		return err
@@ -124,6 +129,7 @@
 		return err
 	case <-stop.Done():
 	}
+	leave()
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
 	return server.Shutdown(ctx)
--- a/rlb-standin/pkg/rlbfakeengine/engine.go
+++ b/rlb-standin/pkg/rlbfakeengine/engine.go
@@ -129,6 +129,14 @@
 
 func (e *Engine) state(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) }
 
+// Drain makes the engine report that it leaves, and refuse new requests.
+func (e *Engine) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+	e.sequence++
+}
+
 // SetLoad makes the engine report that many requests more than it runs.
 func (e *Engine) SetLoad(requests int) { e.extra.Store(int64(requests)) }
 
@@ -264,7 +272,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r, found := e.residents[key]
-	if !found || r.Phase != rlbengine.PhaseReady {
+	if !found || r.Phase != rlbengine.PhaseReady || e.draining {
 		return false
 	}
 	r.running++
