One waiting function, and the interface of links named for what it is

Cause: the same sleep stood in four packages; "backend" is a word that the house replaces. Ruled out: leaving them (a newcomer asks which one to use). Change: rlbcommon.Sleep; rlblink.Source.

--- /dev/null
+++ b/lib/pkg/rlbcommon/sleep.go
@@ -0,0 +1,21 @@
+package rlbcommon
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d and reports whether ctx let it.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/lib/pkg/rlblink/link_test.go
+++ b/lib/pkg/rlblink/link_test.go
@@ -24,32 +24,32 @@
 
 var quiet = log.NewEntry(&log.Logger{Handler: discard.Default, Level: log.FatalLevel})
 
-// backend is a controller that knows a note and answers one call.
-type backend struct {
+// source is a controller that knows a note and answers one call.
+type source struct {
 	mu       sync.Mutex
 	world    *rlbworld.World
 	reported int
 }
 
-func (b *backend) Delta(c *rlbworld.Cursor) rlbworld.Update {
+func (b *source) Delta(c *rlbworld.Cursor) rlbworld.Update {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.world.Delta(c)
 }
 
-func (b *backend) Report(rlbworld.Update) {
+func (b *source) Report(rlbworld.Update) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reported++
 }
 
-func (b *backend) reports() int {
+func (b *source) reports() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.reported
 }
 
-func (*backend) Answer(ctx context.Context, method Method, body []byte) (any, error) {
+func (*source) Answer(ctx context.Context, method Method, body []byte) (any, error) {
 	switch method {
 	case "echo":
 		return body, nil
@@ -62,7 +62,7 @@
 // rig is two servers and one client on an in-memory network.
 type rig struct {
 	network *rlbfake.Network
-	servers [2]*backend
+	servers [2]*source
 	client  *Client
 	mu      sync.Mutex
 	version uint64    // of the note that the client heard
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(*testing.T) {
 		r := &rig{network: rlbfake.NewNetwork()}
 		for i, address := range []string{"first", "second"} {
-			r.servers[i] = &backend{world: rlbworld.New()}
+			r.servers[i] = &source{world: rlbworld.New()}
 			r.servers[i].world.MergeNote(rlbnote.State{Version: uint64(i + 1)})
 			r.listen(i, address)
 		}
@@ -103,7 +103,7 @@
 
 func (r *rig) listen(i int, address string) {
 	_, closeServer := NewServer(context.Background(), r.network.Listen(address), ServerOpts{
-		Log: quiet, Backend: r.servers[i], Interval: interval, Slower: 1, Silence: silence,
+		Log: quiet, Source: r.servers[i], Interval: interval, Slower: 1, Silence: silence,
 	})
 	r.closers = append(r.closers, closeServer)
 }
--- a/lib/pkg/rlblink/server.go
+++ b/lib/pkg/rlblink/server.go
@@ -13,8 +13,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Backend is what a server serves.
-type Backend interface {
+// Source is what a server serves.
+type Source interface {
 	// Delta returns what changed since the cursor and moves it.
 	Delta(cursor *rlbworld.Cursor) rlbworld.Update
 	// Report takes the rows that a client collected itself.
@@ -26,7 +26,7 @@
 // ServerOpts are the parts of a server.
 type ServerOpts struct {
 	Log      *log.Entry
-	Backend  Backend
+	Source   Source
 	Interval time.Duration // between two updates to gateways
 	// Slower is by how much updates to controllers are rarer; changes that
 	// Urgent tells of go out at once.
@@ -196,7 +196,7 @@
 	if len(f.subscribers) == 0 {
 		return // the first one to come is told everything
 	}
-	frame, err := rlbwire.Encode(TypeUpdate, 0, s.opts.Backend.Delta(f.cursor))
+	frame, err := rlbwire.Encode(TypeUpdate, 0, s.opts.Source.Delta(f.cursor))
 	if err != nil {
 		s.opts.Log.WithError(err).Error("update not told")
 		return
@@ -217,10 +217,10 @@
 	s.mu.Lock()
 	if len(f.subscribers) == 0 {
 		f.cursor = rlbworld.NewCursor(scope)
-		s.opts.Backend.Delta(f.cursor) // nobody waits for what was before
+		s.opts.Source.Delta(f.cursor) // nobody waits for what was before
 	}
 	f.subscribers[sub] = struct{}{}
-	everything := s.opts.Backend.Delta(rlbworld.NewCursor(scope))
+	everything := s.opts.Source.Delta(rlbworld.NewCursor(scope))
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -249,7 +249,7 @@
 		if err := frame.Decode(&update); err != nil {
 			return err
 		}
-		s.opts.Backend.Report(update)
+		s.opts.Source.Report(update)
 	case TypeCall:
 		var call Call
 		if err := frame.Decode(&call); err != nil {
@@ -263,7 +263,7 @@
 
 func (s *Server) answer(ctx context.Context, wire *rlbwire.Conn, number uint64, call Call) {
 	defer s.group.Done()
-	answer, err := s.opts.Backend.Answer(ctx, call.Method, call.Body)
+	answer, err := s.opts.Source.Answer(ctx, call.Method, call.Body)
 	if err != nil {
 		_ = wire.Send(TypeError, number, Refusal{err.Error()}) // a broken link ends by itself
 		return
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -44,7 +44,7 @@
 // LinkOpts returns the options of the server of a controller's links.
 func LinkOpts(c *Controller) rlblink.ServerOpts {
 	return rlblink.ServerOpts{
-		Log: c.Log, Backend: c, Interval: GatewayPeriod, Slower: int(ControllerPeriod / GatewayPeriod), Urgent: c.urgent, Silence: silence,
+		Log: c.Log, Source: c, Interval: GatewayPeriod, Slower: int(ControllerPeriod / GatewayPeriod), Urgent: c.urgent, Silence: silence,
 	}
 }
 
@@ -238,14 +238,14 @@
 	}()
 }
 
-// Delta implements rlblink.Backend.
+// Delta implements rlblink.Source.
 func (c *Controller) Delta(cursor *rlbworld.Cursor) rlbworld.Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.world.Delta(cursor)
 }
 
-// Report implements rlblink.Backend.
+// Report implements rlblink.Source.
 func (c *Controller) Report(u rlbworld.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -281,7 +281,7 @@
 	}
 }
 
-// Answer implements rlblink.Backend.
+// Answer implements rlblink.Source.
 func (c *Controller) Answer(ctx context.Context, method rlblink.Method, body []byte) (any, error) {
 	handler, known := c.methods()[method]
 	if !known {
--- a/rlb-controller/pkg/rlbcontrol/rig_test.go
+++ b/rlb-controller/pkg/rlbcontrol/rig_test.go
@@ -159,7 +159,7 @@
 
 func (r *rig) addEngine(id, domain string, fencing bool, incarnation uint64) {
 	fetch := func(ctx context.Context, _, _ string) error {
-		sleep(ctx, loadTime)
+		rlbcommon.Sleep(ctx, loadTime)
 		return ctx.Err()
 	}
 	r.mu.Lock()
@@ -245,7 +245,7 @@
 	defer r.group.Done()
 	for ctx.Err() == nil {
 		r.check()
-		sleep(ctx, 50*time.Millisecond)
+		rlbcommon.Sleep(ctx, 50*time.Millisecond)
 	}
 }
 
--- a/rlb-controller/pkg/rlbcontrol/watcher.go
+++ b/rlb-controller/pkg/rlbcontrol/watcher.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
@@ -47,7 +49,7 @@
 		}
 		if err != nil {
 			c.Log.WithError(err).Debug("no watch")
-			sleep(ctx, retryWatch)
+			rlbcommon.Sleep(ctx, retryWatch)
 			continue
 		}
 		after = changes.Revision
@@ -91,15 +93,6 @@
 			c.world.MergeList(list)
 			c.mu.Unlock()
 		}
-		sleep(ctx, listPeriod)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		rlbcommon.Sleep(ctx, listPeriod)
 	}
 }
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -204,7 +206,7 @@
 	if fault == rlbroute.FaultRefused {
 		longest = busyRetryWait
 	}
-	sleep(ctx, rand.N(longest))
+	rlbcommon.Sleep(ctx, rand.N(longest))
 }
 
 // passOn gives the caller the endpoint's own error.
--- a/rlb-gateway/pkg/rlbcaller/suspect.go
+++ b/rlb-gateway/pkg/rlbcaller/suspect.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsuspect"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
@@ -29,7 +31,7 @@
 	s.Log.WithField("request_id", w.id).WithField("endpoint", e.ID()).Warn("endpoint crashed under a request")
 	select {
 	case <-told:
-		sleep(ctx, settleTime)
+		rlbcommon.Sleep(ctx, settleTime)
 	case <-time.After(tellWait): // no controller answers: this gateway at least knows
 	}
 }
@@ -53,16 +55,7 @@
 			w.candidates() // takes the version that is served now
 			return endpoint
 		}
-		sleep(ctx, turnPeriod)
+		rlbcommon.Sleep(ctx, turnPeriod)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/rlb-standin/pkg/rlbfakeengine/completion.go
+++ b/rlb-standin/pkg/rlbfakeengine/completion.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
@@ -92,7 +94,7 @@
 	if e.prefixes.use(body) {
 		prefill = time.Duration(float64(prefill) * hitShare)
 	}
-	sleep(r.Context(), prefill)
+	rlbcommon.Sleep(r.Context(), prefill)
 	e.answer(w, r, job, in.Stream)
 }
 
@@ -142,7 +144,7 @@
 		http.Error(w, "the engine failed within the request", http.StatusInternalServerError)
 		return
 	case rlbfault.Late:
-		sleep(r.Context(), e.faults.Delay())
+		rlbcommon.Sleep(r.Context(), e.faults.Delay())
 	case rlbfault.Silent:
 		<-r.Context().Done()
 		return
@@ -248,7 +250,7 @@
 		return
 	}
 	running, _ := e.slots.counts()
-	sleep(ctx, e.opts.Step+time.Duration(running)*e.opts.StepSlot)
+	rlbcommon.Sleep(ctx, e.opts.Step+time.Duration(running)*e.opts.StepSlot)
 }
 
 func (e *Engine) paced() bool { return e.opts.Step+e.opts.StepSlot > 0 }
@@ -270,15 +272,3 @@
 	}
 	return fmt.Sprintf(`%q:{"role":"assistant","content":%q}`, field, text)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/rlb-standin/pkg/rlbfakeplatform/weight_store.go
+++ b/rlb-standin/pkg/rlbfakeplatform/weight_store.go
@@ -1,7 +1,6 @@
 package rlbfakeplatform
 
 import (
-	"context"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -10,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbweight"
 )
@@ -66,13 +66,13 @@
 
 // fetch answers when the load is done.
 func (s *WeightStore) fetch(w http.ResponseWriter, r *http.Request) {
-	if !pause(r.Context(), time.Until(s.reserve(time.Now()))) {
+	if !rlbcommon.Sleep(r.Context(), time.Until(s.reserve(time.Now()))) {
 		return
 	}
 	running := s.loading.Add(1)
 	defer s.loading.Add(-1)
 	slowdown := max(1, float64(running)/float64(s.opts.LoadsAtOnce))
-	pause(r.Context(), time.Duration(float64(s.opts.LoadTime)*slowdown))
+	rlbcommon.Sleep(r.Context(), time.Duration(float64(s.opts.LoadTime)*slowdown))
 	s.loads.Add(1)
 	writeJSON(w, rlbweight.Manifest{Memory: s.Memory(r.PathValue("name"))})
 }
@@ -93,18 +93,6 @@
 	running := s.fetching.Add(1)
 	defer s.fetching.Add(-1)
 	slowdown := max(1, float64(running)/adapterSlots)
-	pause(r.Context(), time.Duration(float64(adapterFetch)*slowdown))
+	rlbcommon.Sleep(r.Context(), time.Duration(float64(adapterFetch)*slowdown))
 	writeJSON(w, rlbweight.Manifest{})
 }
-
-// pause waits for d and reports whether ctx let it.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
