Adapter fetches within one limit of all gateways; a slow object API

Cause: nothing kept the fetches of adapters below what the store serves at full speed; a slow object API had no test. Ruled out: a counter at a controller (a call on each request). Change: each gateway takes the limit divided by the gateways that it hears of; a request whose endpoint lacks the adapter takes a fetch until its first token. TestSlowObjects: two minutes of 5 s an answer, a lost endpoint meanwhile: no model unreachable, repaired within 30 s.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -27,6 +27,7 @@
 	GatewayDrain        = &Key{"gateway", "drain", TypeDuration, "10m", "1s", "24h", "Longest time a shutdown waits for requests in progress.", ForGateway}
 	GatewayPolicy       = &Key{"gateway", "policy", TypeText, "cost", "", "", "Routing policy: cost, least-in-flight, two-choices, round-robin, random, prefix-hash.", ForGateway}
 	GatewayAdmission    = &Key{"gateway", "admission", TypeBool, "true", "", "", "Whether a request that would wait longer than its model's target for the first token is refused at once.", ForGateway}
+	GatewayFetches      = &Key{"gateway", "adapter_fetches", TypeInt, "64", "1", "100000", "Adapter fetches that all gateways together may cause at once.", ForGateway}
 	GatewayMaxAttempts  = &Key{"gateway", "max_attempts", TypeInt, "4", "1", "16", "Most attempts for one request.", ForGateway}
 	GatewayRetryShare   = &Key{"gateway", "retry_share", TypeRatio, "0.1", "0", "1", "Retries allowed as a share of requests.", ForGateway}
 	GatewayMaxInFlight  = &Key{"gateway", "max_in_flight", TypeInt, "20000", "1", "1000000", "Most requests in progress in one gateway.", ForGateway}
@@ -80,7 +81,7 @@
 	InstanceID, InstanceDomain, InstanceRegion, LogLevel,
 	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
 	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
-	GatewayConnect, GatewayFirstToken, GatewayReused, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayAdmission, GatewayMaxAttempts, GatewayRetryShare,
+	GatewayConnect, GatewayFirstToken, GatewayReused, GatewayNextToken, GatewayDrain, GatewayPolicy, GatewayAdmission, GatewayFetches, GatewayMaxAttempts, GatewayRetryShare,
 	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
 	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerReplicas, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
--- a/rlb-controller/pkg/rlbcontrol/control_test.go
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -275,3 +275,22 @@
 		})
 	})
 }
+
+func TestSlowObjects(t *testing.T) {
+	withReplicas(t, 2, 3, 6, func(r *rig) {
+		Convey("while each call of the object API takes 5 s the note stays, models stay; after it orders go on", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b")}})
+			time.Sleep(10 * time.Second)
+			r.serve("a", "b")
+			r.objects.SetDelay(5 * time.Second)
+			r.fail(r.ready("a", "v1")[0], true)
+			time.Sleep(2 * time.Minute)
+			r.assertVersion(1)
+			r.objects.SetDelay(0)
+			time.Sleep(30 * time.Second)
+			So(r.ready("a", "v1"), ShouldHaveLength, 2)
+			r.publish("c1", rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "c")}})
+			So(r.ready("c", "v1"), ShouldNotBeEmpty)
+		})
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/admission_test.go
+++ b/rlb-gateway/pkg/rlbcaller/admission_test.go
@@ -1,10 +1,13 @@
 package rlbcaller
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -60,3 +63,28 @@
 		})
 	})
 }
+
+func TestAdapterFetches(t *testing.T) {
+	withRig(t, 1, func(r *rig) {
+		Convey("fetches of adapters stay within the limit, and every request is answered", t, func() {
+			const adapters, limit = 12, 3
+			note := *r.update.Note
+			note.Version, note.Adapters = note.Version+1, map[string]rlbnote.Adapter{}
+			for i := range adapters {
+				name := fmt.Sprint("adapter", i)
+				note.Adapters[name] = rlbnote.Adapter{Name: name, Model: testModel, Version: "v1"}
+			}
+			r.update.Note = &note
+			r.fleet.Update(r.update)
+			r.server.fetches = rlbroute.NewFetchLimit(limit)
+			replies := make(chan reply, adapters)
+			for i := range adapters {
+				go func() { replies <- r.completion(fmt.Sprint("adapter", i), true) }()
+			}
+			for range adapters {
+				assertWhole(<-replies)
+			}
+			So(r.fetchedMost(), ShouldEqual, limit)
+		})
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -33,6 +34,7 @@
 	deterministic bool
 	source        *rlbroute.Endpoint // that sent the tokens the caller has
 	firstToken    time.Duration      // from the request's arrival
+	fetching      bool               // the endpoint may be fetching the adapter
 }
 
 // complete serves one model request.
@@ -128,6 +130,13 @@
 	if x.tracker.Sent() > 0 && e != x.source && !x.deterministic {
 		return &attemptError{fault: rlbroute.FaultNoEndpoint} // another engine may give other tokens
 	}
+	if x.adapter != "" && !e.HasAdapter(x.adapter) {
+		if !x.awaitFetch(ctx) {
+			return &attemptError{fault: rlbroute.FaultNotSent}
+		}
+		x.fetching = true
+		defer x.fetched()
+	}
 	out := &rlbdispatch.Outgoing{
 		Method: http.MethodPost, Path: x.r.URL.Path, Header: x.header(), Body: x.body, Deadline: x.deadline,
 		// A batch request may wait long for its first byte, and needs no saved round trip.
@@ -143,6 +152,30 @@
 	return x.whole(in, exchange)
 }
 
+// fetchPeriod is the time between two looks for a free fetch: about half of what
+// a fetch takes.
+const fetchPeriod = 5 * time.Millisecond
+
+// awaitFetch waits until this gateway's share allows the endpoint to fetch an
+// adapter, and reports whether the caller's time did.
+func (x *completer) awaitFetch(ctx context.Context) bool {
+	for !x.fetches.Take(x.Fleet.Gateways()) {
+		if !time.Now().Before(x.deadline) || !rlbcommon.Sleep(ctx, fetchPeriod) {
+			return false
+		}
+	}
+	return true
+}
+
+// fetched gives the fetch back: the endpoint has the adapter, or the attempt is
+// over.
+func (x *completer) fetched() {
+	if x.fetching {
+		x.fetching = false
+		x.fetches.Done()
+	}
+}
+
 // whole passes on an answer in one document, once it is known to be whole.
 func (x *completer) whole(in *rlbdispatch.Incoming, exchange *rlbroute.Exchange) *attemptError {
 	body, err := in.ReadAll(x.limits.maxAnswer)
@@ -209,6 +242,7 @@
 // begin notes that a part of the answer goes to the caller.
 func (x *completer) begin(e *rlbroute.Endpoint, exchange *rlbroute.Exchange) {
 	x.source = e
+	x.fetched()
 	x.counters.tokens.Inc(1)
 	if x.wrote {
 		return
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,8 +55,13 @@
 	claims   *memoryClaims
 	update   rlbworld.Update
 	closers  []func()
+
+	fetching, mostFetching atomic.Int64 // adapters
 }
 
+// fetchedMost returns the most adapter fetches that were in flight at once.
+func (r *rig) fetchedMost() int { return int(r.mostFetching.Load()) }
+
 // withRig runs f in a bubble with a fake clock.
 func withRig(t *testing.T, engines int, f func(r *rig)) {
 	t.Helper()
@@ -180,9 +186,16 @@
 
 func (r *rig) addEngine(id string) {
 	none := func(context.Context, string, string) error { return nil }
+	fetch := func(context.Context, string, string) error {
+		n := r.fetching.Add(1)
+		defer r.fetching.Add(-1)
+		r.mostFetching.Store(max(r.mostFetching.Load(), n))
+		time.Sleep(12 * time.Millisecond)
+		return nil
+	}
 	engine := rlbfakeengine.New(rlbfakeengine.Opts{
 		ID: id, Incarnation: 1, Memory: 10 * rlbunit.GiB, Slots: 8, PrefillRate: 1 << 20, Step: 10 * time.Millisecond,
-		MaxAdapters: 4, Fetch: none, FetchLora: none, Crash: func() {
+		MaxAdapters: 4, Fetch: none, FetchLora: fetch, Crash: func() {
 			r.network.Kill(id)
 			panic(http.ErrAbortHandler)
 		},
--- a/rlb-gateway/pkg/rlbcaller/server.go
+++ b/rlb-gateway/pkg/rlbcaller/server.go
@@ -38,6 +38,7 @@
 	Opts
 	limits   limits
 	budget   *rlbroute.RetryBudget
+	fetches  *rlbroute.FetchLimit
 	inFlight atomic.Int64
 	draining atomic.Bool
 	counters counters
@@ -85,8 +86,9 @@
 			perEndpoint: s.Int(rlbsettings.GatewayEndpointLoad),
 			admission:   s.Bool(rlbsettings.GatewayAdmission),
 		},
-		budget: rlbroute.NewRetryBudget(s.Ratio(rlbsettings.GatewayRetryShare)),
-		demand: newDemandMeter(),
+		budget:  rlbroute.NewRetryBudget(s.Ratio(rlbsettings.GatewayRetryShare)),
+		fetches: rlbroute.NewFetchLimit(s.Int(rlbsettings.GatewayFetches)),
+		demand:  newDemandMeter(),
 	}
 	server.counters = counters{
 		outcomes:   map[rlbroute.Outcome]metrics.Counter{},
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -136,6 +136,23 @@
 	f.report(now)
 }
 
+// gatewaySilence is after how long a gateway without heartbeats does not count.
+const gatewaySilence = 10 * time.Second
+
+// Gateways returns how many gateways are known, this one among them.
+func (f *Fleet) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, now := 0, f.now()
+	f.world.Nodes().All(func(key rlbworld.NodeKey, _ rlbworld.Node) bool {
+		if key.Type == rlbworld.NodeGateway && now.Sub(f.world.Heard(key)) < gatewaySilence {
+			n++
+		}
+		return true
+	})
+	return max(1, n)
+}
+
 // rebuild makes new routes; f.mu is held.
 func (f *Fleet) rebuild() {
 	routes := &Routes{
