A rejected request under a key is answered alike again; further fuzz targets

Cause: an endpoint's own 4xx was passed on without being noted, so that a resend under the same key got 409 instead of the same answer. Ruled out: the claim (it was finished); the fault is in what was recorded. Change: passing on goes through the same function as every whole answer, with its outcome. Fuzz targets for settings, requests, intents, claims; cases for the ledger and for reserved memory.

--- /dev/null
+++ b/lib/pkg/rlbclaim/ledger_test.go
@@ -0,0 +1,110 @@
+package rlbclaim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// claims submits claims on keys and returns the write that they ask for.
+func claims(l *Ledger, from, to int, deadline int64) *Write {
+	for n := from; n < to; n++ {
+		l.Submit(Ticket(n), Operation{VerbClaim, Entry{Key: HashKey(string(rune(n))), Run: Run{1, byte(n)}, Deadline: deadline}})
+	}
+	w, err := l.Next(0)
+	So(err, ShouldBeNil)
+	return w
+}
+
+func TestLedger(t *testing.T) {
+	Convey("claims that come together share one write", t, func() {
+		l := NewLedger("w", 0)
+		l.Load(0, Head{}, nil)
+		w := claims(l, 0, 100, 10)
+		So(w.Given, ShouldEqual, 0)
+		So(l.Results(), ShouldBeEmpty)
+		l.Written(5)
+		results := l.Results()
+		So(results, ShouldHaveLength, 100)
+		for _, r := range results {
+			So(r.Result.Status, ShouldEqual, Granted)
+		}
+		So(l.Size(), ShouldEqual, 100)
+	})
+	Convey("a long head is sealed into a segment, and another ledger finds every key again", t, func() {
+		l := NewLedger("w", 3)
+		l.Load(0, Head{}, nil)
+		claims(l, 0, 2000, 10)
+		l.Written(1)
+		w := claims(l, 2000, 2001, 20)
+		So(w.Segment, ShouldNotBeNil)
+		l.Written(2)
+		var head Head
+		var sealed []Entry
+		So(msgpack.Unmarshal(w.Head, &head), ShouldBeNil)
+		So(msgpack.Unmarshal(w.Segment.Value, &sealed), ShouldBeNil)
+		So(head.Segments, ShouldHaveLength, 1)
+		other := NewLedger("x", 3)
+		other.Load(2, head, sealed)
+		So(other.Size(), ShouldEqual, 2001)
+		Convey("a segment past its deadline is dropped with the next write", func() {
+			other.Submit(1, Operation{VerbClaim, Entry{Key: HashKey("new"), Run: Run{9}, Deadline: 99}})
+			w, err := other.Next(15)
+			So(err, ShouldBeNil)
+			So(w.Drop, ShouldResemble, []string{head.Segments[0].Name})
+		})
+	})
+	Convey("a resend, a reused key and a release", t, func() {
+		l := NewLedger("w", 0)
+		l.Load(0, Head{}, nil)
+		entry := Entry{Key: HashKey("k"), Run: Run{1}, Fingerprint: 7}
+		status := func(verb Verb, run byte, fingerprint uint64) Status {
+			e := entry
+			e.Run, e.Fingerprint = Run{run}, fingerprint
+			l.Submit(1, Operation{verb, e})
+			w, err := l.Next(0)
+			So(err, ShouldBeNil)
+			if w != nil {
+				l.Written(w.Given + 1)
+			}
+			return l.Results()[0].Result.Status
+		}
+		So(status(VerbClaim, 1, 7), ShouldEqual, Granted)
+		So(status(VerbClaim, 1, 7), ShouldEqual, Granted) // the same run asks again
+		So(status(VerbClaim, 2, 7), ShouldEqual, Taken)
+		So(status(VerbClaim, 3, 8), ShouldEqual, Mismatch)
+		So(status(VerbRelease, 2, 7), ShouldEqual, Recorded) // not its claim: nothing changes
+		So(status(VerbClaim, 2, 7), ShouldEqual, Taken)
+		So(status(VerbRelease, 1, 7), ShouldEqual, Recorded)
+		So(status(VerbClaim, 2, 7), ShouldEqual, Granted)
+		So(status(VerbFinish, 2, 7), ShouldEqual, Recorded)
+		So(status(VerbRelease, 2, 7), ShouldEqual, Recorded)
+	})
+	Convey("a key of version 7 tells its age, others do not", t, func() {
+		id, err := uuid.NewV7()
+		So(err, ShouldBeNil)
+		born, dated := Born(id.String())
+		So(dated, ShouldBeTrue)
+		So(time.Since(born), ShouldBeBetween, -time.Minute, time.Minute)
+		_, dated = Born("order-17")
+		So(dated, ShouldBeFalse)
+	})
+}
+
+// FuzzHead gives the decoder any object that the platform might return.
+func FuzzHead(f *testing.F) {
+	good, err := msgpack.Marshal(Head{Writer: "w", Entries: []Entry{{Key: Key{1}}}, Segments: []Segment{{"s", 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		var head Head
+		if msgpack.Unmarshal(value, &head) == nil {
+			NewLedger("w", 0).Load(1, head, nil) // must not panic
+		}
+	})
+}
--- /dev/null
+++ b/lib/pkg/rlborder/book_test.go
@@ -0,0 +1,32 @@
+package rlborder
+
+import (
+	"testing"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestReserved(t *testing.T) {
+	load := func(name string) Ghost { return Ghost{rlbengine.ActionLoad, name, "v", 4} }
+	resident := []rlbengine.Resident{{Name: "a", Version: "v", Memory: 4}}
+	Convey("what is resident, pending or may still come counts once each", t, func() {
+		record := Record{Pending: &Intent{Action: rlbengine.ActionLoad, Name: "b", Version: "v", Memory: 4}, Ghosts: []Ghost{load("a"), load("b"), load("c")}}
+		So(Reserved(record, resident), ShouldEqual, 12)
+	})
+	Convey("an unload frees nothing until the engine shows it", t, func() {
+		So(Reserved(Record{Pending: &Intent{Action: rlbengine.ActionUnload, Name: "a", Version: "v", Memory: 4}}, resident), ShouldEqual, 4)
+	})
+}
+
+// FuzzRead gives the book any object that the platform might return.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"fence":1,"serial":2,"pending":{"action":"load"},"ghosts":[{}]}`))
+	f.Add([]byte(`{`))
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		b := New("e", false, 1)
+		if b.Read(1, value) == nil {
+			_, _ = b.Next(clock) // must not panic
+		}
+	})
+}
--- a/lib/pkg/rlbsettings/settings_test.go
+++ b/lib/pkg/rlbsettings/settings_test.go
@@ -79,3 +79,17 @@
 		So(string(kept), ShouldEqual, page.String())
 	})
 }
+
+func FuzzParse(f *testing.F) {
+	for _, c := range badFiles {
+		f.Add([]byte(c.text))
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		s, err := Parse("f", text, ForGateway)
+		if err == nil {
+			for _, key := range Keys {
+				_ = s.Text(key) // must not panic
+			}
+		}
+	})
+}
--- a/rlb-controller/pkg/rlbcontrol/watcher.go
+++ b/rlb-controller/pkg/rlbcontrol/watcher.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
-
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
--- a/rlb-gateway/pkg/rlbcaller/claims.go
+++ b/rlb-gateway/pkg/rlbcaller/claims.go
@@ -26,6 +26,7 @@
 
 // answer is a whole answer in one piece.
 type answer struct {
+	outcome     rlbroute.Outcome
 	status      int
 	contentType string
 	body        []byte
@@ -35,7 +36,7 @@
 func (s *Server) answer(c *call, a answer) {
 	c.wrote = true
 	c.kept = rlbclaim.Answer{
-		Outcome: string(rlbroute.Answered), Status: a.status, ContentType: a.contentType,
+		Outcome: string(a.outcome), Status: a.status, ContentType: a.contentType,
 		Digest: xxhash.Sum64(a.body), Kept: len(a.body) <= rlbclaim.MaxKept,
 	}
 	if c.kept.Kept {
@@ -45,7 +46,7 @@
 }
 
 func writeAnswer(c *call, a answer) {
-	setIdentity(c, rlbroute.Answered)
+	setIdentity(c, a.outcome)
 	if a.contentType != "" {
 		c.w.Header().Set("Content-Type", a.contentType)
 	}
@@ -108,7 +109,7 @@
 		return newRefusal(rlbroute.Unknown, CodeAnswerForgotten)
 	}
 	c.w.Header().Set(headerReplay, "true")
-	writeAnswer(c, answer{kept.Status, kept.ContentType, kept.Body})
+	writeAnswer(c, answer{rlbroute.Outcome(kept.Outcome), kept.Status, kept.ContentType, kept.Body})
 	return nil
 }
 
--- a/rlb-gateway/pkg/rlbcaller/claims_test.go
+++ b/rlb-gateway/pkg/rlbcaller/claims_test.go
@@ -53,6 +53,19 @@
 			So(r.book("c").outcome, ShouldEqual, "unknown")
 			So(r.runs(), ShouldEqual, 3)
 		})
+		Convey("a rejected request is answered alike again", t, func() {
+			send := func() reply {
+				return r.send("POST", "/v1/completions", `{"model":"reassign","max_tokens":"many"}`, keyHeader, "rejected")
+			}
+			first := send()
+			So(first.status, ShouldEqual, 400)
+			So(first.outcome, ShouldEqual, "failed")
+			synctest.Wait()
+			again := send()
+			So(again.status, ShouldEqual, 400)
+			So(again.outcome, ShouldEqual, "failed")
+			So(again.body, ShouldEqual, first.body)
+		})
 		Convey("a refused run gives its key back", t, func() {
 			So(r.services[0].Faults().Set(rlbfault.Plan{Next: []rlbfault.Fault{rlbfault.Refuse}}), ShouldBeNil)
 			So(r.book("d").outcome, ShouldEqual, "not-run")
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -193,7 +193,7 @@
 	}
 	in.Done()
 	exchange.Answering()
-	x.answer(x.call, answer{http.StatusOK, "application/json", body})
+	x.answer(x.call, answer{rlbroute.Answered, http.StatusOK, "application/json", body})
 	return nil
 }
 
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
-
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -211,10 +210,7 @@
 
 // passOn gives the caller the endpoint's own error.
 func (s *Server) passOn(w *work, failure *attemptError) {
-	setIdentity(w.call, rlbroute.Failed)
-	w.w.Header().Set("Content-Type", failure.header.Get("Content-Type"))
-	w.w.WriteHeader(failure.status)
-	_, _ = w.w.Write(failure.body)
+	s.answer(w.call, answer{rlbroute.Failed, failure.status, failure.header.Get("Content-Type"), failure.body})
 }
 
 func (s *Server) refusalOf(w *work, d rlbroute.Decision, fault rlbroute.Fault) *Refusal {
--- a/rlb-gateway/pkg/rlbcaller/input_test.go
+++ b/rlb-gateway/pkg/rlbcaller/input_test.go
@@ -119,3 +119,17 @@
 		})
 	})
 }
+
+func FuzzCompletion(f *testing.F) {
+	for _, c := range badRequests {
+		f.Add([]byte(c.body))
+	}
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		in, refusal := parseCompletion(body)
+		if refusal == nil && in.Model == "" {
+			t.Fatal("accepted without a model")
+		}
+		_ = in.prefix() // must not panic
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/service.go
+++ b/rlb-gateway/pkg/rlbcaller/service.go
@@ -60,7 +60,7 @@
 	in.Done()
 	exchange.Answering()
 	copyHeader(x.w.Header(), in.Header)
-	x.answer(x.call, answer{in.StatusCode, in.Header.Get("Content-Type"), body})
+	x.answer(x.call, answer{rlbroute.Answered, in.StatusCode, in.Header.Get("Content-Type"), body})
 	return nil
 }
 
--- a/rlb-gateway/pkg/rlbcaller/suspect.go
+++ b/rlb-gateway/pkg/rlbcaller/suspect.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
-
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsuspect"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
--- a/rlb-standin/pkg/rlbfakeengine/completion.go
+++ b/rlb-standin/pkg/rlbfakeengine/completion.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
