--- a/rlb-standin/pkg/rlbfakeengine/completion.go
+++ b/rlb-standin/pkg/rlbfakeengine/completion.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfault"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
