Guards: nothing is unloaded while a change of the guards is in doubt

Cause: found by reading: after a guard write without an answer a controller kept its old view, by which a replica was still to be unloaded, while the object might say otherwise; an unload then could race with its own next write that makes this replica the guarded one, and another holder could unload the other. Ruled out: the object (its versions hold); other holders (only the engine's own holder takes a replica out of the list). Change: an unload of a version in force needs a view that was read or written without doubt, and no change under way; a doubtful view is read again at once. The race itself was not provoked by a test.

--- a/rlb-controller/pkg/rlbcontrol/control_test.go
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -114,6 +114,22 @@
 	})
 }
 
+func TestFullMemoryWithoutAnswers(t *testing.T) {
+	withRig(t, 3, 3, func(r *rig) {
+		Convey("the same when every third write loses its answer", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b", "c")}})
+			r.serve("a", "b", "c")
+			r.publish("c0", rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "big")}})
+			for range 60 {
+				r.objects.Inject(rlbfake.FaultAnswerLost)
+				time.Sleep(700 * time.Millisecond)
+			}
+			time.Sleep(20 * time.Second)
+			So(r.ready("big", "v1"), ShouldHaveLength, 1)
+		})
+	})
+}
+
 func TestLeaseHolderDies(t *testing.T) {
 	withRig(t, 3, 6, func(r *rig) {
 		Convey("when a controller dies the others take its leases and go on", t, func() {
--- a/rlb-controller/pkg/rlbcontrol/guards.go
+++ b/rlb-controller/pkg/rlbcontrol/guards.go
@@ -21,6 +21,7 @@
 // guardState is what this controller knows of the guards.
 type guardState struct {
 	value rlbplace.Guards
+	valid bool // value is what this controller last read or wrote, and no write is in doubt
 	busy  bool
 	read  time.Time
 }
@@ -42,7 +43,12 @@
 )
 
 // mayUnload reports whether the guards allow the unload of a version in force.
+// While a change is under way or in doubt nothing is unloaded: this controller
+// might be about to guard the very replica.
 func (g *guardState) mayUnload(c *Controller, p rlbplace.Proposal) bool {
+	if g.busy || !g.valid {
+		return false
+	}
 	guard := g.value.Models[p.Name]
 	if guard.Version != p.Version || !slices.Contains(guard.Retiring, p.Endpoint) {
 		return false
@@ -59,10 +65,10 @@
 	}
 	changes := c.keepChanges()
 	changes = append(changes, c.retireChanges()...)
-	if len(changes) == 0 && now.Before(c.guards.read.Add(guardPeriod)) {
+	if len(changes) == 0 && c.guards.valid && now.Before(c.guards.read.Add(guardPeriod)) {
 		return
 	}
-	c.guards.busy = true
+	c.guards.busy, c.guards.valid = true, false
 	c.spawn(func() { c.changeGuards(changes) })
 }
 
@@ -167,7 +173,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.guards.value, c.guards.read = next, time.Now()
+	c.guards.value, c.guards.valid, c.guards.read = next, true, time.Now()
 }
 
 func (c *Controller) readGuards(ctx context.Context) (rlbplace.Guards, rlbobject.Version, error) {
