Orders: an endpoint that cannot be reached is asked once a second

Ruled out: the lease (held); the order (a fence, safe to repeat). Change: a book waits a second after a step that did not work.

--- a/lib/pkg/rlborder/book.go
+++ b/lib/pkg/rlborder/book.go
@@ -15,6 +15,9 @@
 // effect before it is sent again.
 const resendAfter = 2 * time.Second
 
+// failedPause is how long a book waits after a step that did not work.
+const failedPause = time.Second
+
 // Step is what a book wants done.
 type Step int
 
@@ -60,6 +63,8 @@
 	unsure   bool      // a copy of the pending order may be late
 	fenced   uint64    // highest fencing number that the endpoint confirmed
 	retryAt  time.Time // of the next copy
+	now      time.Time // of the last step
+	pause    time.Time // until which a step that failed is not tried again
 	wish     *Wish
 	refusals int // orders that the endpoint refused
 }
@@ -120,8 +125,9 @@
 
 // Next returns the next step at now.
 func (b *Book) Next(now time.Time) (Plan, error) {
+	b.now = now
 	switch {
-	case b.waiting:
+	case b.waiting || now.Before(b.pause):
 		return Plan{}, nil
 	case !b.known:
 		return b.wait(Plan{Step: StepRead}), nil
--- a/lib/pkg/rlborder/book_test.go
+++ b/lib/pkg/rlborder/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	. "github.com/smartystreets/goconvey/convey"
@@ -19,6 +20,27 @@
 	})
 }
 
+func TestPause(t *testing.T) {
+	Convey("an endpoint that cannot be reached is asked once a second", t, func() {
+		b := New("e", true, 1)
+		So(b.Read(0, nil), ShouldBeNil)
+		plan, err := b.Next(clock)
+		So(err, ShouldBeNil)
+		So(plan.Step, ShouldEqual, StepWrite)
+		b.Written(1)
+		sends := 0
+		for i := range 40 { // ten seconds of ticks
+			plan, err := b.Next(clock.Add(time.Duration(i) * 250 * time.Millisecond))
+			So(err, ShouldBeNil)
+			if plan.Step == StepSend {
+				sends++
+				b.NotSent(plan.Order)
+			}
+		}
+		So(sends, ShouldEqual, 10)
+	})
+}
+
 // FuzzRead gives the book any object that the platform might return.
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(`{"fence":1,"serial":2,"pending":{"action":"load"},"ghosts":[{}]}`))
--- a/lib/pkg/rlborder/events.go
+++ b/lib/pkg/rlborder/events.go
@@ -61,7 +61,13 @@
 }
 
 // ReadFailed notes that the object could not be read.
-func (b *Book) ReadFailed() { b.waiting = false }
+func (b *Book) ReadFailed() { b.failed() }
+
+// failed ends a step that did not work.
+func (b *Book) failed() {
+	b.waiting = false
+	b.pause = b.now.Add(failedPause)
+}
 
 // Written notes that the write took effect.
 func (b *Book) Written(version rlbobject.Version) {
@@ -76,10 +82,12 @@
 
 // WriteRefused notes that the write did not take effect.
 func (b *Book) WriteRefused(conflict bool) {
-	b.flight, b.waiting = nil, false
+	b.flight = nil
 	if conflict {
-		b.known = false
+		b.known, b.waiting = false, false
+		return
 	}
+	b.failed()
 }
 
 // WriteLost notes that the write had no answer: the object must be read again.
@@ -117,7 +125,7 @@
 
 // NotSent notes that no byte of the order left.
 func (b *Book) NotSent(order rlbengine.Order) {
-	b.waiting = false
+	b.failed()
 	if order.Action != rlbengine.ActionFence && !b.unsure {
 		b.sent = false
 	}
@@ -125,7 +133,7 @@
 
 // SendLost notes that the order had no answer: it may take effect, now or later.
 func (b *Book) SendLost(order rlbengine.Order) {
-	b.waiting = false
+	b.failed()
 	b.stated = false
 	if order.Action != rlbengine.ActionFence {
 		b.unsure = true
@@ -139,7 +147,7 @@
 }
 
 // StateFailed notes that the endpoint's state could not be read.
-func (b *Book) StateFailed() { b.waiting = false }
+func (b *Book) StateFailed() { b.failed() }
 
 // StateRead takes the endpoint's state.
 func (b *Book) StateRead(state rlbengine.State) {
--- a/lib/pkg/rlborder/model_test.go
+++ b/lib/pkg/rlborder/model_test.go
@@ -170,7 +170,7 @@
 		}
 	}
 	next := m.clone()
-	next.books[h].retryAt = time.Time{}
+	next.books[h].retryAt, next.books[h].pause = time.Time{}, time.Time{}
 	plan, err := next.books[h].Next(clock)
 	if err != nil {
 		panic(err)
