--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial capacity faults cost replace outage bench
+.PHONY: build test race lint trial capacity faults cost replace outage bench moves
 
 build:
 	@mkdir -p bin
@@ -42,3 +42,6 @@
 
 bench: build
 	scripts/bench.sh
+
+moves: build
+	scripts/moves.sh
--- a/lib/pkg/rlbworld/update.go
+++ b/lib/pkg/rlbworld/update.go
@@ -18,8 +18,16 @@
 	Loads     []Load         `msgpack:"l,omitempty"`
 	Nodes     []Node         `msgpack:"o,omitempty"`
 	Strikes   []Strike       `msgpack:"s,omitempty"`
-	// Burn is only in a gateway's report. It is counted, not merged.
-	Burn []Burn `msgpack:"b,omitempty"`
+	// Burn and Refusals are only in a gateway's report. They are counted and
+	// told to operators, not merged.
+	Burn     []Burn    `msgpack:"b,omitempty"`
+	Refusals []Refusal `msgpack:"r,omitempty"`
+}
+
+// Refusal says why a gateway did not answer a request.
+type Refusal struct {
+	RequestID string `msgpack:"i"`
+	Text      string `msgpack:"t"`
 }
 
 // Burn is what became of a model's requests since a gateway's last report.
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -250,7 +250,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.take(u, rlbworld.OriginSelf)
-	c.countBurn(u.Burn, time.Now())
+	now := time.Now()
+	c.countBurn(u.Burn, now)
+	for _, refusal := range u.Refusals {
+		c.journal.add(now, "request/"+refusal.RequestID, "%s", refusal.Text)
+	}
 }
 
 // merge takes what a peer tells.
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -147,13 +147,14 @@
 
 // report is this gateway's heartbeat.
 func (a *app) report() rlbworld.Update {
-	demand, burn := a.server.Demand(time.Now())
-	return rlbworld.Update{Burn: burn, Nodes: []rlbworld.Node{{
+	demand, report := a.server.Report(time.Now())
+	report.Nodes = []rlbworld.Node{{
 		NodeKey: rlbworld.NodeKey{Type: rlbworld.NodeGateway, ID: a.id},
 		Epoch:   a.epoch, Beat: a.beat.Add(1), FailureDomain: a.domain, Address: a.listen,
 		NoteVersion: a.fleet.Routes().Note().Version,
 		Demand:      demand,
-	}}}
+	}}
+	return report
 }
 
 // strike tells the fleet which requests were running on an endpoint that
--- a/rlb-gateway/pkg/rlbcaller/admission_test.go
+++ b/rlb-gateway/pkg/rlbcaller/admission_test.go
@@ -54,9 +54,11 @@
 			}
 			So(answered, ShouldBeGreaterThanOrEqualTo, slots)
 			So(r.started(), ShouldEqual, answered)
-			_, counts := r.server.Demand(time.Now())
-			So(counts, ShouldHaveLength, 1)
-			So(counts[0].Refused, ShouldEqual, load+1-answered)
+			_, report := r.server.Report(time.Now())
+			So(report.Burn, ShouldHaveLength, 1)
+			So(report.Burn[0].Refused, ShouldEqual, load+1-answered)
+			So(report.Refusals, ShouldHaveLength, load+1-answered)
+			So(report.Refusals[0].Text, ShouldStartWith, "POST /v1/chat/completions: not-run, overloaded after ")
 		})
 		Convey("a request without a target waits", t, func() {
 			assertWhole(r.completion(onceModel, true))
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -116,6 +116,7 @@
 	leave := endpoint.Enter()
 	defer leave()
 	w.exchange.Begin()
+	w.attempts++
 	failure := w.send(ctx, endpoint, w.exchange)
 	if failure == nil {
 		endpoint.Served(time.Since(begun))
--- a/rlb-gateway/pkg/rlbcaller/server.go
+++ b/rlb-gateway/pkg/rlbcaller/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 	draining atomic.Bool
 	counters counters
 	demand   *demandMeter
+	refused  refusals
 	// background counts operations that outlive their request.
 	background sync.WaitGroup
 }
@@ -122,10 +124,11 @@
 // which the balancer opens to others.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Demand returns the demand for each model since the last call, and what became
+// Report returns the demand for each model since the last call, and what became
 // of the requests that ended.
-func (s *Server) Demand(now time.Time) ([]rlbworld.Demand, []rlbworld.Burn) {
-	return s.demand.take(now)
+func (s *Server) Report(now time.Time) ([]rlbworld.Demand, rlbworld.Update) {
+	demand, burn := s.demand.take(now)
+	return demand, rlbworld.Update{Burn: burn, Refusals: s.refused.take()}
 }
 
 // call is one request of a caller.
@@ -140,6 +143,7 @@
 	r        *http.Request
 	wrote    bool // a part of the answer is with the caller
 	kept     rlbclaim.Answer
+	attempts int
 }
 
 // request wraps a handler of model and service requests with what they share:
@@ -182,6 +186,7 @@
 		} else {
 			refusal.write(c.w, c.id)
 		}
+		s.refused.add(c.id, fmt.Sprintf("%s %s: %s, %s after %s in %d attempts", c.r.Method, c.r.URL.Path, outcome, refusal.Code, time.Since(c.arrived).Round(time.Millisecond), c.attempts))
 		s.Log.WithField("request_id", c.id).WithField("outcome", string(outcome)).WithField("code", string(refusal.Code)).
 			WithField("note_version", s.Fleet.Routes().Note().Version).Info("request not answered")
 	}
--- a/scripts/bench_run.sh
+++ b/scripts/bench_run.sh
@@ -2,7 +2,7 @@
 # Runs within a trial: one policy over the seeds, appending results to BENCH_OUT.
 set -euo pipefail
 dir=$TRIAL_DIR
-list=$(for f in "$dir"/planner*.ini "$dir"/dispatch*.ini; do printf '%s,' "$(sed -n 's/^listen = //p' "$f")"; done)
+list=$(for f in $(grep -l "^fencing" "$dir"/*.ini); do printf '%s,' "$(sed -n 's/^listen = //p' "$f")"; done)
 gateways="127.0.0.1:$TRIAL_PORT,127.0.0.1:$((TRIAL_PORT + 1)),127.0.0.1:$((TRIAL_PORT + 2))"
 for _ in $(seq 300); do
   lacking=$($TRIAL_CTL status | awk '$1 == "model" && $NF !~ /,/' | wc -l)
--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -6,6 +6,7 @@
 # TRIAL_STEP_SLOT and TRIAL_PREFILL the speed of engines, TRIAL_LOADS the loads a
 # second, TRIAL_POLICY, TRIAL_ADMISSION and TRIAL_MOVES those settings. TRIAL_THEN
 # is a command to run once ready; the trial then ends with its status.
+# TRIAL_DOMAINS names the failure domains, TRIAL_ROLES the engines as ROLE:NUMBER.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 port=${TRIAL_PORT:-7000}
@@ -58,17 +59,21 @@
 }
 
 at() { echo "127.0.0.1:$((port + $1))"; }
-domains=(seeb bawshar muttrah amerat)
+read -ra domains <<<"${TRIAL_DOMAINS:-seeb bawshar muttrah amerat}"
+read -ra roles <<<"${TRIAL_ROLES:-planner:9 dispatch:4}"
+engines=()
+for entry in "${roles[@]}"; do
+  for _ in $(seq "${entry#*:}"); do engines+=("${entry%:*}${#engines[@]}"); done
+done
 platform=$(at 400)
 list=""
 add() { list+="${list:+,}$1"; }
 for i in 0 1 2; do add "entry$i|entry|$(at $i)|$(at $((100 + i)))|${domains[$i]}||false"; done
-for i in $(seq 0 12); do
-  role=planner
-  [ "$i" -ge 9 ] && role=dispatch
+for i in "${!engines[@]}"; do
+  role=${engines[$i]%%[0-9]*}
   fencing=true
   [ $((i % 4)) -eq 3 ] && fencing=false # not all endpoints check who gives orders
-  domain=${domains[$((i % 4))]}
+  domain=${domains[$((i % ${#domains[@]}))]}
   add "$role$i|engine|$(at $((500 + i)))|$(at $((500 + i)))|$domain|$role|$fencing"
   printf '[instance]\nid = %s\nfailure_domain = %s\n[platform]\nweights = %s\n[standin]\nlisten = %s\nfencing = %s\nstep = %s\nstep_per_request = %s\nprefill_rate = %s\nslots = %s\nrecord = %s\n' \
     "$role$i" "$domain" "$platform" "$(at $((500 + i)))" "$fencing" "$step" "$step_slot" "$prefill" "$slots" "$dir/$role$i.record" >"$dir/$role$i.ini"
@@ -76,7 +81,7 @@
 for i in 0 1 2 3; do
   service=shifts
   [ "$i" -ge 2 ] && service=stock
-  add "$service$i|service|$(at $((550 + i)))||${domains[$i]}|$service|false"
+  add "$service$i|service|$(at $((550 + i)))||${domains[$((i % ${#domains[@]}))]}|$service|false"
   printf '[instance]\nid = %s\n[standin]\nlisten = %s\nrecord = %s\n' "$service$i" "$(at $((550 + i)))" "$dir/$service$i.record" >"$dir/$service$i.ini"
 done
 printf '[instance]\nid = platform\n[standin]\nlisten = %s\ninstances = %s\nloads_a_second = %s\nlist_lag = 2s\n' "$platform" "$list" "$loads" >"$dir/platform.ini"
@@ -91,8 +96,7 @@
 printf '[ctl]\ncontrollers = %s,%s,%s\n' "$(at 200)" "$(at 201)" "$(at 202)" >"$dir/ctl.ini"
 
 start platform "$bin/rlb-standin" platform
-for i in $(seq 0 8); do start "planner$i" "$bin/rlb-standin" engine; done
-for i in $(seq 9 12); do start "dispatch$i" "$bin/rlb-standin" engine; done
+for name in "${engines[@]}"; do start "$name" "$bin/rlb-standin" engine; done
 for i in 0 1; do start "shifts$i" "$bin/rlb-standin" service; done
 for i in 2 3; do start "stock$i" "$bin/rlb-standin" service; done
 for i in 0 1 2; do start "controller$i" "$bin/rlb-controller"; done
