A routing decision without allocation, also among hundreds of replicas

Cause: each decision copied the candidates twice; among 600 replicas it looked at all of them three times. Ruled out: a list of good endpoints kept by the fleet (in-flight counts change with every request). Change: nothing is copied while every candidate is good; at most 64 candidates are looked at, in a window that the prompt's prefix chooses.

--- a/rlb-gateway/pkg/rlbcaller/bench_test.go
+++ b/rlb-gateway/pkg/rlbcaller/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -166,3 +167,49 @@
 		_, _ = w.Write(event.Raw)
 	}
 }
+
+// BenchmarkChoose is one routing decision at letter 1's size: 12,000 endpoints
+// with three of 1,700 models each, and one model on 600 of them.
+func BenchmarkChoose(b *testing.B) {
+	const endpoints, models, each, popular = 12_000, 1_700, 3, 600
+	fleet := rlbfleet.New("d0", time.Now)
+	state := rlbnote.State{Version: 1, Models: map[string]rlbnote.Model{}}
+	for m := range models {
+		name := fmt.Sprint("m", m)
+		state.Models[name] = rlbnote.Model{Name: name, Version: "v"}
+	}
+	update := rlbworld.Update{Note: &state}
+	for i := range endpoints {
+		id := fmt.Sprint("e", i)
+		update.Instances = append(update.Instances, rlbworld.Instance{Revision: 1, Instance: rlbinstance.Instance{ID: id, Type: rlbinstance.TypeEngine, Address: id, FailureDomain: fmt.Sprint("d", i%22)}})
+		engine := rlbworld.Engine{ID: id, Incarnation: 1}
+		for k := range each {
+			name := fmt.Sprint("m", 1+(i*each+k)%(models-1))
+			engine.Residents = append(engine.Residents, rlbengine.Resident{Name: name, Version: "v", Phase: rlbengine.PhaseReady})
+		}
+		if i < popular {
+			engine.Residents = append(engine.Residents, rlbengine.Resident{Name: "m0", Version: "v", Phase: rlbengine.PhaseReady})
+		}
+		update.Engines = append(update.Engines, engine)
+	}
+	began := time.Now()
+	fleet.Update(update)
+	b.Logf("routes of %d endpoints built in %s", endpoints, time.Since(began))
+	policy, err := rlbroute.NewPolicy[*rlbroute.Endpoint]("cost", rand.Uint64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &Server{Opts: Opts{Fleet: fleet, Policy: policy}, limits: limits{perEndpoint: 256}}
+	for _, name := range []string{"m0", "m7"} {
+		b.Run(fmt.Sprint("replicas=", len(fleet.Routes().Version(name, "v"))), func(b *testing.B) {
+			w := &work{candidates: func() []*rlbroute.Endpoint { return fleet.Routes().Version(name, "v") }}
+			w.routing.Prefix = 7
+			b.ReportAllocs()
+			for b.Loop() {
+				if s.choose(w) == nil {
+					b.Fatal("no endpoint")
+				}
+			}
+		})
+	}
+}
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -160,22 +160,14 @@
 	}
 }
 
-// choose returns the endpoint of the next attempt, or nil.
+// choose returns the endpoint of the next attempt, or nil. Usually every
+// candidate is good, and nothing is copied.
 func (s *Server) choose(w *work) *rlbroute.Endpoint {
 	w.routing.Now = time.Now()
-	candidates := w.candidates()
-	eligible := make([]*rlbroute.Endpoint, 0, len(candidates))
-	for _, e := range candidates {
-		if e.InFlight() < s.limits.perEndpoint && !slices.Contains(w.failed, e) {
-			eligible = append(eligible, e)
-		}
-	}
-	preferred := make([]*rlbroute.Endpoint, 0, len(eligible))
-	for _, e := range eligible {
-		if !e.Avoided(w.routing.Now) {
-			preferred = append(preferred, e)
-		}
-	}
+	eligible := keep(window(w), func(e *rlbroute.Endpoint) bool {
+		return e.InFlight() < s.limits.perEndpoint && !slices.Contains(w.failed, e)
+	})
+	preferred := keep(eligible, func(e *rlbroute.Endpoint) bool { return !e.Avoided(w.routing.Now) })
 	if len(preferred) == 0 {
 		preferred = eligible
 	}
@@ -185,6 +177,39 @@
 	return preferred[s.Policy.Choose(&w.routing, preferred)]
 }
 
+// maxConsidered is how many candidates are looked at for one attempt.
+const maxConsidered = 64
+
+// window returns the candidates to look at. Of many, those that the prompt's
+// prefix leads to, so that its cache is found again; after a failure any.
+func window(w *work) []*rlbroute.Endpoint {
+	candidates := w.candidates()
+	if len(candidates) <= maxConsidered {
+		return candidates
+	}
+	at := w.routing.Prefix
+	if at == 0 || len(w.failed) > 0 {
+		at = rand.Uint64()
+	}
+	start := int(at % uint64(len(candidates)-maxConsidered+1))
+	return candidates[start : start+maxConsidered]
+}
+
+// keep returns the endpoints that are good: the same slice if all are.
+func keep(endpoints []*rlbroute.Endpoint, good func(*rlbroute.Endpoint) bool) []*rlbroute.Endpoint {
+	bad := slices.IndexFunc(endpoints, func(e *rlbroute.Endpoint) bool { return !good(e) })
+	if bad < 0 {
+		return endpoints
+	}
+	kept := slices.Clone(endpoints[:bad])
+	for _, e := range endpoints[bad:] {
+		if good(e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 // remember excludes an endpoint from further attempts, unless only a connection
 // that was used before went silent. One whose connection
 // failed but that is alive stays a last resort when it is the only one.
