Batch requests give way to interactive ones, and are resumed

Cause: a batch stream kept its slot, and a queued one its place, whatever interactive requests waited for; only the engine's own priority helped those in the queue. Ruled out: slots kept free for interactive requests (idle accelerators at night). Change: a batch request waits at the gateway until an endpoint has a free slot; an interactive one that would be late interrupts the latest batch stream there, which goes on after its last token, at no cost of attempts or retry budget.

--- a/lib/pkg/rlbroute/decision.go
+++ b/lib/pkg/rlbroute/decision.go
@@ -66,6 +66,7 @@
 	FaultForeign:   broken,
 	FaultGap:       broken,
 	FaultMalformed: broken,
+	FaultPreempted: broken, // only idempotent requests are
 	FaultDoubled: {
 		idempotent: [stageCount]Decision{skip, skip, skip},
 		once:       [stageCount]Decision{skip, skip, skip},
--- a/lib/pkg/rlbroute/decision_test.go
+++ b/lib/pkg/rlbroute/decision_test.go
@@ -29,6 +29,7 @@
 	FaultTooLarge:   "f f f f f f",
 	FaultDeadline:   "n u f n u u",
 	FaultCallerGone: "n u u n u u",
+	FaultPreempted:  "R/n R/u C/f u u u",
 }
 
 func letters(d Decision) string {
@@ -124,6 +125,9 @@
 	now := time.Unix(10, 0)
 	Convey("without attempts left, each cell ends with the table's outcome", t, func() {
 		eachCell(func(fault Fault, stage Stage, once bool) {
+			if fault == FaultPreempted {
+				return // costs no attempt: see below
+			}
 			want, got := Decide(fault, stage, once), exchangeAt(stage, once, 1).Fault(now, fault)
 			if want.Action == ActionPass || want.Action == ActionSkip {
 				So(got, ShouldResemble, want)
@@ -157,6 +161,16 @@
 		x.Begin()
 		So(x.Fault(now, FaultNoEndpoint).Outcome, ShouldEqual, Failed)
 	})
+	Convey("being preempted costs neither attempts nor budget, but not past the deadline", t, func() {
+		x := NewExchange(ExchangeOpts{Deadline: time.Unix(100, 0), MaxAttempts: 1, Budget: NewRetryBudget(0)})
+		for range 50 {
+			x.Begin()
+			x.Sent()
+			x.Answering()
+			So(x.Fault(now, FaultPreempted).Action, ShouldEqual, ActionResume)
+		}
+		So(x.Fault(time.Unix(100, 0), FaultPreempted), ShouldResemble, Decision{ActionEnd, Failed})
+	})
 	Convey("a spent budget ends the retries", t, func() {
 		budget := NewRetryBudget(0)
 		for budget.Take() {
--- a/lib/pkg/rlbroute/endpoint.go
+++ b/lib/pkg/rlbroute/endpoint.go
@@ -1,6 +1,8 @@
 package rlbroute
 
 import (
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +31,13 @@
 	avoid    atomic.Int64 // Unix time in nanoseconds until which others are preferred
 	service  atomic.Int64 // moving average of a request's time, in nanoseconds
 	report   atomic.Pointer[report]
+	mu       sync.Mutex
+	batch    []*Preemptible // the latest last
 }
 
+// Preemptible is a batch request in flight that may be interrupted.
+type Preemptible struct{ interrupt func() }
+
 // Terms of the moving average of a request's time.
 const (
 	firstServiceTime  = 500 * time.Millisecond // before any was seen
@@ -118,6 +125,37 @@
 	return func() { e.inFlight.Add(-1) }
 }
 
+// EnterBatch lets a batch request in flight be interrupted by Preempt, and
+// returns the function that ends that.
+func (e *Endpoint) EnterBatch(interrupt func()) (leave func()) {
+	p := &Preemptible{interrupt}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch = append(e.batch, p)
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if at := slices.Index(e.batch, p); at >= 0 {
+			e.batch = slices.Delete(e.batch, at, at+1)
+		}
+	}
+}
+
+// Preempt interrupts the batch request that came last, and reports whether there
+// was one.
+func (e *Endpoint) Preempt() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := len(e.batch) - 1
+	if last < 0 {
+		return false
+	}
+	p := e.batch[last]
+	e.batch = e.batch[:last]
+	p.interrupt()
+	return true
+}
+
 // Avoid prefers other endpoints until a deadline.
 func (e *Endpoint) Avoid(until time.Time) { e.avoid.Store(until.UnixNano()) }
 
--- a/lib/pkg/rlbroute/exchange.go
+++ b/lib/pkg/rlbroute/exchange.go
@@ -55,7 +55,10 @@
 	if fault == FaultRefused {
 		x.Unsent()
 	}
-	if (d.Action == ActionRetry || d.Action == ActionResume) && !x.mayRetry(now) {
+	if fault == FaultPreempted {
+		x.attempts--
+	}
+	if (d.Action == ActionRetry || d.Action == ActionResume) && !x.mayRetry(now, fault) {
 		d.Action = ActionEnd
 	}
 	if d.Action == ActionEnd {
@@ -64,11 +67,16 @@
 	return d
 }
 
-func (x *Exchange) mayRetry(now time.Time) bool {
-	if x.attempts >= x.opts.MaxAttempts || !now.Before(x.opts.Deadline) {
+// mayRetry reports whether the request may go on. One that was preempted is not
+// at fault, and its retry adds no load: the slot was given up for another.
+func (x *Exchange) mayRetry(now time.Time, fault Fault) bool {
+	if !now.Before(x.opts.Deadline) {
 		return false
 	}
-	return x.opts.Budget.Take()
+	if fault == FaultPreempted {
+		return true
+	}
+	return x.attempts < x.opts.MaxAttempts && x.opts.Budget.Take()
 }
 
 // honest corrects an outcome by what earlier attempts did: a request that may
--- a/lib/pkg/rlbroute/outcome.go
+++ b/lib/pkg/rlbroute/outcome.go
@@ -46,12 +46,13 @@
 	FaultTooLarge                // the answer is longer than allowed
 	FaultDeadline                // the caller's deadline passed
 	FaultCallerGone              // the caller left
+	FaultPreempted               // this gateway took its slot back for an interactive request
 	FaultCount                   // number of faults
 )
 
 var faultNames = [...]string{
 	"no endpoint", "not sent", "refused", "rejected", "failed", "cut", "silent", "foreign", "gap",
-	"malformed", "doubled", "too large", "deadline", "caller gone",
+	"malformed", "doubled", "too large", "deadline", "caller gone", "preempted",
 }
 
 // String names the fault.
--- a/rlb-gateway/pkg/rlbcaller/admission_test.go
+++ b/rlb-gateway/pkg/rlbcaller/admission_test.go
@@ -90,3 +90,33 @@
 		})
 	})
 }
+
+func TestBatchYields(t *testing.T) {
+	const slots = 8
+	withRig(t, 1, func(r *rig) {
+		Convey("batch streams fill the endpoint, give way to an interactive request, and end whole", t, func() {
+			note := *r.update.Note
+			batch := note.Models[onceModel]
+			batch.Once, batch.Class = false, rlbnote.ClassBatch
+			note.Models[onceModel] = batch
+			r.update.Note = &note
+			r.target(50*time.Millisecond, slots)
+			const load = 3 * slots
+			replies := make(chan reply, load)
+			for range load {
+				go func() { replies <- r.completion(onceModel, true) }()
+			}
+			time.Sleep(30 * time.Millisecond) // within the first batch's streams
+			So(r.started(), ShouldEqual, slots)
+			began := time.Now()
+			assertWhole(r.completion(testModel, true))
+			So(time.Since(began), ShouldBeLessThan, 300*time.Millisecond)
+			for range load {
+				assertWhole(<-replies)
+			}
+			// The interrupted one ran twice, unless it still waited for its slot at the
+			// engine: two that choose at the same moment may both see the last free one.
+			So(r.started(), ShouldBeBetweenOrEqual, load+1, load+2)
+		})
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -50,7 +50,7 @@
 	leave := s.demand.enter(model.Name)
 	c.once = model.Once || c.key != ""
 	x := &completer{Server: s, in: in, model: model, tracker: rlbrelay.NewTracker(c.id)}
-	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name, target: model.FirstToken}
+	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name, target: model.FirstToken, batch: model.Class == rlbnote.ClassBatch}
 	x.routing.Prefix = in.prefix()
 	if adapter != nil {
 		x.adapter = adapter.Name + "@" + adapter.Version
@@ -109,7 +109,7 @@
 	h.Set(rlbrelay.HeaderVersion, x.version)
 	h.Set(HeaderTimeout, remaining(x.deadline, time.Now()))
 	priority := priorityInteractive
-	if x.model.Class == rlbnote.ClassBatch {
+	if x.batch {
 		priority = priorityBatch
 	}
 	h.Set(rlbrelay.HeaderPriority, strconv.Itoa(priority))
@@ -140,7 +140,7 @@
 	out := &rlbdispatch.Outgoing{
 		Method: http.MethodPost, Path: x.r.URL.Path, Header: x.header(), Body: x.body, Deadline: x.deadline,
 		// A batch request may wait long for its first byte, and needs no saved round trip.
-		Fresh: x.once || x.model.Class == rlbnote.ClassBatch,
+		Fresh: x.once || x.batch,
 	}
 	in, failure := x.dispatch(ctx, x.work, e, exchange, out, engineFault)
 	if failure != nil {
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
@@ -32,6 +33,8 @@
 	fingerprint uint64
 	model       string        // or plain service
 	target      time.Duration // for the first token; 0: none
+	batch       bool          // yields to interactive requests
+	preempted   atomic.Bool   // the present attempt was interrupted for one
 	exchange    *rlbroute.Exchange
 	failed      []*rlbroute.Endpoint // not to be tried again
 }
@@ -102,16 +105,26 @@
 	var endpoint *rlbroute.Endpoint
 	switch strikes {
 	case 0:
-		endpoint = s.choose(w)
+		endpoint = s.chooseFree(ctx, w)
 	case 1:
 		endpoint = s.awaitTurn(ctx, w)
 	}
 	if endpoint == nil {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
 	}
-	if s.limits.admission && w.tooLate(endpoint) {
+	if s.limits.admission && w.tooLate(endpoint) && !endpoint.Preempt() {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint, busy: true}
 	}
+	if w.batch && !w.once {
+		attempt, interrupt := context.WithCancel(ctx)
+		defer interrupt()
+		w.preempted.Store(false)
+		defer endpoint.EnterBatch(func() {
+			w.preempted.Store(true)
+			interrupt()
+		})()
+		ctx = attempt
+	}
 	begun := time.Now()
 	leave := endpoint.Enter()
 	defer leave()
@@ -121,6 +134,9 @@
 	if failure == nil {
 		endpoint.Served(time.Since(begun))
 	}
+	if failure != nil && w.preempted.Load() {
+		failure.fault = rlbroute.FaultPreempted
+	}
 	crashed := failure != nil && s.examine(ctx, w, endpoint, failure.fault)
 	if strikes == 1 && !crashed {
 		s.Strike(s.Fleet.Advance(w.fingerprint, rlbworld.StrikeCleared, "")) // it is not to blame, and others may have the endpoint
@@ -160,6 +176,24 @@
 	}
 }
 
+// batchPeriod is the time between two looks of a waiting batch request.
+const batchPeriod = 50 * time.Millisecond
+
+// chooseFree returns the endpoint of the next attempt, or nil. A batch request
+// waits here until an endpoint has a free slot, so that it stands in no queue
+// before an interactive one.
+func (s *Server) chooseFree(ctx context.Context, w *work) *rlbroute.Endpoint {
+	for {
+		e := s.choose(w)
+		if e == nil || !w.batch || rlbroute.Wait(e.InFlight()+e.Others(time.Now()), e) == 0 {
+			return e
+		}
+		if !time.Now().Before(w.deadline) || !rlbcommon.Sleep(ctx, batchPeriod) {
+			return nil
+		}
+	}
+}
+
 // choose returns the endpoint of the next attempt, or nil. Usually every
 // candidate is good, and nothing is copied.
 func (s *Server) choose(w *work) *rlbroute.Endpoint {
@@ -218,6 +252,9 @@
 		return
 	}
 	fault := failure.fault
+	if fault == rlbroute.FaultPreempted {
+		return // the endpoint is not to blame
+	}
 	gone := fault == rlbroute.FaultNotSent || fault == rlbroute.FaultRefused || e.Avoided(time.Now())
 	if !gone && len(w.candidates()) <= len(w.failed)+1 {
 		return
