--- a/rlb-controller/pkg/rlbcontrol/placement.go
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -45,8 +45,9 @@
 	c.averageDemand(now)
 	c.plan = rlbplace.Plan(c.placementInput(now), c.placement)
 	c.planNext = now.Add(max(planPeriod, planRest*time.Since(now)))
+	share := c.share()
 	for _, p := range c.plan {
-		c.propose(now, p)
+		c.propose(now, p, share)
 	}
 	c.runGuards(now)
 }
@@ -150,7 +151,7 @@
 
 // propose hands a proposal to the book of its engine, if that is this
 // controller's.
-func (c *Controller) propose(now time.Time, p rlbplace.Proposal) {
+func (c *Controller) propose(now time.Time, p rlbplace.Proposal, share float64) {
 	b, own := c.books[p.Endpoint]
 	if !own || !b.book.Idle() {
 		return
@@ -158,7 +159,7 @@
 	if p.Action == rlbengine.ActionUnload && p.Current && !c.guards.mayUnload(c, p) {
 		return
 	}
-	if p.Action == rlbengine.ActionLoad && !c.loads.take(now, c.share()) {
+	if p.Action == rlbengine.ActionLoad && !c.loads.take(now, share) {
 		return
 	}
 	if b.book.Propose(rlborder.Wish{Action: p.Action, Name: p.Name, Version: p.Version, Memory: p.Memory}) {
@@ -166,13 +167,19 @@
 	}
 }
 
-// share returns this controller's share of the failure domains.
+// share returns this controller's share of the loads that the plan proposes.
+// Every lease holder makes nearly the same plan, so that the shares add up to
+// one without a word.
 func (c *Controller) share() float64 {
-	held := 0
-	for _, l := range c.leases {
-		if l.fence > 0 {
-			held++
+	own, all := 0, 0
+	for _, p := range c.plan {
+		if p.Action != rlbengine.ActionLoad {
+			continue
+		}
+		all++
+		if _, mine := c.books[p.Endpoint]; mine {
+			own++
 		}
 	}
-	return float64(held) / float64(max(1, len(c.leases)))
+	return float64(own) / float64(max(1, all))
 }
