Streams of sampling engines resume at their own engine

Cause: without a promise of the same tokens the next attempt was still chosen among all engines, and ended in an error when it was another one. Ruled out: the tracker (it would have relayed another's tokens as the next). Change: once the caller has tokens, only their source counts as a candidate unless the engine promises the same tokens; the stand-in can sample.

--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -94,13 +95,29 @@
 func (x *completer) endpoints() []*rlbroute.Endpoint {
 	routes := x.Fleet.Routes()
 	if x.tracker.Sent() > 0 {
-		return routes.Version(x.model.Name, x.version)
+		return x.successors(routes.Version(x.model.Name, x.version))
 	}
 	endpoints, version := routes.Model(x.model.Name, x.model.Version)
 	x.version = version
 	return endpoints
 }
 
+// successors returns those of the endpoints that can go on after the tokens that
+// the caller has: without a promise of the same tokens only their source, which
+// may still have the run.
+func (x *completer) successors(endpoints []*rlbroute.Endpoint) []*rlbroute.Endpoint {
+	if x.deterministic {
+		return endpoints
+	}
+	at := slices.IndexFunc(endpoints, func(e *rlbroute.Endpoint) bool {
+		return e.ID() == x.source.ID() && e.Incarnation() == x.source.Incarnation()
+	})
+	if at < 0 {
+		return nil
+	}
+	return endpoints[at : at+1]
+}
+
 func (x *completer) header() http.Header {
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
@@ -127,9 +144,6 @@
 
 // send runs the request on one endpoint and relays the answer.
 func (x *completer) send(ctx context.Context, e *rlbroute.Endpoint, exchange *rlbroute.Exchange) *attemptError {
-	if x.tracker.Sent() > 0 && e != x.source && !x.deterministic {
-		return &attemptError{fault: rlbroute.FaultNoEndpoint} // another engine may give other tokens
-	}
 	if x.adapter != "" && !e.HasAdapter(x.adapter) {
 		if !x.awaitFetch(ctx) {
 			return &attemptError{fault: rlbroute.FaultNotSent}
--- a/rlb-gateway/pkg/rlbcaller/faults_test.go
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -113,6 +113,40 @@
 	return func() bool { return shared.Met()[fault] == 1 }
 }
 
+func TestSamplingEngines(t *testing.T) {
+	withRig(t, 2, func(r *rig) {
+		for _, e := range r.engines {
+			e.Sample()
+		}
+		Convey("a cut stream goes on at its own engine, which may still have the run, and at no other", t, func() {
+			for range 6 {
+				armFirst(r, rlbfault.CutMid)
+				assertWhole(r.completion(testModel, true))
+			}
+			for _, e := range r.engines {
+				for _, count := range e.Record().Runs {
+					So(count.Started, ShouldEqual, 2)
+				}
+			}
+		})
+		Convey("when that engine is gone, the stream ends with an explicit error", t, func() {
+			armFirst(r, rlbfault.SilentMid)
+			running := make(chan reply)
+			go func() { running <- r.completion(testModel, true) }()
+			time.Sleep(time.Second)
+			for i, e := range r.engines {
+				if running, _ := e.Counts(); running > 0 {
+					r.network.Kill(fmt.Sprint("engine", i))
+				}
+			}
+			got := <-running
+			So(got.failed, ShouldBeTrue)
+			So(got.outcome, ShouldEqual, "failed")
+			assertPrefix(got)
+		})
+	})
+}
+
 func TestEveryEndpointFails(t *testing.T) {
 	withRig(t, 2, func(r *rig) {
 		Convey("cut on both: unknown, never not-run", t, func() {
--- a/rlb-standin/pkg/rlbfakeengine/completion.go
+++ b/rlb-standin/pkg/rlbfakeengine/completion.go
@@ -151,7 +151,9 @@
 		job.id = "another-request"
 	}
 	w.Header().Set(rlbrelay.HeaderRequestID, job.id)
-	w.Header().Set(rlbrelay.HeaderDeterministic, "true")
+	if !e.opts.Sampling {
+		w.Header().Set(rlbrelay.HeaderDeterministic, "true")
+	}
 	if stream {
 		e.stream(w, r, job)
 		return
--- a/rlb-standin/pkg/rlbfakeengine/engine.go
+++ b/rlb-standin/pkg/rlbfakeengine/engine.go
@@ -32,6 +32,7 @@
 	StepSlot    time.Duration // that each request in the batch adds
 	MaxAdapters int           // resident at once
 	Prefixes    int           // prompt prefixes that the cache holds
+	Sampling    bool          // do not promise the same tokens as other engines
 	Fetch       func(ctx context.Context, name, version string) error
 	FetchLora   func(ctx context.Context, name, version string) error
 	Crash       func() // ends the process
@@ -129,6 +130,12 @@
 
 func (e *Engine) state(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) }
 
+// Sample makes the engine no longer promise the same tokens as others.
+func (e *Engine) Sample() { e.opts.Sampling = true }
+
+// Counts returns how many requests run and wait.
+func (e *Engine) Counts() (running, waiting int) { return e.slots.counts() }
+
 // Drain makes the engine report that it leaves, and refuse new requests.
 func (e *Engine) Drain() {
 	e.mu.Lock()
