A few bytes of msgpack can no longer ask for all memory

Cause: fuzzing the claims' head ran out of memory: a list that announces four billion elements; the library has a limit for that, but tests its flag against 1, so that it never applies to lists of structs. The same decoder reads frames of control links: 30 bytes of a stranger could end a controller. Ruled out: the fuzz target (the input is 31 bytes). A frame may still grow about a hundredfold in memory.

--- a/lib/pkg/rlbclaim/ledger_test.go
+++ b/lib/pkg/rlbclaim/ledger_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpack"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -44,8 +45,8 @@
 		l.Written(2)
 		var head Head
 		var sealed []Entry
-		So(msgpack.Unmarshal(w.Head, &head), ShouldBeNil)
-		So(msgpack.Unmarshal(w.Segment.Value, &sealed), ShouldBeNil)
+		So(rlbpack.Unmarshal(w.Head, &head), ShouldBeNil)
+		So(rlbpack.Unmarshal(w.Segment.Value, &sealed), ShouldBeNil)
 		So(head.Segments, ShouldHaveLength, 1)
 		other := NewLedger("x", 3)
 		other.Load(2, head, sealed)
@@ -103,7 +104,7 @@
 	f.Add(good)
 	f.Fuzz(func(_ *testing.T, value []byte) {
 		var head Head
-		if msgpack.Unmarshal(value, &head) == nil {
+		if rlbpack.Unmarshal(value, &head) == nil {
 			NewLedger("w", 0).Load(1, head, nil) // must not panic
 		}
 	})
--- a/lib/pkg/rlbclaim/model_test.go
+++ b/lib/pkg/rlbclaim/model_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmodelcheck"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpack"
 	. "github.com/smartystreets/goconvey/convey"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // The model: three sends of one request under one key go through two
@@ -150,7 +150,7 @@
 	if !ledger.Loaded() && ledger.Pending() > 0 && !m.open(l) {
 		var head Head
 		if m.version > 0 {
-			if err := msgpack.Unmarshal([]byte(m.value), &head); err != nil {
+			if err := rlbpack.Unmarshal([]byte(m.value), &head); err != nil {
 				panic(err)
 			}
 		}
--- a/lib/pkg/rlblink/client.go
+++ b/lib/pkg/rlblink/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpack"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 	"github.com/vmihailenco/msgpack/v5"
@@ -299,7 +300,7 @@
 	if err := frame.Decode(&body); err != nil {
 		return rlberror.New(op, KindUnknown, err)
 	}
-	if err := msgpack.Unmarshal(body, out); err != nil {
+	if err := rlbpack.Unmarshal(body, out); err != nil {
 		return rlberror.New(op, KindUnknown, err)
 	}
 	return nil
--- a/lib/pkg/rlbworld/world_test.go
+++ b/lib/pkg/rlbworld/world_test.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpack"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
@@ -201,7 +202,7 @@
 		body, err := msgpack.Marshal(sent)
 		So(err, ShouldBeNil)
 		var got Update
-		So(msgpack.Unmarshal(body, &got), ShouldBeNil)
+		So(rlbpack.Unmarshal(body, &got), ShouldBeNil)
 		So(got, ShouldResemble, sent)
 	})
 }
--- a/rlb-controller/pkg/rlbcontrol/claims.go
+++ b/rlb-controller/pkg/rlbcontrol/claims.go
@@ -11,8 +11,8 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmember"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpack"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Objects of claims: the head of each shard, and its sealed segments.
@@ -40,7 +40,7 @@
 // controllers from granting the same key.
 func (c *Controller) answerClaim(ctx context.Context, body []byte) (any, error) {
 	var op rlbclaim.Operation
-	if err := msgpack.Unmarshal(body, &op); err != nil {
+	if err := rlbpack.Unmarshal(body, &op); err != nil {
 		return nil, fmt.Errorf("decode operation: %w", err)
 	}
 	if owner := c.shardOwner(op.Entry.Key); owner != nil {
@@ -56,7 +56,7 @@
 
 func (c *Controller) answerShard(ctx context.Context, body []byte) (any, error) {
 	var op rlbclaim.Operation
-	if err := msgpack.Unmarshal(body, &op); err != nil {
+	if err := rlbpack.Unmarshal(body, &op); err != nil {
 		return nil, fmt.Errorf("decode operation: %w", err)
 	}
 	return c.runClaim(ctx, op), nil
@@ -201,7 +201,7 @@
 		return false
 	}
 	if err == nil {
-		if err := msgpack.Unmarshal(object.Value, &head); err != nil {
+		if err := rlbpack.Unmarshal(object.Value, &head); err != nil {
 			s.c.Log.WithError(err).Error("claims cannot be read")
 			return false
 		}
@@ -225,7 +225,7 @@
 			return nil, false
 		}
 		var entries []rlbclaim.Entry
-		if err := msgpack.Unmarshal(object.Value, &entries); err != nil {
+		if err := rlbpack.Unmarshal(object.Value, &entries); err != nil {
 			s.c.Log.WithError(err).Error("claims cannot be read")
 			return nil, false
 		}
