A failure domain lost and returned; settings shown as JSON

Cause: the loss of a whole failure domain, with its controller, had no test. Ruled out for a first failure of that test: moves; it counted the record of an engine's ended life, which goes with it.

--- a/lib/pkg/rlbsettings/doc_page.go
+++ b/lib/pkg/rlbsettings/doc_page.go
@@ -6,20 +6,35 @@
 	"strings"
 )
 
+// Value is one key with its value in force.
+type Value struct {
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+}
+
+// Values returns every key of the program with its value in force.
+func (s *Settings) Values() []Value {
+	var all []Value
+	for _, key := range Keys {
+		if key.Programs&s.program != 0 {
+			all = append(all, Value{key.Section, key.Name, s.Text(key)})
+		}
+	}
+	return all
+}
+
 // Show writes the values in force as an INI file.
 func (s *Settings) Show(w io.Writer) error {
 	section := ""
-	for _, key := range Keys {
-		if key.Programs&s.program == 0 {
-			continue
-		}
-		if key.Section != section {
-			section = key.Section
+	for _, v := range s.Values() {
+		if v.Section != section {
+			section = v.Section
 			if _, err := fmt.Fprintf(w, "[%s]\n", section); err != nil {
 				return err
 			}
 		}
-		if _, err := fmt.Fprintf(w, "%s = %s\n", key.Name, s.Text(key)); err != nil {
+		if _, err := fmt.Fprintf(w, "%s = %s\n", v.Key, v.Value); err != nil {
 			return err
 		}
 	}
--- a/rlb-controller/pkg/rlbcontrol/control_test.go
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -310,3 +310,31 @@
 		})
 	})
 }
+
+func TestFailureDomainLost(t *testing.T) {
+	withReplicas(t, 2, 3, 6, func(r *rig) {
+		Convey("with a failure domain gone every model stays reachable, its spare replicas are made anew, and it returns", t, func() {
+			r.publish("c0", rlbnote.Note{ID: "one", Add: rlbnote.Items{Models: models("v1", "a", "b")}})
+			time.Sleep(20 * time.Second)
+			r.serve("a", "b")
+			r.controllers["c2"].kill()
+			r.mu.Lock()
+			delete(r.controllers, "c2")
+			r.mu.Unlock()
+			r.fail("e2", true)
+			r.fail("e5", true)
+			time.Sleep(time.Minute)
+			So(r.ready("a", "v1"), ShouldHaveLength, 2)
+			So(r.ready("b", "v1"), ShouldHaveLength, 2)
+			r.fail("e2", false)
+			r.fail("e5", false)
+			before := r.moves() // the record of an ended life is gone with it
+			r.start(t, "c2", "d2")
+			time.Sleep(time.Minute)
+			So(r.moves(), ShouldEqual, before) // nothing is shifted back for its own sake
+			r.publish("c2", rlbnote.Note{ID: "two", Base: 1, Add: rlbnote.Items{Models: models("v1", "c")}})
+			time.Sleep(20 * time.Second)
+			So(r.ready("c", "v1"), ShouldHaveLength, 2)
+		})
+	})
+}
--- a/rlb-controller/pkg/rlbcontrol/rig_test.go
+++ b/rlb-controller/pkg/rlbcontrol/rig_test.go
@@ -304,3 +304,18 @@
 	}
 	return all
 }
+
+// moves returns how many loads and unloads the engines' present lives took.
+func (r *rig) moves() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.engines {
+		for _, o := range e.Record().Orders {
+			if o.Action != rlbengine.ActionFence {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/rlbctl/pkg/rlbcommand/command_test.go
+++ b/rlbctl/pkg/rlbcommand/command_test.go
@@ -118,6 +118,14 @@
 		So(code, ShouldEqual, ExitInvalid)
 		So(errOut, ShouldContainSubstring, ":2:1: [gateway] deadline:")
 	})
+	Convey("settings show as text and as JSON", t, func() {
+		code, out, _ := run(&console{}, "settings", "show", "--program", "rlbctl")
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, "[ctl]\n")
+		code, out, _ = run(&console{}, "settings", "show", "--program", "rlbctl", "-o", "json")
+		So(code, ShouldEqual, ExitOK)
+		So(out, ShouldContainSubstring, `"key": "controllers"`)
+	})
 	Convey("completion for a shell is written", t, func() {
 		code, out, _ := run(&console{}, "completion", "bash")
 		So(code, ShouldEqual, ExitOK)
--- a/rlbctl/pkg/rlbcommand/settings.go
+++ b/rlbctl/pkg/rlbcommand/settings.go
@@ -50,7 +50,11 @@
 			if err != nil {
 				return &exitError{ExitInvalid, err}
 			}
-			return settings.Show(a.out)
+			var shown error
+			if err := a.print(settings.Values(), func(w io.Writer) { shown = settings.Show(w) }); err != nil {
+				return err
+			}
+			return shown
 		}
 		return exitf(ExitUsage, "--program %s: write rlb-gateway, rlb-controller, rlbctl, rlb-standin or rlb-load", program)
 	}
