The number of claim shards is the fleet's, not an instance's

Cause: found by reading: with different settings of claim_shards on two instances, as while a new setting is rolled out, one key is looked for in two shards and may run twice. Ruled out: a fixed number for all time (it depends on the platform's rate). Change: the first controller writes its setting into an object; all others keep to it and log that theirs differs. Reports of engines that are gone are no longer remembered. Figures: TestClaims: a resend after the loss of every controller, at one set to 7 shards: granted again before (Expected 1, taken; Actual 0, granted), refused after. Changing the number needs a fleet without claims in force.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -49,7 +49,7 @@
 	ControllerWatchers  = &Key{"controller", "watchers", TypeInt, "2", "1", "16", "Controllers of each failure domain that watch the object API.", ForController}
 	ControllerRetention = &Key{"controller", "claim_retention", TypeDuration, "6h", "1m", "720h", "Time for which an idempotency key is kept; a dated key older than that is refused.", ForGateway | ForController}
 	ControllerCommit    = &Key{"controller", "claim_commit", TypeDuration, "10ms", "0s", "1s", "Longest time a claim waits for others to share its write.", ForController}
-	ControllerShards    = &Key{"controller", "claim_shards", TypeInt, "2", "1", "4096", "Shards of idempotency keys; the same in the whole fleet.", ForController}
+	ControllerShards    = &Key{"controller", "claim_shards", TypeInt, "2", "1", "4096", "Shards of idempotency keys; the first controller of the fleet fixes their number.", ForController}
 
 	KeysCert = &Key{"keys", "cert", TypeText, "", "", "", "PEM file with this instance's certificate for control links; empty: plain TCP.", ForGateway | ForController | ForCtl}
 	KeysKey  = &Key{"keys", "key", TypeText, "", "", "", "PEM file with the key of cert.", ForGateway | ForController | ForCtl}
--- a/rlb-controller/pkg/rlbcontrol/claims.go
+++ b/rlb-controller/pkg/rlbcontrol/claims.go
@@ -43,7 +43,11 @@
 	if err := rlbpack.Unmarshal(body, &op); err != nil {
 		return nil, fmt.Errorf("decode operation: %w", err)
 	}
-	if owner := c.shardOwner(op.Entry.Key); owner != nil {
+	shards, err := c.claimShards(ctx)
+	if err != nil {
+		return rlbclaim.Result{Status: rlbclaim.Unavailable}, nil
+	}
+	if owner := c.shardOwner(op.Entry.Key.Shard(len(shards))); owner != nil {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
 		var result rlbclaim.Result
@@ -62,13 +66,12 @@
 	return c.runClaim(ctx, op), nil
 }
 
-// shardOwner returns the link to the owner of a key's shard, or nil if that is
-// this controller.
-func (c *Controller) shardOwner(key rlbclaim.Key) *rlblink.Client {
+// shardOwner returns the link to the owner of a shard, or nil if that is this
+// controller.
+func (c *Controller) shardOwner(shard int) *rlblink.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	shard := strconv.Itoa(key.Shard(len(c.shards)))
-	owner := rlbmember.Owner("claim/"+shard, rlbmember.Duty(c.live, ""))
+	owner := rlbmember.Owner("claim/"+strconv.Itoa(shard), rlbmember.Duty(c.live, ""))
 	for _, member := range c.live {
 		if member.ID == owner && owner != c.id {
 			if p, linked := c.peers[member.Address]; linked {
@@ -82,7 +85,58 @@
 func (c *Controller) runClaim(ctx context.Context, op rlbclaim.Operation) rlbclaim.Result {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	return c.shards[op.Entry.Key.Shard(len(c.shards))].do(ctx, op)
+	shards, err := c.claimShards(ctx)
+	if err != nil {
+		return rlbclaim.Result{Status: rlbclaim.Unavailable}
+	}
+	return shards[op.Entry.Key.Shard(len(shards))].do(ctx, op)
+}
+
+// shardCountKey is the object that holds the number of shards. The first
+// controller of all writes its setting there; every other keeps to it, since a
+// key that two instances look for in different shards could run twice.
+var shardCountKey = rlbobject.Key{Kind: claimKind, Name: "count"}
+
+// claimShards returns the shards, whose number it reads once.
+func (c *Controller) claimShards(ctx context.Context) ([]*shard, error) {
+	c.mu.Lock()
+	shards := c.shards
+	c.mu.Unlock()
+	if shards != nil {
+		return shards, nil
+	}
+	count, err := c.readShardCount(ctx)
+	if err != nil {
+		c.Log.WithError(err).Warn("the number of claim shards cannot be read")
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := len(c.shards); i < count; i++ {
+		c.shards = append(c.shards, newShard(c, i))
+	}
+	return c.shards, nil
+}
+
+func (c *Controller) readShardCount(ctx context.Context) (int, error) {
+	wanted := c.Settings.Int(rlbsettings.ControllerShards)
+	object, err := c.Objects.Get(ctx, shardCountKey)
+	if rlbobject.Is(err, rlbobject.KindNotFound) {
+		// Whether this write or another's came first, the next reading tells.
+		_, _ = c.Objects.Put(ctx, shardCountKey, []byte(strconv.Itoa(wanted)), 0)
+		object, err = c.Objects.Get(ctx, shardCountKey)
+	}
+	if err != nil {
+		return 0, err
+	}
+	count, err := strconv.Atoi(string(object.Value))
+	if err != nil || count < 1 {
+		return 0, fmt.Errorf("%s holds %q", shardCountKey, object.Value)
+	}
+	if count != wanted {
+		c.Log.WithField("in_force", count).WithField("setting", wanted).Warn("claim_shards differs from what the fleet keeps to; the setting is not used")
+	}
+	return count, nil
 }
 
 // shard carries the writes of one shard's ledger out. It runs only while
--- a/rlb-controller/pkg/rlbcontrol/control_test.go
+++ b/rlb-controller/pkg/rlbcontrol/control_test.go
@@ -7,12 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 var background = context.Background()
@@ -338,3 +340,42 @@
 		})
 	})
 }
+
+func TestClaims(t *testing.T) {
+	withRig(t, 3, 1, func(r *rig) {
+		claim := func(at string, run byte) rlbclaim.Status {
+			entry := rlbclaim.Entry{Key: rlbclaim.HashKey("k"), Run: rlbclaim.Run{run}, Deadline: time.Now().Add(time.Hour).Unix()}
+			body, err := msgpack.Marshal(rlbclaim.Operation{Verb: rlbclaim.VerbClaim, Entry: entry})
+			So(err, ShouldBeNil)
+			answer, err := r.controllers[at].Answer(background, rlbclaim.MethodClaim, body)
+			So(err, ShouldBeNil)
+			return answer.(rlbclaim.Result).Status
+		}
+		Convey("the first run is granted at any controller, a resend at another is not", t, func() {
+			So(claim("c0", 1), ShouldEqual, rlbclaim.Granted)
+			So(claim("c1", 2), ShouldEqual, rlbclaim.Taken)
+		})
+		Convey("not after the loss of every controller either, nor with another number of shards set", t, func() {
+			for _, id := range []string{"c0", "c1", "c2"} {
+				r.controllers[id].kill()
+			}
+			fresh := r.start(t, "c0", "d0")
+			So(fresh.Settings.Override("controller.claim_shards=7"), ShouldBeNil)
+			time.Sleep(5 * time.Second)
+			So(claim("c0", 3), ShouldEqual, rlbclaim.Taken)
+			So(fresh.Snapshot().Claims, ShouldEqual, 1)
+		})
+		Convey("while the object API is down a claim is unavailable", t, func() {
+			r.objects.SetDown(true)
+			So(claim("c0", 4), ShouldEqual, rlbclaim.Taken) // it is known here
+			other := r.start(t, "c1", "d1")
+			time.Sleep(time.Second)
+			body, err := msgpack.Marshal(rlbclaim.Operation{Entry: rlbclaim.Entry{Key: rlbclaim.HashKey("new"), Run: rlbclaim.Run{5}}})
+			So(err, ShouldBeNil)
+			answer, err := other.Answer(background, rlbclaim.MethodClaim, body)
+			So(err, ShouldBeNil)
+			So(answer.(rlbclaim.Result).Status, ShouldEqual, rlbclaim.Unavailable)
+			r.objects.SetDown(false)
+		})
+	})
+}
--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -89,7 +89,7 @@
 	planNext  time.Time // not before
 	plan      []rlbplace.Proposal
 	loads     loadLimit
-	shards    []*shard
+	shards    []*shard // of claims; none until their number is read
 	journal   journal
 	burn      *rlbburn.Record
 	alerted   map[string]bool // models whose budget burns too fast
@@ -123,9 +123,6 @@
 		urgent: make(chan struct{}, 1),
 		loads:  loadLimit{rate: s.Ratio(rlbsettings.ControllerLoadRate)},
 	}
-	for i := range s.Int(rlbsettings.ControllerShards) {
-		c.shards = append(c.shards, newShard(c, i))
-	}
 	return c
 }
 
--- a/rlb-controller/pkg/rlbcontrol/duties.go
+++ b/rlb-controller/pkg/rlbcontrol/duties.go
@@ -1,6 +1,7 @@
 package rlbcontrol
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -49,4 +50,8 @@
 	}
 	slices.Sort(d.domains)
 	c.duties = d
+	maps.DeleteFunc(c.polls, func(id string, _ time.Time) bool {
+		_, collected := d.since[id]
+		return !collected
+	})
 }
