A claim is kept as long as its request may run

Cause: found by reading: a caller may give a request up to 12 h, a claim was kept for 6; a resend after 6 h would have been granted while the first still ran. Ruled out: a shorter limit for callers (overnight jobs are long). Change: a claim's deadline is the later of its retention and the request's own. Figures: TestClaimDeadline; before, 6 h for a request of 12 h.

--- a/rlb-gateway/pkg/rlbcaller/claims.go
+++ b/rlb-gateway/pkg/rlbcaller/claims.go
@@ -65,7 +65,7 @@
 	}
 	entry := rlbclaim.Entry{
 		Key: rlbclaim.HashKey(c.key), Run: rlbclaim.NewRun(), Fingerprint: fingerprint,
-		Deadline: c.arrived.Add(retention + maxSkew).Unix(),
+		Deadline: claimDeadline(c, retention).Unix(),
 	}
 	result := s.claim(ctx, entry)
 	if result.Status != rlbclaim.Granted {
@@ -76,6 +76,16 @@
 	return refusal
 }
 
+// claimDeadline returns until when a claim must be kept: for its time, and for as
+// long as the request itself may run.
+func claimDeadline(c *call, retention time.Duration) time.Time {
+	deadline := c.arrived.Add(retention)
+	if c.deadline.After(deadline) {
+		deadline = c.deadline
+	}
+	return deadline.Add(maxSkew)
+}
+
 // maxSkew is by how much the clocks of callers and instances may differ.
 const maxSkew = time.Minute
 
--- a/rlb-gateway/pkg/rlbcaller/claims_test.go
+++ b/rlb-gateway/pkg/rlbcaller/claims_test.go
@@ -139,3 +139,13 @@
 		})
 	})
 }
+
+func TestClaimDeadline(t *testing.T) {
+	Convey("a claim outlives its request", t, func() {
+		now := time.Unix(1_000_000, 0)
+		short := &call{arrived: now, deadline: now.Add(time.Minute)}
+		long := &call{arrived: now, deadline: now.Add(12 * time.Hour)}
+		So(claimDeadline(short, 6*time.Hour), ShouldEqual, now.Add(6*time.Hour+maxSkew))
+		So(claimDeadline(long, 6*time.Hour), ShouldEqual, now.Add(12*time.Hour+maxSkew))
+	})
+}
