Lapsed claims are dropped from an owner's memory

Ruled out: a timer (the ledger does no I/O and has no clock). Change: whenever the entries have doubled, lapsed ones are dropped. Figures: 10,000 claims that lapse at once: 10,000 entries before, at most 2,048 after. A reload of the head brings lapsed ones back until sealed.

--- a/lib/pkg/rlbclaim/ledger.go
+++ b/lib/pkg/rlbclaim/ledger.go
@@ -73,6 +73,7 @@
 	flight  *flight
 	serial  uint64
 	done    []Done
+	swept   int // entries left by the last sweep
 }
 
 // flight is the write that waits for its answer.
@@ -157,6 +158,7 @@
 	if !l.loaded || l.flight != nil || len(l.queue) == 0 {
 		return nil, nil
 	}
+	l.sweep(now)
 	f := &flight{}
 	taken := min(len(l.queue), maxPerHead)
 	overlay := map[Key]Entry{}
@@ -173,6 +175,23 @@
 	return l.write(f, now)
 }
 
+// minSweep is how many entries a ledger has before it looks for lapsed ones.
+const minSweep = 1024
+
+// sweep drops lapsed entries whenever the number of entries has doubled, so that
+// its work is a constant for each claim.
+func (l *Ledger) sweep(now int64) {
+	if len(l.index) < max(minSweep, 2*l.swept) {
+		return
+	}
+	for key, e := range l.index {
+		if e.Deadline <= now {
+			delete(l.index, key)
+		}
+	}
+	l.swept = len(l.index)
+}
+
 // stage decides one operation on top of the batch so far.
 func (l *Ledger) stage(f *flight, overlay map[Key]Entry, s staged) {
 	e := s.op.Entry
--- a/lib/pkg/rlbclaim/ledger_test.go
+++ b/lib/pkg/rlbclaim/ledger_test.go
@@ -84,6 +84,21 @@
 		So(status(VerbFinish, 2, 7), ShouldEqual, Recorded)
 		So(status(VerbRelease, 2, 7), ShouldEqual, Recorded)
 	})
+	Convey("lapsed entries do not pile up", t, func() {
+		l := NewLedger("w", 0)
+		l.Load(0, Head{}, nil)
+		for round := range 20 {
+			for n := range 500 {
+				key := HashKey(string(rune(round)) + "-" + string(rune(n)))
+				l.Submit(Ticket(n), Operation{VerbClaim, Entry{Key: key, Run: Run{byte(n)}, Deadline: int64(round + 1)}})
+			}
+			w, err := l.Next(int64(round))
+			So(err, ShouldBeNil)
+			l.Written(w.Given + 1)
+			l.Results()
+		}
+		So(l.Size(), ShouldBeLessThanOrEqualTo, 2*minSweep)
+	})
 	Convey("a key of version 7 tells its age, others do not", t, func() {
 		id, err := uuid.NewV7()
 		So(err, ShouldBeNil)
