What is gone is forgotten after an hour

Gateways never dropped lapsed strikes and silent nodes. Ruled out: dropping at once (a late copy would bring the entry back). Change: a removed instance is remembered for an hour, then its rows are deleted, which the table remembers as such; gateways expire as controllers do. Figures: TestForgetRemoved: three rows before, none after, and a late copy of the entry is refused.

--- a/lib/pkg/rlbworld/world.go
+++ b/lib/pkg/rlbworld/world.go
@@ -22,8 +22,13 @@
 	origins   origins
 	heard     map[NodeKey]time.Time // when a node's latest heartbeat came, on this instance's clock
 	reported  map[string]time.Time  // when an engine's latest report came
+	removed   map[string]time.Time  // when an instance was first known to be gone
+	seen      rlbtable.Revision     // of instances, by forgetRemoved
 }
 
+// removedMemory is how long an instance that is gone is remembered.
+const removedMemory = time.Hour
+
 // origins says for each row where it is from.
 type origins struct {
 	instances, engines, loads originMap[string]
@@ -51,6 +56,7 @@
 		},
 		heard:    map[NodeKey]time.Time{},
 		reported: map[string]time.Time{},
+		removed:  map[string]time.Time{},
 	}
 }
 
@@ -168,9 +174,10 @@
 	return w.strikes.Merge(strike.StrikeKey, strike)
 }
 
-// Expire drops strikes past their deadline and nodes not heard of since the
-// given time.
+// Expire drops strikes past their deadline, nodes not heard of since the given
+// time, and what is known of instances that are long gone.
 func (w *World) Expire(now time.Time, silentSince time.Time) {
+	w.forgetRemoved(now)
 	var lapsed []StrikeKey
 	w.strikes.All(func(key StrikeKey, s Strike) bool {
 		if s.Deadline <= now.Unix() {
@@ -189,3 +196,30 @@
 		}
 	}
 }
+
+func (w *World) forgetRemoved(now time.Time) {
+	changes, _ := w.instances.Since(w.seen)
+	w.seen = w.instances.Revision()
+	for _, c := range changes {
+		_, known := w.removed[c.Key]
+		switch {
+		case c.Deleted || !c.Row.Removed:
+			delete(w.removed, c.Key)
+		case !known:
+			w.removed[c.Key] = now
+		}
+	}
+	for id, since := range w.removed {
+		if now.Sub(since) < removedMemory {
+			continue
+		}
+		w.instances.Delete(id)
+		w.engines.Delete(id)
+		w.loads.Delete(id)
+		delete(w.removed, id)
+		delete(w.reported, id)
+		delete(w.origins.instances, id)
+		delete(w.origins.engines, id)
+		delete(w.origins.loads, id)
+	}
+}
--- a/lib/pkg/rlbworld/world_test.go
+++ b/lib/pkg/rlbworld/world_test.go
@@ -207,6 +207,23 @@
 	})
 }
 
+func TestForgetRemoved(t *testing.T) {
+	Convey("an instance that is gone is forgotten after an hour, and a late copy does not bring it back", t, func() {
+		w := New()
+		a := rlbinstance.Instance{ID: "e"}
+		w.MergeList(rlbinstance.List{Revision: 1, Instances: []rlbinstance.Instance{a}})
+		w.MergeState(engine(1, 1, 1, 0), start)
+		w.MergeList(rlbinstance.List{Revision: 2})
+		w.Expire(start, start)
+		w.Expire(start.Add(removedMemory-time.Second), start)
+		So(w.Instances().Len()+w.Engines().Len()+w.Loads().Len(), ShouldEqual, 3)
+		w.Expire(start.Add(removedMemory), start)
+		So(w.Instances().Len()+w.Engines().Len()+w.Loads().Len(), ShouldEqual, 0)
+		w.Merge(Update{Instances: []Instance{{Instance: a, Revision: 1}}}, OriginDomain, start)
+		So(w.Instances().Len(), ShouldEqual, 0)
+	})
+}
+
 func TestExpire(t *testing.T) {
 	Convey("strikes past their deadline and silent nodes are dropped", t, func() {
 		w := New()
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -20,6 +20,12 @@
 // defaultSlots is assumed for an endpoint that has not reported its slots.
 const defaultSlots = 32
 
+// Terms of forgetting.
+const (
+	expirePeriod = 10 * time.Second
+	forgetNodes  = 10 * time.Minute
+)
+
 // Fleet is the view. It is safe for concurrent use.
 type Fleet struct {
 	domain    string
@@ -30,6 +36,7 @@
 	places    map[string]place
 	built     revisions
 	loads     rlbtable.Revision
+	expire    time.Time                            // of the next look for what to forget
 	echoes    map[rlbworld.StrikeKey]chan struct{} // strikes that the controllers have yet to tell
 	routes    atomic.Pointer[Routes]
 }
@@ -55,6 +62,10 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.world.Merge(u, rlbworld.OriginDomain, now)
+	if now.After(f.expire) {
+		f.expire = now.Add(expirePeriod)
+		f.world.Expire(now, now.Add(-forgetNodes))
+	}
 	f.echo(u.Strikes)
 	f.reroute(f.changed())
 	f.report(now)
@@ -94,6 +105,9 @@
 			routes.remove(before)
 			delete(f.places, id)
 		}
+		if _, known := f.world.Instances().Get(id); !known {
+			delete(f.endpoints, id)
+		}
 		if p, serves := f.placeOf(id); serves {
 			routes.add(p)
 			f.places[id] = p
