Notes in JSON without an id can be published

Cause: found by reading: rlbctl put a line "id: ..." before the text of a note without one, which makes a JSON note malformed. Ruled out: requiring an id (operators would reuse one). Change: the id goes beside the note in a header.

--- a/lib/pkg/rlboperator/client.go
+++ b/lib/pkg/rlboperator/client.go
@@ -29,17 +29,18 @@
 	return &Client{addresses, client, scheme}
 }
 
-// Publish publishes a note. Its id makes it safe to try each controller.
-func (c *Client) Publish(ctx context.Context, name string, text []byte) (Accepted, *Rejection, error) {
+// Publish publishes a note, under id if it has none itself. The id makes it safe
+// to try each controller.
+func (c *Client) Publish(ctx context.Context, name, id string, text []byte) (Accepted, *Rejection, error) {
 	var accepted Accepted
-	rejection, err := c.send(ctx, "/operator/note", name, text, &accepted)
+	rejection, err := c.send(ctx, "/operator/note", http.Header{HeaderName: {name}, HeaderID: {id}}, text, &accepted)
 	return accepted, rejection, err
 }
 
 // Validate checks a note without publishing it.
 func (c *Client) Validate(ctx context.Context, name string, text []byte) (Checked, *Rejection, error) {
 	var checked Checked
-	rejection, err := c.send(ctx, "/operator/note/validate", name, text, &checked)
+	rejection, err := c.send(ctx, "/operator/note/validate", http.Header{HeaderName: {name}}, text, &checked)
 	return checked, rejection, err
 }
 
@@ -114,11 +115,11 @@
 
 // send posts a note's text. A rejection is an answer; without any answer the
 // next controller is tried.
-func (c *Client) send(ctx context.Context, path, name string, text []byte, out any) (*Rejection, error) {
+func (c *Client) send(ctx context.Context, path string, header http.Header, text []byte, out any) (*Rejection, error) {
 	var last error
 	kind := KindUnavailable
 	for _, address := range c.addresses {
-		answer, err := rlbhttp.Raw(ctx, c.http, http.MethodPost, c.scheme+"://"+address+path, http.Header{HeaderName: {name}}, text)
+		answer, err := rlbhttp.Raw(ctx, c.http, http.MethodPost, c.scheme+"://"+address+path, header, text)
 		if err == nil {
 			return nil, json.Unmarshal(answer.Body, out)
 		}
--- a/lib/pkg/rlboperator/message.go
+++ b/lib/pkg/rlboperator/message.go
@@ -14,8 +14,11 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 )
 
-// HeaderName carries the name of a note's file, for error messages.
-const HeaderName = "X-Note-Name"
+// Headers of a note.
+const (
+	HeaderName = "X-Note-Name" // of its file, for error messages
+	HeaderID   = "X-Note-Id"   // its id, if the note itself has none
+)
 
 // Accepted answers a published note.
 type Accepted struct {
--- a/rlb-controller/pkg/rlbconsole/console.go
+++ b/rlb-controller/pkg/rlbconsole/console.go
@@ -88,6 +88,9 @@
 		reject(w, err)
 		return note, false
 	}
+	if note.ID == "" {
+		note.ID = r.Header.Get(rlboperator.HeaderID)
+	}
 	return note, true
 }
 
--- a/rlbctl/pkg/rlbcommand/command_test.go
+++ b/rlbctl/pkg/rlbcommand/command_test.go
@@ -25,11 +25,13 @@
 	status int
 	answer any
 	got    string // path and body of the last call
+	id     string // of a note without its own
 }
 
 // ServeHTTP implements http.Handler.
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	c.id = r.Header.Get(rlboperator.HeaderID)
 	c.got = r.Method + " " + r.URL.RequestURI() + " " + string(body)
 	w.WriteHeader(c.status)
 	_ = json.NewEncoder(w).Encode(c.answer)
@@ -68,18 +70,18 @@
 		out     string // is part of what is printed
 		errOut  string
 	}{
-		{"publish", []string{"note", "publish", path}, &console{200, rlboperator.Accepted{Version: 4, ID: "n1"}, ""}, ExitOK, "POST /operator/note " + note, "version 4 accepted, note n1", ""},
-		{"publish as JSON", []string{"note", "publish", path, "-o", "json"}, &console{200, rlboperator.Accepted{Version: 4, ID: "n1"}, ""}, ExitOK, "POST /operator/note " + note, `"version": 4`, ""},
-		{"a lost race", []string{"note", "publish", path}, &console{409, stale, ""}, ExitConflict, "POST /operator/note " + note, "version 4, note other", "stale: the note builds on version 3"},
-		{"a lost race as JSON", []string{"note", "publish", path, "-o", "json"}, &console{409, stale, ""}, ExitConflict, "POST /operator/note " + note, `"current": 4`, ""},
-		{"infeasible", []string{"note", "publish", path}, &console{422, rlboperator.Rejection{Problem: "too big", Kind: rlboperator.KindInfeasible}, ""}, ExitInfeasible, "POST /operator/note " + note, "", "infeasible: too big"},
-		{"perhaps accepted", []string{"note", "publish", path}, &console{504, rlboperator.Rejection{Problem: "may have been", Kind: rlboperator.KindUnsure}, ""}, ExitUnsure, "POST /operator/note " + note, "", "unsure"},
-		{"validate", []string{"note", "validate", path}, &console{200, rlboperator.Checked{Base: 3}, ""}, ExitOK, "POST /operator/note/validate " + note, "is valid on version 3", ""},
-		{"diff", []string{"note", "diff", path}, &console{200, rlboperator.Checked{Differences: []rlbnote.Difference{{Item: "model", Name: "a", Action: "added", To: "v1"}}}, ""}, ExitOK, "POST /operator/note/validate " + note, "added     model    a  -> v1", ""},
-		{"show", []string{"note", "show"}, &console{200, rlbnote.State{Version: 7, Models: map[string]rlbnote.Model{"a": {Name: "a", Version: "v1"}}}, ""}, ExitOK, "GET /operator/note ", "version 7", ""},
-		{"history", []string{"note", "history", "-n", "5"}, &console{200, []rlboperator.Past{{Version: 7, Published: time.Unix(0, 0).UTC(), Note: rlbnote.Note{ID: "x"}}}, ""}, ExitOK, "GET /operator/note/history?n=5 ", "1970-01-01T00:00:00Z  x", ""},
-		{"status", []string{"status"}, &console{200, rlboperator.Status{Instance: "i", NoteVersion: 7, InForce: true, Gateways: 3}, ""}, ExitOK, "GET /operator/status ", "in force everywhere: 3 gateways, seen by i", ""},
-		{"explain", []string{"explain", "draft"}, &console{200, []rlboperator.Event{{Subject: "model/draft", Text: "load"}}, ""}, ExitOK, "GET /operator/explain?about=draft ", "model/draft", ""},
+		{"publish", []string{"note", "publish", path}, &console{status: 200, answer: rlboperator.Accepted{Version: 4, ID: "n1"}}, ExitOK, "POST /operator/note " + note, "version 4 accepted, note n1", ""},
+		{"publish as JSON", []string{"note", "publish", path, "-o", "json"}, &console{status: 200, answer: rlboperator.Accepted{Version: 4, ID: "n1"}}, ExitOK, "POST /operator/note " + note, `"version": 4`, ""},
+		{"a lost race", []string{"note", "publish", path}, &console{status: 409, answer: stale}, ExitConflict, "POST /operator/note " + note, "version 4, note other", "stale: the note builds on version 3"},
+		{"a lost race as JSON", []string{"note", "publish", path, "-o", "json"}, &console{status: 409, answer: stale}, ExitConflict, "POST /operator/note " + note, `"current": 4`, ""},
+		{"infeasible", []string{"note", "publish", path}, &console{status: 422, answer: rlboperator.Rejection{Problem: "too big", Kind: rlboperator.KindInfeasible}}, ExitInfeasible, "POST /operator/note " + note, "", "infeasible: too big"},
+		{"perhaps accepted", []string{"note", "publish", path}, &console{status: 504, answer: rlboperator.Rejection{Problem: "may have been", Kind: rlboperator.KindUnsure}}, ExitUnsure, "POST /operator/note " + note, "", "unsure"},
+		{"validate", []string{"note", "validate", path}, &console{status: 200, answer: rlboperator.Checked{Base: 3}}, ExitOK, "POST /operator/note/validate " + note, "is valid on version 3", ""},
+		{"diff", []string{"note", "diff", path}, &console{status: 200, answer: rlboperator.Checked{Differences: []rlbnote.Difference{{Item: "model", Name: "a", Action: "added", To: "v1"}}}}, ExitOK, "POST /operator/note/validate " + note, "added     model    a  -> v1", ""},
+		{"show", []string{"note", "show"}, &console{status: 200, answer: rlbnote.State{Version: 7, Models: map[string]rlbnote.Model{"a": {Name: "a", Version: "v1"}}}}, ExitOK, "GET /operator/note ", "version 7", ""},
+		{"history", []string{"note", "history", "-n", "5"}, &console{status: 200, answer: []rlboperator.Past{{Version: 7, Published: time.Unix(0, 0).UTC(), Note: rlbnote.Note{ID: "x"}}}}, ExitOK, "GET /operator/note/history?n=5 ", "1970-01-01T00:00:00Z  x", ""},
+		{"status", []string{"status"}, &console{status: 200, answer: rlboperator.Status{Instance: "i", NoteVersion: 7, InForce: true, Gateways: 3}}, ExitOK, "GET /operator/status ", "in force everywhere: 3 gateways, seen by i", ""},
+		{"explain", []string{"explain", "draft"}, &console{status: 200, answer: []rlboperator.Event{{Subject: "model/draft", Text: "load"}}}, ExitOK, "GET /operator/explain?about=draft ", "model/draft", ""},
 	}
 	for _, c := range cases {
 		Convey(c.name, t, func() {
@@ -108,6 +110,14 @@
 		So(out, ShouldContainSubstring, "is well-formed")
 		So(c.got, ShouldBeBlank)
 	})
+	Convey("a note in JSON without an id is sent as it is, with an id beside it", t, func() {
+		text := `{"base": 0, "add": {"models": [{"name": "a", "version": "v1"}]}}`
+		c := &console{status: 200, answer: rlboperator.Accepted{Version: 1}}
+		code, _, _ := run(c, "note", "publish", write(t, text))
+		So(code, ShouldEqual, ExitOK)
+		So(c.got, ShouldEqual, "POST /operator/note "+text)
+		So(c.id, ShouldHaveLength, 36)
+	})
 	Convey("without any controller nothing was accepted", t, func() {
 		var out, errOut bytes.Buffer
 		code := Execute([]string{"note", "publish", write(t, note), "--set", "ctl.controllers=127.0.0.1:1"}, &out, &errOut)
@@ -147,7 +157,7 @@
 	snapshot.Plan = rlbplace.Plan(snapshot.Input, snapshot.Opts)
 	first, second := filepath.Join(t.TempDir(), "first"), filepath.Join(t.TempDir(), "second")
 	Convey("a saved snapshot is shown and replays to the recorded plan", t, func() {
-		code, out, _ := run(&console{200, snapshot, ""}, "snapshot", "save", first)
+		code, out, _ := run(&console{status: 200, answer: snapshot}, "snapshot", "save", first)
 		So(code, ShouldEqual, ExitOK)
 		So(out, ShouldStartWith, "saved what c0 knew")
 		code, out, _ = run(&console{}, "snapshot", "show", first)
@@ -161,7 +171,7 @@
 		changed := snapshot
 		changed.Plan = nil
 		changed.Leases = map[string]string{"x": "c1"}
-		code, _, _ := run(&console{200, changed, ""}, "snapshot", "save", second)
+		code, _, _ := run(&console{status: 200, answer: changed}, "snapshot", "save", second)
 		So(code, ShouldEqual, ExitOK)
 		code, _, _ = run(&console{}, "replay", second)
 		So(code, ShouldEqual, ExitInvalid)
@@ -177,7 +187,7 @@
 	}}}
 	Convey("burn tells the budget left, the cause and the alert, and writes a page", t, func() {
 		page := filepath.Join(t.TempDir(), "burn.html")
-		code, out, _ := run(&console{200, reports, ""}, "burn", "--html", page)
+		code, out, _ := run(&console{status: 200, answer: reports}, "burn", "--html", page)
 		So(code, ShouldEqual, ExitOK)
 		So(out, ShouldContainSubstring, "-900.0% late     6x over 1h0m0s")
 		written, err := os.ReadFile(page)
--- a/rlbctl/pkg/rlbcommand/note.go
+++ b/rlbctl/pkg/rlbcommand/note.go
@@ -157,19 +157,16 @@
 // publish publishes a note under an id of its own, so that trying again, here
 // or at another controller, cannot publish it twice.
 func (a *app) publish(path string, wait time.Duration) error {
-	text, note, err := readNote(path)
+	text, _, err := readNote(path)
 	if err != nil {
 		return err
 	}
-	if note.ID == "" {
-		text = append([]byte("id: "+uuid.NewString()+"\n"), text...)
-	}
 	client, ctx, cleanUp, err := a.client()
 	if err != nil {
 		return err
 	}
 	defer cleanUp()
-	accepted, rejection, err := client.Publish(ctx, path, text)
+	accepted, rejection, err := client.Publish(ctx, path, uuid.NewString(), text)
 	if rejection != nil {
 		return a.rejected(rejection)
 	}
