Equal innocent requests on a crashed endpoint are all answered

Cause: found by reading: requests with the same content share a fingerprint; when the first had run again and was cleared, the others that waited for the turn found no strike and were refused. Ruled out: a fingerprint of each request alone (a resend could not be known). Change: cleared while waiting means: choose as usual.

--- a/rlb-gateway/pkg/rlbcaller/faults_test.go
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -226,7 +226,8 @@
 					replies := make(chan reply, innocents)
 					for i := range innocents {
 						go func() {
-							body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":["innocent %d"]}`, testModel, testTokens, i)
+							// Some callers send the same words.
+							body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":["innocent %d"]}`, testModel, testTokens, i%(innocents/2))
 							replies <- r.sendTo(i%gateways, "POST", "/v1/chat/completions", body)
 						}()
 					}
--- a/rlb-gateway/pkg/rlbcaller/suspect.go
+++ b/rlb-gateway/pkg/rlbcaller/suspect.go
@@ -42,8 +42,12 @@
 	var chosen *rlbroute.Endpoint
 	var since time.Time
 	for ctx.Err() == nil && time.Now().Before(w.deadline) {
-		if s.Fleet.Strikes(w.fingerprint) != 1 {
-			return nil // struck again by a resend elsewhere
+		switch s.Fleet.Strikes(w.fingerprint) {
+		case 0:
+			return s.choose(w) // the same request was cleared elsewhere
+		case 1:
+		default:
+			return nil // it was struck again elsewhere
 		}
 		endpoint := s.Fleet.Turn(w.fingerprint, w.model)
 		if endpoint != chosen {
