Room that is being made is kept and awaited; no further replica gives way

Cause: the plan is made anew every tick and looked only at what is free or ready now. During an unload of seconds a wanted model was still not growing and had no room, so each plan let one more second replica give way for it. During a load that moves a replica away, the same search moved a second model away. And two missing models both counted on the same room that came free, so the second waited for nothing. Found by reading; seen by three cases in TestPlan, which failed with 'unload b@v1 on e2', 'load d@v1 on e3: moves away for a' and no proposal.

Ruled out: that the orders' own guard stops it (it keeps last replicas, not second ones); that the moving average hides it (a plan comes every tick).

Change: awaitsRoom keeps memory that comes free for the first model that needs it, roomComes waits for replicas that load. The search for room has its own file.

--- a/lib/pkg/rlbplace/demand.go
+++ b/lib/pkg/rlbplace/demand.go
@@ -44,7 +44,9 @@
 			p.load(i, m, "demand")
 			continue
 		}
-		p.replace(m, gain)
+		if !p.awaitsRoom(m) {
+			p.replace(m, gain)
+		}
 	}
 }
 
@@ -59,7 +61,7 @@
 		if e.Leaving || !matches(e, m.Role) || holds(e, m.Name, m.Version) {
 			continue
 		}
-		chosen, _, enough := p.victims(e, m.Memory)
+		chosen, _, enough := p.victims(e, m.Memory, p.ready)
 		if !enough || len(chosen) != 1 || chosen[0].Name == m.Name {
 			continue
 		}
@@ -70,6 +72,7 @@
 	if best < 0 {
 		return
 	}
-	chosen, _, _ := p.victims(p.engines[best], m.Memory)
+	chosen, _, _ := p.victims(p.engines[best], m.Memory, p.ready)
 	p.unload(best, chosen[0], true, "makes room for "+m.Name)
+	p.keepRoom(best, m)
 }
--- a/lib/pkg/rlbplace/place_test.go
+++ b/lib/pkg/rlbplace/place_test.go
@@ -36,6 +36,18 @@
 	return rlbengine.Resident{Name: m.Name, Version: m.Version, Phase: rlbengine.PhaseReady, Memory: m.Memory}
 }
 
+func loadingOf(m rlbnote.Model) rlbengine.Resident {
+	r := readyOf(m)
+	r.Phase = rlbengine.PhaseLoading
+	return r
+}
+
+func unloadingOf(m rlbnote.Model) rlbengine.Resident {
+	r := readyOf(m)
+	r.Phase = rlbengine.PhaseUnloading
+	return r
+}
+
 func lines(proposals []Proposal) (all []string) {
 	for _, p := range proposals {
 		all = append(all, p.String())
@@ -44,7 +56,7 @@
 }
 
 func TestPlan(t *testing.T) {
-	a, b, c := model("a", 6), model("b", 6), model("c", 4)
+	a, b, c, d := model("a", 6), model("b", 6), model("c", 4), model("d", 4)
 	old := a
 	old.Version = "v0"
 	guarded := Guards{}
@@ -76,6 +88,8 @@
 		{"a single replica is moved away first", Input{Note: noteOf(a, c), Settled: true,
 			Engines: []Engine{engineOf("e0", 6, readyOf(c)), engineOf("e1", 4)}},
 			[]string{"load c@v1 on e1: moves away for a"}},
+		{"while it loads there, no other is moved", Input{Note: noteOf(a, c, d), Settled: true,
+			Engines: []Engine{engineOf("e0", 6, readyOf(c)), engineOf("e1", 4, loadingOf(c)), engineOf("e2", 6, readyOf(d)), engineOf("e3", 4)}}, nil},
 		{"demand adds a replica", Input{Note: noteOf(a), Demand: map[string]float64{"a": 40},
 			Engines: []Engine{engineOf("e0", 10, readyOf(a)), engineOf("e1", 10)}}, []string{"load a@v1 on e1: demand"}},
 		{"little demand does not", Input{Note: noteOf(a), Demand: map[string]float64{"a": 10},
@@ -83,6 +97,11 @@
 		{"high demand takes the place of an idle second replica", Input{Note: noteOf(a, b), Demand: map[string]float64{"a": 64},
 			Engines: []Engine{engineOf("e0", 6, readyOf(a)), engineOf("e1", 6, readyOf(b)), engineOf("e2", 6, readyOf(b))}},
 			[]string{"unload b@v1 on e1: makes room for a"}},
+		{"while room comes free, no second replica gives way", Input{Note: noteOf(a, b), Demand: map[string]float64{"a": 64},
+			Engines: []Engine{engineOf("e0", 6, readyOf(a)), engineOf("e1", 6, unloadingOf(b)), engineOf("e2", 6, readyOf(b)), engineOf("e3", 6, readyOf(b))}}, nil},
+		{"room that comes free is for one model only", Input{Note: noteOf(a, b, c),
+			Engines: []Engine{engineOf("e0", 6, unloadingOf(old)), engineOf("e1", 6, readyOf(c)), engineOf("e2", 6, readyOf(c))}},
+			[]string{"unload c@v1 on e1: makes room for b"}},
 	}
 	for _, c := range cases {
 		Convey(c.name, t, func() { So(lines(Plan(c.in, testOpts)), ShouldResemble, c.want) })
--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -146,6 +146,11 @@
 	return !e.Leaving && matches(e, m.Role) && !present && free(e) >= m.Memory
 }
 
+// couldHold reports whether an engine could take the model if it were empty.
+func couldHold(e Engine, m rlbnote.Model) bool {
+	return !e.Leaving && matches(e, m.Role) && e.Memory >= m.Memory
+}
+
 func better(a, b Engine, inDomain map[string]int) bool {
 	if inA, inB := inDomain[a.Domain], inDomain[b.Domain]; inA != inB {
 		return inA < inB
@@ -170,66 +175,6 @@
 	return n
 }
 
-// makeRoom frees memory for a model that fits nowhere: by unloading replicas
-// of models that have others, or by moving a model elsewhere first.
-func (p *planner) makeRoom(m rlbnote.Model) {
-	if !p.search() {
-		return
-	}
-	best, cost := -1, 0.0
-	var victims []rlbengine.Resident
-	for i, e := range p.engines {
-		if e.Leaving || !matches(e, m.Role) || e.Memory < m.Memory {
-			continue
-		}
-		chosen, loss, enough := p.victims(e, m.Memory)
-		if enough && (best < 0 || loss < cost) {
-			best, cost, victims = i, loss, chosen
-		}
-	}
-	if best < 0 {
-		p.moveAway(m)
-		return
-	}
-	for _, r := range victims {
-		p.unload(best, r, true, "makes room for "+m.Name)
-	}
-}
-
-// victims returns the residents of an engine whose unloading would free memory
-// for need, the least wanted first, with the demand that they serve.
-func (p *planner) victims(e Engine, need rlbunit.Bytes) (chosen []rlbengine.Resident, loss float64, enough bool) {
-	missing := need - free(e)
-	for _, r := range e.Residents {
-		if r.Phase == rlbengine.PhaseUnloading {
-			missing -= r.Memory // comes free by itself
-		}
-	}
-	redundant := p.redundant(e)
-	for _, r := range redundant {
-		if missing <= 0 {
-			break
-		}
-		chosen = append(chosen, r)
-		missing -= r.Memory
-		loss += 1 + p.lossOf(r.Name)
-	}
-	return chosen, loss, missing <= 0
-}
-
-// redundant returns the ready replicas on an engine of models with others.
-func (p *planner) redundant(e Engine) []rlbengine.Resident {
-	var all []rlbengine.Resident
-	for _, r := range e.Residents {
-		m, inForce := p.in.Note.Models[r.Name]
-		if inForce && m.Version == r.Version && r.Phase == rlbengine.PhaseReady && p.ready(m) > 1 {
-			all = append(all, r)
-		}
-	}
-	slices.SortStableFunc(all, func(a, b rlbengine.Resident) int { return cmp.Compare(p.lossOf(a.Name), p.lossOf(b.Name)) })
-	return all
-}
-
 func (p *planner) ready(m rlbnote.Model) int { return p.counts[m.Name].ready }
 
 // search reports whether one more search is allowed.
@@ -238,26 +183,6 @@
 	return p.searches >= 0
 }
 
-// moveAway loads a second replica of some model elsewhere, so that its first
-// can be unloaded later to make room.
-func (p *planner) moveAway(m rlbnote.Model) {
-	for _, e := range p.engines {
-		if e.Leaving || !matches(e, m.Role) || e.Memory < m.Memory {
-			continue
-		}
-		for _, r := range e.Residents {
-			other, inForce := p.in.Note.Models[r.Name]
-			if !inForce || other.Version != r.Version || p.replicas(other) > 1 || r.Memory+free(e) < m.Memory {
-				continue
-			}
-			if to := p.roomiest(other); to >= 0 {
-				p.load(to, other, "moves away for "+m.Name)
-				return
-			}
-		}
-	}
-}
-
 // spread loads further replicas into free memory, in failure domains without
 // one, so that the loss of an endpoint leaves every model reachable. It never
 // unloads anything for that.
--- /dev/null
+++ b/lib/pkg/rlbplace/room.go
@@ -0,0 +1,129 @@
+package rlbplace
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
+)
+
+// makeRoom frees memory for a model that fits nowhere: by unloading replicas
+// of models that have others, or by moving a model elsewhere first.
+func (p *planner) makeRoom(m rlbnote.Model) {
+	if !p.search() || p.awaitsRoom(m) {
+		return
+	}
+	best, cost := -1, 0.0
+	var victims []rlbengine.Resident
+	for i, e := range p.engines {
+		if !couldHold(e, m) {
+			continue
+		}
+		chosen, loss, enough := p.victims(e, m.Memory, p.ready)
+		if enough && (best < 0 || loss < cost) {
+			best, cost, victims = i, loss, chosen
+		}
+	}
+	if best < 0 {
+		if !p.roomComes(m) {
+			p.moveAway(m)
+		}
+		return
+	}
+	for _, r := range victims {
+		p.unload(best, r, true, "makes room for "+m.Name)
+	}
+	p.keepRoom(best, m)
+}
+
+// awaitsRoom reports whether an unload that is under way makes room for a
+// model, and keeps that room for it: nothing else gives way in the meantime.
+func (p *planner) awaitsRoom(m rlbnote.Model) bool {
+	i := slices.IndexFunc(p.engines, func(e Engine) bool {
+		comes := unloading(e)
+		return comes > 0 && couldHold(e, m) && !holds(e, m.Name, m.Version) && free(e)+comes >= m.Memory
+	})
+	if i < 0 {
+		return false
+	}
+	p.keepRoom(i, m)
+	return true
+}
+
+// keepRoom keeps memory of an engine from the models that come later in this
+// plan.
+func (p *planner) keepRoom(i int, m rlbnote.Model) { p.engines[i].Reserved += m.Memory }
+
+// unloading returns the memory that comes free on an engine by itself.
+func unloading(e Engine) (n rlbunit.Bytes) {
+	for _, r := range e.Residents {
+		if r.Phase == rlbengine.PhaseUnloading {
+			n += r.Memory
+		}
+	}
+	return n
+}
+
+// victims returns the residents of an engine whose unloading would free memory
+// for need, the least wanted first, with the demand that they serve. Only
+// models with more than one replica by the given count give way.
+func (p *planner) victims(e Engine, need rlbunit.Bytes, replicas func(rlbnote.Model) int) (chosen []rlbengine.Resident, loss float64, enough bool) {
+	missing := need - free(e) - unloading(e)
+	redundant := p.redundant(e, replicas)
+	for _, r := range redundant {
+		if missing <= 0 {
+			break
+		}
+		chosen = append(chosen, r)
+		missing -= r.Memory
+		loss += 1 + p.lossOf(r.Name)
+	}
+	return chosen, loss, missing <= 0
+}
+
+// redundant returns the ready replicas on an engine of models with others.
+func (p *planner) redundant(e Engine, replicas func(rlbnote.Model) int) []rlbengine.Resident {
+	var all []rlbengine.Resident
+	for _, r := range e.Residents {
+		m, inForce := p.in.Note.Models[r.Name]
+		if inForce && m.Version == r.Version && r.Phase == rlbengine.PhaseReady && replicas(m) > 1 {
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b rlbengine.Resident) int { return cmp.Compare(p.lossOf(a.Name), p.lossOf(b.Name)) })
+	return all
+}
+
+// roomComes reports whether there will be room for a model once the replicas
+// that load now are ready: another move would be one too many.
+func (p *planner) roomComes(m rlbnote.Model) bool {
+	return slices.ContainsFunc(p.engines, func(e Engine) bool {
+		if !couldHold(e, m) {
+			return false
+		}
+		_, _, enough := p.victims(e, m.Memory, p.replicas)
+		return enough
+	})
+}
+
+// moveAway loads a second replica of some model elsewhere, so that its first
+// can be unloaded later to make room.
+func (p *planner) moveAway(m rlbnote.Model) {
+	for _, e := range p.engines {
+		if !couldHold(e, m) {
+			continue
+		}
+		for _, r := range e.Residents {
+			other, inForce := p.in.Note.Models[r.Name]
+			if !inForce || other.Version != r.Version || p.replicas(other) > 1 || r.Memory+free(e) < m.Memory {
+				continue
+			}
+			if to := p.roomiest(other); to >= 0 {
+				p.load(to, other, "moves away for "+m.Name)
+				return
+			}
+		}
+	}
+}
