The end of a stream is not counted as a token

Cause: begin counted, and it is also called for the end marker, so tokens_relayed was one too high for each stream. Ruled out: resends, whose tokens are skipped before. Change: the count stands where a token goes to the caller. Two comments re-wrapped.

--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -261,9 +261,8 @@
 	c.take(u, origin)
 }
 
-// take merges an update and passes news of notes, strikes and
-// engines on at once; c.mu
-// is held.
+// take merges an update and passes news of notes, strikes and engines on at
+// once; c.mu is held.
 func (c *Controller) take(u rlbworld.Update, origin rlbworld.Origin) {
 	version, strikes, engines := c.world.Note().Version, c.world.Strikes().Revision(), c.world.Engines().Revision()
 	c.world.Merge(u, origin, time.Now())
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -227,6 +227,7 @@
 		switch x.tracker.Check(event) {
 		case rlbrelay.Forward:
 			x.begin(e, exchange)
+			x.counters.tokens.Inc(1)
 		case rlbrelay.End:
 			x.begin(e, exchange)
 			x.finishStream(reader, in, event.Raw)
@@ -257,7 +258,6 @@
 func (x *completer) begin(e *rlbroute.Endpoint, exchange *rlbroute.Exchange) {
 	x.source = e
 	x.fetched()
-	x.counters.tokens.Inc(1)
 	if x.wrote {
 		return
 	}
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -245,8 +245,8 @@
 }
 
 // remember excludes an endpoint from further attempts, unless only a connection
-// that was used before went silent. One whose connection
-// failed but that is alive stays a last resort when it is the only one.
+// that was used before went silent. One whose connection failed but that is
+// alive stays a last resort when it is the only one.
 func (s *Server) remember(w *work, e *rlbroute.Endpoint, failure *attemptError) {
 	if e == nil || failure.reused && failure.fault == rlbroute.FaultSilent {
 		return
--- a/rlb-gateway/pkg/rlbcaller/faults_test.go
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -96,6 +96,9 @@
 				assertPrefix(got)
 			}
 			So(r.started(), ShouldEqual, c.runs)
+			if stream {
+				So(r.servers[0].counters.tokens.Count(), ShouldEqual, len(got.tokens))
+			}
 		})
 	})
 }
