Demand of other failure domains counts at scale too

The version in force had the weaker form of the fault: with some gateways of a domain known one by one, its summary was not looked at. Found by reading what reads Summary.Demand: nothing.

Ruled out: the rows on the way (the summary carried its demand already, so the traffic does not change); small fleets (their gateways are all known).

Change: a summary that counts gateways goes before single rows; of several the fuller one and the lower version. Also models that are withdrawn, or without requests, no longer stay in the tables of demand.

No run of real processes has more than 64 nodes, so none showed it.

--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -202,30 +200,6 @@
 	c.world.MergeNode(node, rlbworld.OriginSelf, now)
 }
 
-// summary is this failure domain in short.
-func (c *Controller) summary(now time.Time) *rlbworld.Summary {
-	s := &rlbworld.Summary{NoteVersion: c.world.Note().Version}
-	demand := map[string]rlbworld.Demand{}
-	c.eachGateway(now, func(node rlbworld.Node) {
-		if node.FailureDomain != c.domain {
-			return
-		}
-		s.Gateways++
-		s.NoteVersion = min(s.NoteVersion, node.NoteVersion)
-		for _, d := range node.Demand {
-			sum := demand[d.Model]
-			sum.Model = d.Model
-			sum.InFlight += d.InFlight
-			sum.Requests += d.Requests
-			demand[d.Model] = sum
-		}
-	})
-	for _, name := range slices.Sorted(maps.Keys(demand)) {
-		s.Demand = append(s.Demand, demand[name])
-	}
-	return s
-}
-
 // spawn runs f outside of c.mu and waits for it at the end of Run.
 func (c *Controller) spawn(f func()) {
 	c.group.Add(1)
--- a/rlb-controller/pkg/rlbcontrol/placement.go
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -52,29 +52,6 @@
 	c.runGuards(now)
 }
 
-// averageDemand takes the demand that gateways report into the moving average.
-func (c *Controller) averageDemand(now time.Time) {
-	current := map[string]float64{}
-	c.eachGateway(now, func(node rlbworld.Node) {
-		for _, d := range node.Demand {
-			current[d.Model] += float64(d.InFlight)
-		}
-	})
-	for name := range c.world.Note().Models {
-		c.demand[name] += demandWeight * (current[name] - c.demand[name])
-	}
-}
-
-// eachGateway calls f for each gateway whose heartbeats come.
-func (c *Controller) eachGateway(now time.Time, f func(rlbworld.Node)) {
-	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
-		if key.Type == rlbworld.NodeGateway && now.Sub(c.world.Heard(key)) <= silence {
-			f(node)
-		}
-		return true
-	})
-}
-
 func (c *Controller) placementInput(now time.Time) rlbplace.Input {
 	in := rlbplace.Input{
 		Note: c.world.Note(), Engines: c.placementEngines(), Demand: c.demand, Guards: c.guards.value, Settled: true,
@@ -84,29 +61,6 @@
 	return in
 }
 
-// inForce returns how many gateways are known, those of other failure domains
-// by summary, and the lowest version in force at one of them; without any, the
-// version here.
-func (c *Controller) inForce(now time.Time) (gateways int, lowest uint64) {
-	lowest = c.world.Note().Version
-	seen := map[string]bool{}
-	c.eachGateway(now, func(node rlbworld.Node) {
-		gateways++
-		seen[node.FailureDomain] = true
-		lowest = min(lowest, node.NoteVersion)
-	})
-	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
-		if node.Domain == nil || seen[node.FailureDomain] || now.Sub(c.world.Heard(key)) > silence {
-			return true
-		}
-		seen[node.FailureDomain] = true
-		gateways += node.Domain.Gateways
-		lowest = min(lowest, node.Domain.NoteVersion)
-		return true
-	})
-	return gateways, lowest
-}
-
 // placementEngines returns the engines by name; c.mu is held.
 func (c *Controller) placementEngines() []rlbplace.Engine {
 	var engines []rlbplace.Engine
--- a/rlb-controller/pkg/rlbcontrol/rig_test.go
+++ b/rlb-controller/pkg/rlbcontrol/rig_test.go
@@ -198,7 +198,8 @@
 	return r.engines[address]
 }
 
-func (r *rig) start(t *testing.T, id, domain string) *running {
+// controller returns a controller that does not run yet.
+func (r *rig) controller(t *testing.T, id, domain string) *Controller {
 	settings, err := rlbsettings.Parse("test", nil, rlbsettings.ForController)
 	if err != nil {
 		t.Fatal(err)
@@ -212,10 +213,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := New(Opts{
+	return New(Opts{
 		Common: common, Objects: r.objects, Instances: r, Weights: r, Engine: r.engine,
 		Dial: r.network.Dial, Address: id, Metrics: metrics.NewRegistry(),
 	})
+}
+
+func (r *rig) start(t *testing.T, id, domain string) *running {
+	c := r.controller(t, id, domain)
 	ctx, cancel := context.WithCancel(context.Background())
 	_, closeServer := rlblink.NewServer(ctx, r.network.Listen(id), LinkOpts(c))
 	done := make(chan struct{})
--- /dev/null
+++ b/rlb-controller/pkg/rlbcontrol/summaries.go
@@ -0,0 +1,117 @@
+package rlbcontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+)
+
+// summary is this failure domain in short.
+func (c *Controller) summary(now time.Time) *rlbworld.Summary {
+	s := &rlbworld.Summary{NoteVersion: c.world.Note().Version}
+	demand := map[string]rlbworld.Demand{}
+	c.eachGateway(now, func(node rlbworld.Node) {
+		if node.FailureDomain != c.domain {
+			return
+		}
+		s.Gateways++
+		s.NoteVersion = min(s.NoteVersion, node.NoteVersion)
+		for _, d := range node.Demand {
+			sum := demand[d.Model]
+			sum.Model = d.Model
+			sum.InFlight += d.InFlight
+			sum.Requests += d.Requests
+			demand[d.Model] = sum
+		}
+	})
+	for _, name := range slices.Sorted(maps.Keys(demand)) {
+		s.Demand = append(s.Demand, demand[name])
+	}
+	return s
+}
+
+// eachGateway calls f for each gateway whose heartbeats come.
+func (c *Controller) eachGateway(now time.Time, f func(rlbworld.Node)) {
+	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
+		if key.Type == rlbworld.NodeGateway && now.Sub(c.world.Heard(key)) <= silence {
+			f(node)
+		}
+		return true
+	})
+}
+
+// summaries returns the other failure domains in short, as far as they are
+// told. Several controllers may tell of one: then the fuller summary and the
+// lower version.
+func (c *Controller) summaries(now time.Time) map[string]rlbworld.Summary {
+	all := map[string]rlbworld.Summary{}
+	c.world.Nodes().All(func(key rlbworld.NodeKey, node rlbworld.Node) bool {
+		if node.Domain == nil || node.FailureDomain == c.domain || now.Sub(c.world.Heard(key)) > silence {
+			return true
+		}
+		fuller := *node.Domain
+		if other, found := all[node.FailureDomain]; found {
+			lowest := min(fuller.NoteVersion, other.NoteVersion)
+			if other.Gateways >= fuller.Gateways {
+				fuller = other
+			}
+			fuller.NoteVersion = lowest
+		}
+		all[node.FailureDomain] = fuller
+		return true
+	})
+	return all
+}
+
+// eachUntold calls f for each gateway that is in none of the summaries. Of a
+// large failure domain some gateways may be known one by one, but not all:
+// where a summary counts any, it goes before them.
+func (c *Controller) eachUntold(now time.Time, told map[string]rlbworld.Summary, f func(rlbworld.Node)) {
+	c.eachGateway(now, func(node rlbworld.Node) {
+		if told[node.FailureDomain].Gateways == 0 {
+			f(node)
+		}
+	})
+}
+
+// averageDemand takes the demand that gateways report into the moving average.
+func (c *Controller) averageDemand(now time.Time) {
+	current := map[string]float64{}
+	add := func(all []rlbworld.Demand) {
+		for _, d := range all {
+			current[d.Model] += float64(d.InFlight)
+		}
+	}
+	told := c.summaries(now)
+	for _, s := range told {
+		add(s.Demand)
+	}
+	c.eachUntold(now, told, func(node rlbworld.Node) { add(node.Demand) })
+	models := c.world.Note().Models
+	maps.DeleteFunc(c.demand, func(name string, _ float64) bool {
+		_, inForce := models[name]
+		return !inForce
+	})
+	for name := range models {
+		c.demand[name] += demandWeight * (current[name] - c.demand[name])
+	}
+}
+
+// inForce returns how many gateways are known, those of other failure domains
+// by summary, and the lowest version in force at one of them; without any, the
+// version here.
+func (c *Controller) inForce(now time.Time) (gateways int, lowest uint64) {
+	lowest = c.world.Note().Version
+	told := c.summaries(now)
+	for _, s := range told {
+		gateways += s.Gateways
+		lowest = min(lowest, s.NoteVersion)
+	}
+	c.eachUntold(now, told, func(node rlbworld.Node) {
+		gateways++
+		lowest = min(lowest, node.NoteVersion)
+	})
+	return gateways, lowest
+}
--- a/rlb-gateway/pkg/rlbcaller/demand.go
+++ b/rlb-gateway/pkg/rlbcaller/demand.go
@@ -63,6 +63,9 @@
 			counts = append(counts, rlbworld.Burn{Model: name, Count: m.count})
 		}
 		m.arrived, m.count = 0, rlbburn.Count{}
+		if m.inFlight == 0 {
+			delete(d.models, name)
+		}
 	}
 	return all, counts
 }
--- /dev/null
+++ b/rlb-gateway/pkg/rlbcaller/demand_test.go
@@ -0,0 +1,26 @@
+package rlbcaller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbburn"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestDemandMeter(t *testing.T) {
+	Convey("a model counts while a request for it is on its way, and is forgotten after", t, func() {
+		d := newDemandMeter()
+		start := d.from
+		leave := d.enter("m")
+		all, counts := d.take(start.Add(time.Second))
+		So(all, ShouldResemble, []rlbworld.Demand{{Model: "m", Requests: 1, InFlight: 1}})
+		So(counts, ShouldBeEmpty)
+		leave(rlbburn.Count{Good: 1})
+		all, counts = d.take(start.Add(2 * time.Second))
+		So(all, ShouldBeEmpty)
+		So(counts, ShouldResemble, []rlbworld.Burn{{Model: "m", Count: rlbburn.Count{Good: 1}}})
+		So(d.models, ShouldBeEmpty)
+	})
+}
