A batch request that gave way is no longer refused as not run

Cause: an attempt that gives way to an interactive request is taken off the exchange's count, and the check 'would wait too long' asked that count whether anything was sent. A batch request of a model with a first-token target that was preempted, and then found its endpoint crowded, was refused with outcome not-run although it may have run. chooseFree waits for a free slot first, so it takes a second request that enters between the two looks.

Ruled out: the other ways to not-run; they go through Exchange.Fault, which remembers that the request was exposed.

Change: the check asks the call's own count, which is never taken back. Figures: TestRefusedBeforeItRanOnly, second case: refused before, not after. Conclusion: 'not run' holds for preempted requests too.

--- a/rlb-gateway/pkg/rlbcaller/admission_test.go
+++ b/rlb-gateway/pkg/rlbcaller/admission_test.go
@@ -120,3 +120,20 @@
 		})
 	})
 }
+
+func TestRefusedBeforeItRanOnly(t *testing.T) {
+	const target = 10 * time.Millisecond
+	crowded := rlbroute.NewEndpoint(rlbroute.EndpointOpts{ID: "e", Slots: 1})
+	crowded.Enter()
+	deadline := time.Now().Add(time.Minute)
+	w := &work{call: &call{deadline: deadline}, target: target, exchange: rlbroute.NewExchange(rlbroute.ExchangeOpts{Deadline: deadline})}
+	Convey("a request that was never sent is refused when it would wait too long", t, func() {
+		So(w.tooLate(crowded), ShouldBeTrue)
+	})
+	Convey("one that was preempted may have run, and is not", t, func() {
+		w.begin()
+		w.exchange.Sent()
+		So(w.exchange.Fault(time.Now(), rlbroute.FaultPreempted).Action, ShouldEqual, rlbroute.ActionRetry)
+		So(w.tooLate(crowded), ShouldBeFalse)
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -128,8 +128,7 @@
 	begun := time.Now()
 	leave := endpoint.Enter()
 	defer leave()
-	w.exchange.Begin()
-	w.attempts++
+	w.begin()
 	failure := w.send(ctx, endpoint, w.exchange)
 	if failure == nil {
 		endpoint.Served(time.Since(begun))
@@ -144,11 +143,18 @@
 	return endpoint, failure
 }
 
+// begin begins an attempt.
+func (w *work) begin() {
+	w.exchange.Begin()
+	w.attempts++
+}
+
 // tooLate reports whether a request that was not sent yet would wait on the
 // best endpoint for longer than its target: it is refused now, so that its
-// caller knows and the endpoint keeps to those that it can answer in time.
+// caller knows and the endpoint keeps to those that it can answer in time. One
+// that was sent may have run and is not refused so.
 func (w *work) tooLate(e *rlbroute.Endpoint) bool {
-	if w.target == 0 || w.exchange.Attempts() > 0 {
+	if w.target == 0 || w.attempts > 0 { // the exchange does not count an attempt that gave way
 		return false
 	}
 	return rlbroute.Wait(e.InFlight()+e.Others(time.Now()), e) > w.target
