Claims: a batch of long answers stays below the platform's limit

Cause: a write of a shard's head took up to 4,096 operations whatever their size. Answers of up to 4 KB are kept for resends, so that 250 of them that wait during a slow spell of the object API made a head beyond 1 MiB; the write was refused as too large and with it every claim of the batch, over and over.

Ruled out: claims alone (4,096 of at most 128 bytes stay below); segments (they hold what was a head).

Change: a batch ends at 512 KiB; the rest waits for the next write. Conclusion: a backlog is worked off in parts. Exchange.Attempts, which nothing calls any more, is gone.

--- a/lib/pkg/rlbclaim/ledger.go
+++ b/lib/pkg/rlbclaim/ledger.go
@@ -11,8 +11,10 @@
 
 // Limits of a shard's head object.
 const (
-	sealBytes  = 32 << 10 // a longer head is sealed into a segment
-	maxPerHead = 4096     // operations in one write
+	sealBytes  = 32 << 10  // a longer head is sealed into a segment
+	maxPerHead = 4096      // operations in one write
+	batchBytes = 512 << 10 // after which no more operations join a write: with the head before it, below what the platform takes
+	entryBytes = 128       // of an entry besides its answer, at most
 )
 
 // Head is the value of a shard's object: the latest entries and the names of
@@ -160,7 +162,7 @@
 	}
 	l.sweep(now)
 	f := &flight{}
-	taken := min(len(l.queue), maxPerHead)
+	taken := l.batchLen()
 	overlay := map[Key]Entry{}
 	for _, s := range l.queue[:taken] {
 		l.stage(f, overlay, s)
@@ -175,6 +177,18 @@
 	return l.write(f, now)
 }
 
+// batchLen returns how many of the waiting operations go into the next write.
+func (l *Ledger) batchLen() int {
+	size := 0
+	for i, s := range l.queue {
+		if i == maxPerHead || size > batchBytes {
+			return i
+		}
+		size += entryBytes + len(s.op.Entry.Answer.Body) + len(s.op.Entry.Answer.ContentType)
+	}
+	return len(l.queue)
+}
+
 // minSweep is how many entries a ledger has before it looks for lapsed ones.
 const minSweep = 1024
 
--- a/lib/pkg/rlbclaim/ledger_test.go
+++ b/lib/pkg/rlbclaim/ledger_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpack"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
@@ -58,6 +59,28 @@
 			So(w.Drop, ShouldResemble, []string{head.Segments[0].Name})
 		})
 	})
+	Convey("many long answers that come at once are written in parts that the platform takes", t, func() {
+		const answers = 1000
+		l := NewLedger("w", 0)
+		l.Load(0, Head{}, nil)
+		w := claims(l, 0, answers, 10)
+		So(len(w.Head), ShouldBeLessThanOrEqualTo, answers*entryBytes)
+		l.Written(1)
+		l.Results()
+		for n := range answers {
+			e := Entry{Key: HashKey(string(rune(n))), Run: Run{1, byte(n)}, Phase: Answered, Answer: Answer{Kept: true, Body: make([]byte, MaxKept)}}
+			l.Submit(Ticket(n), Operation{VerbFinish, e})
+		}
+		recorded := 0
+		for l.Pending() > 0 {
+			w, err := l.Next(0)
+			So(err, ShouldBeNil)
+			So(len(w.Head), ShouldBeLessThanOrEqualTo, int(rlbobject.MaxValue))
+			l.Written(w.Given + 1)
+			recorded += len(l.Results())
+		}
+		So(recorded, ShouldEqual, answers)
+	})
 	Convey("a resend, a reused key and a release", t, func() {
 		l := NewLedger("w", 0)
 		l.Load(0, Head{}, nil)
--- a/lib/pkg/rlbroute/exchange.go
+++ b/lib/pkg/rlbroute/exchange.go
@@ -25,9 +25,6 @@
 // Stage returns how far the present attempt is.
 func (x *Exchange) Stage() Stage { return x.stage }
 
-// Attempts returns the number of attempts begun.
-func (x *Exchange) Attempts() int { return x.attempts }
-
 // Begin begins an attempt. Once the caller has a part of the answer, the
 // exchange stays at StageAnswering.
 func (x *Exchange) Begin() {
