Placement sees refused requests and the endpoints' own slots

Admission answers a refused request at once, so it is never in flight, and demand was what is in flight: refusals hid the demand that made them necessary. Gateways told the rate of refusals and nothing read it. Besides, a replica was taken to serve 32 requests at once although endpoints report their slots (16 there), which divides the relief of a replica by four.

Change: a refused request counts as one second in flight; summaries add up refusals; slots are the mean of what load reports tell.

--- a/rlb-controller/pkg/rlbcontrol/controller.go
+++ b/rlb-controller/pkg/rlbcontrol/controller.go
@@ -124,9 +124,6 @@
 	return c
 }
 
-// defaultSlots is how many requests a replica is taken to serve at once.
-const defaultSlots = 32
-
 // Run ticks until ctx ends, then waits for what it began.
 func (c *Controller) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/rlb-controller/pkg/rlbcontrol/placement.go
+++ b/rlb-controller/pkg/rlbcontrol/placement.go
@@ -43,6 +43,7 @@
 		return
 	}
 	c.averageDemand(now)
+	c.placement.Slots = c.slots()
 	c.plan = rlbplace.Plan(c.placementInput(now), c.placement)
 	c.planNext = now.Add(max(planPeriod, planRest*time.Since(now)))
 	share := c.share()
@@ -52,6 +53,27 @@
 	c.runGuards(now)
 }
 
+// defaultSlots is how many requests a replica is taken to serve at once before
+// any endpoint has told.
+const defaultSlots = 32
+
+// slots returns how many requests an endpoint serves at once, as the mean of
+// those whose load reports are told here.
+func (c *Controller) slots() float64 {
+	sum, endpoints := 0, 0
+	c.world.Loads().All(func(_ string, load rlbworld.Load) bool {
+		if load.Slots > 0 {
+			sum += load.Slots
+			endpoints++
+		}
+		return true
+	})
+	if endpoints == 0 {
+		return defaultSlots
+	}
+	return float64(sum) / float64(endpoints)
+}
+
 func (c *Controller) placementInput(now time.Time) rlbplace.Input {
 	in := rlbplace.Input{
 		Note: c.world.Note(), Engines: c.placementEngines(), Demand: c.demand, Guards: c.guards.value, Settled: true,
--- a/rlb-controller/pkg/rlbcontrol/summaries.go
+++ b/rlb-controller/pkg/rlbcontrol/summaries.go
@@ -23,6 +23,7 @@
 			sum.Model = d.Model
 			sum.InFlight += d.InFlight
 			sum.Requests += d.Requests
+			sum.Refused += d.Refused
 			demand[d.Model] = sum
 		}
 	})
@@ -76,12 +77,17 @@
 	})
 }
 
+// refusedTime is how long a request that was refused would have been in flight:
+// about what a short answer takes. Without it, refusals would hide the demand
+// that makes them necessary.
+const refusedTime = time.Second
+
 // averageDemand takes the demand that gateways report into the moving average.
 func (c *Controller) averageDemand(now time.Time) {
 	current := map[string]float64{}
 	add := func(all []rlbworld.Demand) {
 		for _, d := range all {
-			current[d.Model] += float64(d.InFlight)
+			current[d.Model] += float64(d.InFlight) + d.Refused*refusedTime.Seconds()
 		}
 	}
 	told := c.summaries(now)
--- a/rlb-controller/pkg/rlbcontrol/summaries_test.go
+++ b/rlb-controller/pkg/rlbcontrol/summaries_test.go
@@ -18,10 +18,11 @@
 	gateways int // of a summary; 0: a gateway's row
 	version  uint64
 	inFlight int
+	refused  float64 // a second
 }
 
 func (r row) node(i int) rlbworld.Node {
-	demand := []rlbworld.Demand{{Model: "m", InFlight: r.inFlight}}
+	demand := []rlbworld.Demand{{Model: "m", InFlight: r.inFlight, Refused: r.refused}}
 	node := rlbworld.Node{NodeKey: rlbworld.NodeKey{Type: rlbworld.NodeGateway, ID: fmt.Sprint("n", i)}, Epoch: 1, FailureDomain: r.domain, NoteVersion: r.version, Demand: demand}
 	if r.gateways > 0 {
 		node.Type, node.Demand = rlbworld.NodeController, nil
@@ -38,12 +39,13 @@
 		lowest   uint64
 		inFlight float64
 	}{
-		{"gateways' own rows count", []row{{"a", 0, 2, 3}, {"b", 0, 1, 4}}, 2, 1, 7},
-		{"where they are not told, summaries do", []row{{"a", 0, 2, 3}, {"b", 30, 2, 40}, {"c", 31, 1, 50}}, 62, 1, 93},
-		{"where both are told, no request counts twice", []row{{"a", 0, 2, 3}, {"b", 0, 2, 4}, {"b", 0, 2, 5}, {"b", 2, 2, 9}}, 3, 2, 12},
-		{"where only some rows are told, the summary counts", []row{{"a", 0, 2, 3}, {"b", 0, 2, 4}, {"b", 30, 1, 40}}, 31, 1, 43},
-		{"of two summaries the fuller and the lower version", []row{{"b", 1, 1, 2}, {"b", 30, 2, 40}}, 30, 1, 40},
-		{"the summary of the own domain does not", []row{{"a", 0, 2, 3}, {"a", 5, 1, 50}}, 1, 2, 3},
+		{"gateways' own rows count", []row{{"a", 0, 2, 3, 0}, {"b", 0, 1, 4, 0}}, 2, 1, 7},
+		{"where they are not told, summaries do", []row{{"a", 0, 2, 3, 0}, {"b", 30, 2, 40, 0}, {"c", 31, 1, 50, 0}}, 62, 1, 93},
+		{"where both are told, no request counts twice", []row{{"a", 0, 2, 3, 0}, {"b", 0, 2, 4, 0}, {"b", 0, 2, 5, 0}, {"b", 2, 2, 9, 0}}, 3, 2, 12},
+		{"where only some rows are told, the summary counts", []row{{"a", 0, 2, 3, 0}, {"b", 0, 2, 4, 0}, {"b", 30, 1, 40, 0}}, 31, 1, 43},
+		{"of two summaries the fuller and the lower version", []row{{"b", 1, 1, 2, 0}, {"b", 30, 2, 40, 0}}, 30, 1, 40},
+		{"what is refused counts as if it ran for a second", []row{{"a", 0, 2, 3, 2}, {"b", 30, 2, 40, 10}}, 31, 2, 55},
+		{"the summary of the own domain does not", []row{{"a", 0, 2, 3, 0}, {"a", 5, 1, 50, 0}}, 1, 2, 3},
 	}
 	for _, tc := range cases {
 		synctest.Test(t, func(t *testing.T) {
@@ -66,3 +68,27 @@
 		})
 	}
 }
+
+func TestSlots(t *testing.T) {
+	c := (&rig{replicas: 1}).controller(t, "c0", "a")
+	Convey("before any endpoint tells its slots, a usual number is taken", t, func() {
+		So(c.slots(), ShouldEqual, defaultSlots)
+	})
+	Convey("then the mean of what they tell", t, func() {
+		for i, slots := range []int{8, 16, 0, 24} {
+			c.world.Merge(rlbworld.Update{Loads: []rlbworld.Load{{ID: fmt.Sprint("e", i), Report: 1, Slots: slots}}}, rlbworld.OriginDomain, time.Now())
+		}
+		So(c.slots(), ShouldEqual, 16)
+	})
+}
+
+func TestSummaryCarriesRefused(t *testing.T) {
+	Convey("a failure domain's summary adds up what its gateways refused", t, func() {
+		c := (&rig{replicas: 1}).controller(t, "c0", "a")
+		now := time.Now()
+		for i := range 3 {
+			c.world.MergeNode(row{"a", 0, 1, 1, 2}.node(i), rlbworld.OriginSelf, now)
+		}
+		So(c.summary(now).Demand, ShouldResemble, []rlbworld.Demand{{Model: "m", InFlight: 3, Refused: 6}})
+	})
+}
