Admission and routing by the wait for the first token

The stand-in, like the engines it follows, reads one prompt after the other; the offered prompts were above what four endpoints read, while batch slots stayed free. Admission and the policy looked at slots only.

Change: gateways keep, for each endpoint, the time to a first token over the requests that waited for theirs; the policy adds it, admission refuses by it. One that nothing waits before goes through, so that the estimate renews itself.

--- a/lib/pkg/rlbroute/cost_policy.go
+++ b/lib/pkg/rlbroute/cost_policy.go
@@ -42,7 +42,7 @@
 func cost[C Candidate](request *Request, c C) time.Duration {
 	requests := c.InFlight() + c.Others(request.Now)
 	total := 2*c.Distance() + time.Duration(requests)*costPerRequest
-	total += Wait(requests, c)
+	total += max(Wait(requests, c), c.FirstToken(request.Now))
 	if request.Adapter != "" && !c.HasAdapter(request.Adapter) {
 		total += costAdapterMiss
 	}
--- a/lib/pkg/rlbroute/endpoint.go
+++ b/lib/pkg/rlbroute/endpoint.go
@@ -30,6 +30,7 @@
 	inFlight atomic.Int64
 	avoid    atomic.Int64 // Unix time in nanoseconds until which others are preferred
 	service  atomic.Int64 // moving average of a request's time, in nanoseconds
+	first    firstTokens
 	report   atomic.Pointer[report]
 	mu       sync.Mutex
 	batch    []*Preemptible // the latest last
@@ -38,10 +39,10 @@
 // Preemptible is a batch request in flight that may be interrupted.
 type Preemptible struct{ interrupt func() }
 
-// Terms of the moving average of a request's time.
+// Terms of moving averages.
 const (
-	firstServiceTime  = 500 * time.Millisecond // before any was seen
-	serviceTimeWeight = 8                      // one in that many counts for the latest
+	firstServiceTime = 500 * time.Millisecond // of a request, before any was seen
+	averageWeight    = 8                      // one in that many counts for the latest
 )
 
 // report is a load report with what this gateway had in flight at its arrival.
@@ -88,10 +89,7 @@
 
 // Served notes the time of a request that was answered. Concurrent calls may
 // lose one of two times.
-func (e *Endpoint) Served(took time.Duration) {
-	average := e.service.Load()
-	e.service.Store(average + (int64(took)-average)/serviceTimeWeight)
-}
+func (e *Endpoint) Served(took time.Duration) { average(&e.service, int64(took)) }
 
 // Others implements Candidate.
 func (e *Endpoint) Others(now time.Time) int {
--- a/rlb-gateway/pkg/rlbcaller/admission_test.go
+++ b/rlb-gateway/pkg/rlbcaller/admission_test.go
@@ -137,3 +137,18 @@
 		So(w.tooLate(crowded), ShouldBeFalse)
 	})
 }
+
+func TestRefusedByFirstToken(t *testing.T) {
+	now := time.Now()
+	slow := rlbroute.NewEndpoint(rlbroute.EndpointOpts{ID: "e", Slots: 16})
+	slow.Enter()
+	slow.Await(now)(now.Add(time.Second), true)
+	w := &work{call: &call{}, target: 340 * time.Millisecond}
+	Convey("an endpoint that was slow, and before which nothing waits, is tried again", t, func() {
+		So(w.tooLate(slow), ShouldBeFalse)
+	})
+	Convey("while a request waits there for its first token, another is refused, though slots are free", t, func() {
+		slow.Await(now)
+		So(w.tooLate(slow), ShouldBeTrue)
+	})
+}
--- a/rlb-gateway/pkg/rlbcaller/complete.go
+++ b/rlb-gateway/pkg/rlbcaller/complete.go
@@ -51,7 +51,7 @@
 	leave := s.demand.enter(model.Name)
 	c.once = model.Once || c.key != ""
 	x := &completer{Server: s, in: in, model: model, tracker: rlbrelay.NewTracker(c.id)}
-	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name, target: model.FirstToken, batch: model.Class == rlbnote.ClassBatch}
+	x.work = &work{call: c, candidates: x.endpoints, send: x.send, fingerprint: fingerprint(in.Model, c.body), model: model.Name, target: model.FirstToken, batch: model.Class == rlbnote.ClassBatch, streams: in.Stream}
 	x.routing.Prefix = in.prefix()
 	if adapter != nil {
 		x.adapter = adapter.Name + "@" + adapter.Version
@@ -258,6 +258,10 @@
 func (x *completer) begin(e *rlbroute.Endpoint, exchange *rlbroute.Exchange) {
 	x.source = e
 	x.fetched()
+	if x.awaited != nil {
+		x.awaited(time.Now(), true)
+		x.awaited = nil
+	}
 	if x.wrote {
 		return
 	}
--- a/rlb-gateway/pkg/rlbcaller/exchange.go
+++ b/rlb-gateway/pkg/rlbcaller/exchange.go
@@ -34,7 +34,9 @@
 	model       string        // or plain service
 	target      time.Duration // for the first token; 0: none
 	batch       bool          // yields to interactive requests
-	preempted   atomic.Bool   // the present attempt was interrupted for one
+	streams     bool          // has a first token before its end
+	awaited     func(now time.Time, came bool)
+	preempted   atomic.Bool // the present attempt was interrupted for one
 	exchange    *rlbroute.Exchange
 	failed      []*rlbroute.Endpoint // not to be tried again
 }
@@ -115,6 +117,18 @@
 	if s.limits.admission && w.tooLate(endpoint) && !endpoint.Preempt() {
 		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint, busy: true}
 	}
+	defer endpoint.Enter()() // until it is known whether the endpoint crashed
+	failure := s.sendTo(ctx, w, endpoint)
+	crashed := failure != nil && s.examine(ctx, w, endpoint, failure.fault)
+	if strikes == 1 && !crashed {
+		s.Strike(s.Fleet.Advance(w.fingerprint, rlbworld.StrikeCleared, "")) // it is not to blame, and others may have the endpoint
+	}
+	return endpoint, failure
+}
+
+// sendTo sends the request to an endpoint and takes the times that it needs. A
+// batch request may be interrupted.
+func (s *Server) sendTo(ctx context.Context, w *work, endpoint *rlbroute.Endpoint) *attemptError {
 	if w.batch && !w.once {
 		attempt, interrupt := context.WithCancel(ctx)
 		defer interrupt()
@@ -126,8 +140,10 @@
 		ctx = attempt
 	}
 	begun := time.Now()
-	leave := endpoint.Enter()
-	defer leave()
+	if w.streams {
+		w.awaited = endpoint.Await(begun)
+		defer w.awaited(begun, false) // nothing, once the token came
+	}
 	w.begin()
 	failure := w.send(ctx, endpoint, w.exchange)
 	if failure == nil {
@@ -136,11 +152,7 @@
 	if failure != nil && w.preempted.Load() {
 		failure.fault = rlbroute.FaultPreempted
 	}
-	crashed := failure != nil && s.examine(ctx, w, endpoint, failure.fault)
-	if strikes == 1 && !crashed {
-		s.Strike(s.Fleet.Advance(w.fingerprint, rlbworld.StrikeCleared, "")) // it is not to blame, and others may have the endpoint
-	}
-	return endpoint, failure
+	return failure
 }
 
 // begin begins an attempt.
@@ -157,7 +169,8 @@
 	if w.target == 0 || w.attempts > 0 { // the exchange does not count an attempt that gave way
 		return false
 	}
-	return rlbroute.Wait(e.InFlight()+e.Others(time.Now()), e) > w.target
+	now := time.Now()
+	return rlbroute.Wait(e.InFlight()+e.Others(now), e) > w.target || e.Awaited() > 0 && e.FirstToken(now) > w.target
 }
 
 // examine notes what a fault says of the endpoint, and reports whether the
