Tests and benchmarks of the gateway share their settings and logger

Cause: the same seven lines stood in the rig and in the benchmarks. Ruled out: the other pairs named by the review; they are imports and tables whose cases differ.

--- a/rlb-gateway/pkg/rlbcaller/bench_test.go
+++ b/rlb-gateway/pkg/rlbcaller/bench_test.go
@@ -13,13 +13,11 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworld"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -53,14 +51,6 @@
 
 // benchGateway returns the addresses of a gateway and of its endpoint.
 func benchGateway(b *testing.B) (gateway, endpoint string) {
-	settings, err := rlbsettings.Parse("bench", nil, rlbsettings.ForGateway)
-	if err != nil {
-		b.Fatal(err)
-	}
-	common, err := rlbcommon.New(io.Discard, settings)
-	if err != nil {
-		b.Fatal(err)
-	}
 	engine := httptest.NewServer(http.HandlerFunc(prepared))
 	b.Cleanup(engine.Close)
 	endpoint = strings.TrimPrefix(engine.URL, "http://")
@@ -84,7 +74,7 @@
 			{Name: "m", Version: "v", Phase: rlbengine.PhaseReady}}}},
 	})
 	server := New(Opts{
-		Common: common, Fleet: fleet, Dispatcher: dispatcher, Policy: policy, Claims: newMemoryClaims(),
+		Common: newCommon(b), Fleet: fleet, Dispatcher: dispatcher, Policy: policy, Claims: newMemoryClaims(),
 		Strike: func([]rlbworld.Strike) {}, Metrics: metrics.NewRegistry(),
 	})
 	front := httptest.NewServer(server.Handler())
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -78,7 +78,8 @@
 	})
 }
 
-func newRig(t *testing.T, gateways, engines int) *rig {
+// newCommon returns a gateway's default settings and a silent logger.
+func newCommon(t testing.TB) *rlbcommon.Common {
 	settings, err := rlbsettings.Parse("test", nil, rlbsettings.ForGateway)
 	if err != nil {
 		t.Fatal(err)
@@ -87,6 +88,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return common
+}
+
+func newRig(t *testing.T, gateways, engines int) *rig {
+	common := newCommon(t)
 	r := &rig{network: rlbfake.NewNetwork(), claims: newMemoryClaims()}
 	for i := range gateways {
 		r.addGateway(common, fmt.Sprint("gateway", i))
