--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := lib rlb-controller rlb-gateway rlb-load rlb-standin rlbctl
-PROGRAMS := rlb-controller rlb-gateway rlb-load rlb-standin rlbctl
+MODULES := lib platform rlb-controller rlb-gateway rlb-load rlb-node rlb-standin rlbctl
+PROGRAMS := rlb-controller rlb-gateway rlb-load rlb-node rlb-standin rlbctl
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
--- a/lib/pkg/rlbplace/input.go
+++ b/lib/pkg/rlbplace/input.go
@@ -20,7 +20,8 @@
 	Memory    rlbunit.Bytes
 	Reserved  rlbunit.Bytes // used, or may come to be used
 	Residents []rlbengine.Resident
-	Leaving   bool // gets no loads, and its replicas do not count
+	Leaving   bool     // gets no loads, and its replicas do not count
+	Near      []string // models of which it has copies of its own: they need no load from the weight store
 }
 
 // Input is what a plan is made from.
--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -134,7 +134,7 @@
 	best := -1
 	inDomain := p.perDomain(m)
 	for i, e := range p.engines {
-		if p.canLoad(e, m) && (best < 0 || better(e, p.engines[best], inDomain)) {
+		if p.canLoad(e, m) && (best < 0 || better(e, p.engines[best], m.Name, inDomain)) {
 			best = i
 		}
 	}
@@ -151,7 +151,10 @@
 	return !e.Leaving && matches(e, m.Role) && e.Memory >= m.Memory
 }
 
-func better(a, b Engine, inDomain map[string]int) bool {
+func better(a, b Engine, model string, inDomain map[string]int) bool {
+	if nearA, nearB := slices.Contains(a.Near, model), slices.Contains(b.Near, model); nearA != nearB {
+		return nearA
+	}
 	if inA, inB := inDomain[a.Domain], inDomain[b.Domain]; inA != inB {
 		return inA < inB
 	}
--- a/lib/pkg/rlbroute/exchange.go
+++ b/lib/pkg/rlbroute/exchange.go
@@ -7,7 +7,13 @@
 	Once        bool // runs at most once
 	Deadline    time.Time
 	MaxAttempts int
-	Budget      *RetryBudget // shared by the gateway's requests
+	Budget      Budget // shared by requests
+}
+
+// Budget bounds retries.
+type Budget interface {
+	// Take takes one retry if one is left.
+	Take() bool
 }
 
 // Exchange is one request on its way, across its attempts.
--- a/lib/pkg/rlbsettings/key.go
+++ b/lib/pkg/rlbsettings/key.go
@@ -34,13 +34,14 @@
 	ForCtl
 	ForStandin
 	ForLoad
+	ForNode
 )
 
 // ProgramNames maps each program's bit to its name.
 var ProgramNames = []struct {
 	Program Program
 	Name    string
-}{{ForGateway, "rlb-gateway"}, {ForController, "rlb-controller"}, {ForCtl, "rlbctl"}, {ForStandin, "rlb-standin"}, {ForLoad, "rlb-load"}}
+}{{ForGateway, "rlb-gateway"}, {ForController, "rlb-controller"}, {ForCtl, "rlbctl"}, {ForStandin, "rlb-standin"}, {ForLoad, "rlb-load"}, {ForNode, "rlb-node"}}
 
 // Key describes one key of one section.
 type Key struct {
--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -2,16 +2,16 @@
 
 // The keys, by section. Programs read a value by passing one of these.
 var (
-	InstanceID     = &Key{"instance", "id", TypeText, "", "", "", "Name of this instance, unique in the fleet.", ForGateway | ForController | ForStandin}
-	InstanceDomain = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin}
-	InstanceRegion = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController}
+	InstanceID     = &Key{"instance", "id", TypeText, "", "", "", "Name of this instance, unique in the fleet.", ForGateway | ForController | ForStandin | ForNode}
+	InstanceDomain = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin | ForNode}
+	InstanceRegion = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController | ForNode}
 
-	LogLevel = &Key{"log", "level", TypeText, "info", "", "", "Least severe level that is logged: debug, info, warn, error.", ForGateway | ForController | ForStandin}
+	LogLevel = &Key{"log", "level", TypeText, "info", "", "", "Least severe level that is logged: debug, info, warn, error.", ForGateway | ForController | ForStandin | ForNode}
 
-	PlatformObjects   = &Key{"platform", "objects", TypeAddress, "127.0.0.1:7400", "", "", "Address of the platform's object API.", ForController}
+	PlatformObjects   = &Key{"platform", "objects", TypeAddress, "127.0.0.1:7400", "", "", "Address of the platform's object API.", ForController | ForNode}
 	PlatformInstances = &Key{"platform", "instances", TypeAddress, "127.0.0.1:7400", "", "", "Address of the platform's instance list.", ForController}
 	PlatformWeights   = &Key{"platform", "weights", TypeAddress, "127.0.0.1:7400", "", "", "Address of the weight store.", ForController | ForStandin}
-	PlatformTimeout   = &Key{"platform", "timeout", TypeDuration, "2s", "10ms", "1m", "Longest wait for one answer of the platform.", ForController}
+	PlatformTimeout   = &Key{"platform", "timeout", TypeDuration, "2s", "10ms", "1m", "Longest wait for one answer of the platform.", ForController | ForNode}
 
 	GatewayListen       = &Key{"gateway", "listen", TypeAddress, "127.0.0.1:7000", "", "", "Address for callers.", ForGateway}
 	GatewayControllers  = &Key{"gateway", "controllers", TypeList, "127.0.0.1:7100", "", "", "Control addresses of controllers, the local one first.", ForGateway}
@@ -51,6 +51,18 @@
 	ControllerCommit    = &Key{"controller", "claim_commit", TypeDuration, "10ms", "0s", "1s", "Longest time a claim waits for others to share its write.", ForController}
 	ControllerShards    = &Key{"controller", "claim_shards", TypeInt, "2", "1", "4096", "Shards of idempotency keys; the first controller of the fleet fixes their number.", ForController}
 
+	NodeCallers   = &Key{"node", "callers", TypeAddress, "127.0.0.1:7000", "", "", "Address for callers.", ForNode}
+	NodeReady     = &Key{"node", "readiness", TypeAddress, "127.0.0.1:7001", "", "", "Address on which the balancer asks whether the instance takes requests.", ForNode}
+	NodeInternal  = &Key{"node", "internal", TypeText, "127.0.0.1", "", "", "IP address for the other instances.", ForNode}
+	NodePorts     = &Key{"node", "internal_ports", TypeList, "7380,7395", "", "", "First and last port for the other instances and for metrics.", ForNode}
+	NodeRatio     = &Key{"node", "retry_ratio", TypeRatio, "0.2", "0", "10", "Repeats that all instances together may send, for each request.", ForNode}
+	NodeAllowance = &Key{"node", "retry_allowance", TypeRatio, "50", "0", "1000000", "Repeats besides, in each retry_window.", ForNode}
+	NodeWindow    = &Key{"node", "retry_window", TypeDuration, "10s", "1s", "10m", "Span over which repeats are counted.", ForNode}
+	NodeGrace     = &Key{"node", "grace", TypeDuration, "8s", "1s", "24h", "Time between the signal to stop and the kill.", ForNode}
+	NodeLease     = &Key{"node", "lease", TypeDuration, "3s", "500ms", "2m", "Time after which the lease for orders lapses.", ForNode}
+	NodeLoadOver  = &Key{"node", "load_window", TypeDuration, "5s", "1s", "10m", "Span over which loads from the weight store are counted.", ForNode}
+	NodeFencing   = &Key{"node", "fencing", TypeBool, "true", "", "", "Whether endpoints refuse orders with an old fencing number.", ForNode}
+
 	KeysCert = &Key{"keys", "cert", TypeText, "", "", "", "PEM file with this instance's certificate for control links; empty: plain TCP.", ForGateway | ForController | ForCtl}
 	KeysKey  = &Key{"keys", "key", TypeText, "", "", "", "PEM file with the key of cert.", ForGateway | ForController | ForCtl}
 	KeysCA   = &Key{"keys", "ca", TypeText, "", "", "", "PEM file with the authority that signs control and operator certificates.", ForGateway | ForController | ForCtl}
@@ -85,6 +97,7 @@
 	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
 	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerReplicas, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
+	NodeCallers, NodeReady, NodeInternal, NodePorts, NodeRatio, NodeAllowance, NodeWindow, NodeGrace, NodeLease, NodeLoadOver, NodeFencing,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefill, StandinStep, StandinStepSlot,
 	StandinPrefixes, StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes, StandinRecord,
--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -21,6 +21,7 @@
 	wrote   bool          // a byte of the present request may have left
 	idle    time.Time     // since when it waits in the pool
 	reused  bool
+	spoiled bool // what comes next on it may belong to another request
 }
 
 func newConn(c net.Conn) *conn {
@@ -43,7 +44,9 @@
 
 // Write implements io.Writer.
 func (c *conn) Write(p []byte) (int, error) {
-	c.wrote = true
+	if !c.wrote {
+		c.wrote = true
+	}
 	if err := c.SetWriteDeadline(c.limit); err != nil {
 		return 0, err
 	}
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -1,11 +1,13 @@
 package rlbdispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
@@ -70,6 +72,13 @@
 	Body     []byte
 	Deadline time.Time
 	Fresh    bool // on a new connection only: the request runs at most once
+
+	Host      string        // empty: the endpoint's address
+	FirstByte time.Duration // in place of the dispatcher's; 0: that one
+	NextByte  time.Duration // the same
+	// Mine reports whether an answer is this request's; others are read and
+	// dropped. nil: any is.
+	Mine func(*http.Response) bool
 }
 
 // Send sends a request and reads the answer's header. Sent is called right
@@ -81,17 +90,17 @@
 	}
 	in := &Incoming{dispatcher: d, address: address, conn: c}
 	in.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	c.limit, c.silence, c.wrote = out.Deadline, d.opts.FirstByte, false
-	if c.reused {
+	c.limit, c.silence, c.wrote = out.Deadline, cmp.Or(out.FirstByte, d.opts.FirstByte), false
+	if c.reused && out.FirstByte == 0 {
 		c.silence = min(c.silence, d.opts.Reused)
 	}
 	sent()
-	if err := write(c, address, out); err != nil {
+	written, err := begin(c, address, out)
+	if err != nil {
 		in.Abort()
 		return nil, rlberror.New("send", d.faultOf(c, address, err), err)
 	}
-	request := &http.Request{Method: out.Method}
-	in.Response, err = readResponse(c, request)
+	in.Response, err = readMine(c, out)
 	if err != nil {
 		in.Abort()
 		if c.reused {
@@ -99,10 +108,51 @@
 		}
 		return nil, rlberror.New("read answer", d.faultOf(c, address, err), err)
 	}
-	c.silence = d.opts.NextByte
+	if !written() {
+		c.spoiled = true // the endpoint still waits for the rest of the body
+	}
+	c.silence = cmp.Or(out.NextByte, d.opts.NextByte)
 	return in, nil
 }
 
+// shortBody is the longest body that is written before the answer is awaited.
+// The endpoint may answer before it has read a longer one.
+const shortBody = 8 << 10
+
+// begin writes a request. Written reports whether all of it has left.
+func begin(c *conn, address string, out *Outgoing) (written func() bool, err error) {
+	if len(out.Body) <= shortBody {
+		return func() bool { return true }, write(c, address, out)
+	}
+	c.wrote = true
+	var whole atomic.Bool
+	go func() {
+		if write(c, address, out) == nil {
+			whole.Store(true)
+		}
+	}()
+	return whole.Load, nil
+}
+
+// maxStrays is how many answers to other requests are read and dropped.
+const maxStrays = 4
+
+// readMine reads the answer to the request, and drops late ones to earlier
+// requests. Such a connection is not used again.
+func readMine(c *conn, out *Outgoing) (*http.Response, error) {
+	for range maxStrays {
+		response, err := readResponse(c, &http.Request{Method: out.Method})
+		if err != nil || out.Mine == nil || out.Mine(response) {
+			return response, err
+		}
+		c.spoiled = true
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.New("answers belong to other requests")
+}
+
 // Probe reports whether a new connection to address can be made.
 func (d *Dispatcher) Probe(ctx context.Context, address string) bool {
 	c, err := d.dial(ctx, address)
@@ -131,11 +181,19 @@
 }
 
 func write(c *conn, address string, out *Outgoing) error {
-	request, err := http.NewRequest(out.Method, "http://"+address+out.Path, nil)
+	target := address + out.Path
+	if out.Host != "" {
+		target = address // the path is written as the caller sent it
+	}
+	request, err := http.NewRequest(out.Method, "http://"+target, nil)
 	if err != nil {
 		return err
 	}
 	request.Header = out.Header
+	if out.Host != "" {
+		request.Host = out.Host
+		request.URL.Opaque, request.URL.RawQuery, request.URL.ForceQuery = out.Path, "", false
+	}
 	if len(out.Body) > 0 {
 		request.Body = io.NopCloser(&bodyReader{out.Body})
 		request.ContentLength = int64(len(out.Body))
--- a/rlb-gateway/pkg/rlbdispatch/incoming.go
+++ b/rlb-gateway/pkg/rlbdispatch/incoming.go
@@ -41,7 +41,7 @@
 // Done ends an exchange whose answer was read to its end, so that the
 // connection can be used again.
 func (in *Incoming) Done() {
-	if !in.stop() || in.Close || in.conn.reader.Buffered() > 0 {
+	if !in.stop() || in.Close || in.conn.spoiled || in.conn.reader.Buffered() > 0 {
 		_ = in.conn.Close()
 		return
 	}
--- /dev/null
+++ b/rlb-node/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // linked to the C library, as the platform expects of every program
--- /dev/null
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -0,0 +1,221 @@
+// Package rlbapp puts the parts of a node together and runs them.
+package rlbapp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbudget"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbduty"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbfront"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
+)
+
+// Fixed terms of a node.
+const (
+	connectTimeout = 400 * time.Millisecond // to an endpoint or the object API
+	idleTimeout    = 4 * time.Second        // of connections to the object API and to engines' control side
+	idlePerHost    = 4
+	sweepPeriod    = 500 * time.Millisecond
+	endpointWait   = 30 * time.Second // for an endpoint, where a request states nothing
+)
+
+// app is a running node.
+type app struct {
+	*rlbcommon.Common
+	name     string
+	domain   string
+	address  string // for other instances
+	life     int64
+	number   uint64 // of the latest digest
+	grace    time.Duration
+	registry metrics.Registry
+	api      rlbobject.API
+	view     *rlbview.View
+	fleet    *rlbpeer.Fleet
+	link     *rlbpeer.Link
+	loads    *rlbpick.Table
+	front    *rlbfront.Server
+	duty     *rlbduty.Duty
+}
+
+// decoder decodes what operators and endpoints write on the platform.
+type decoder struct{}
+
+// Config implements rlbview.Decoder.
+func (decoder) Config(value []byte) (*rlbsite.Config, error) { return rlbplatform.DecodeConfig(value) }
+
+// Endpoint implements rlbview.Decoder.
+func (decoder) Endpoint(id string, value []byte) (*rlbsite.Endpoint, error) {
+	return rlbplatform.DecodeEndpoint(id, value)
+}
+
+// Run serves until stop ends, then shuts down gracefully.
+func Run(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
+	a, cleanUp, err := newApp(common)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	servers, closeServers, err := a.listen()
+	if err != nil {
+		return err
+	}
+	defer closeServers()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a.start(ctx)
+	ready := rlbcommon.Ready{Program: "rlb-node", Instance: a.name, Listen: map[string]string{
+		"callers": servers.callers.Addr, "readiness": servers.ready.Addr, "internal": a.address,
+	}}
+	if err := rlbcommon.PrintReady(out, ready); err != nil {
+		return err
+	}
+	select {
+	case err := <-servers.failed:
+		return err
+	case <-stop.Done():
+	}
+	return a.shutDown(servers)
+}
+
+func newApp(common *rlbcommon.Common) (*app, func(), error) {
+	settings := common.Settings
+	address, err := internalAddress(settings)
+	if err != nil {
+		return nil, nil, err
+	}
+	a := &app{
+		Common: common, name: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
+		address: address, life: time.Now().UnixNano(), grace: settings.Duration(rlbsettings.NodeGrace),
+		registry: metrics.NewRegistry(), loads: rlbpick.NewTable(),
+	}
+	a.fleet = rlbpeer.NewFleet(a.name)
+	a.view = rlbview.New(a.Log, decoder{}, rlbclock.Now)
+	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, idlePerHost)
+	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, idlePerHost)
+	a.api = rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
+	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByte: endpointWait, Reused: endpointWait, NextByte: endpointWait, SweepEvery: sweepPeriod,
+	})
+	link, closeLink, err := rlbpeer.NewLink(a.Log, a.address, a.fleet, rlbclock.Now, a.answer)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
+	}
+	a.link = link
+	a.duty = rlbduty.New(rlbduty.Opts{
+		Log: a.Log, Name: a.name, Domain: a.domain, Life: a.name + "/" + strconv.FormatInt(a.life, 36),
+		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Ask: link.Ask,
+		Demand: a.demand, InFlight: a.inFlight, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
+		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Now: rlbclock.Now,
+	})
+	a.front = rlbfront.New(rlbfront.Opts{
+		Log: a.Log, Domain: a.domain, View: a.view, Loads: a.loads, Others: a.others,
+		Instances: func() int { return a.fleet.Known(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.duty,
+		Budget: rlbbudget.Terms{
+			Ratio: settings.Ratio(rlbsettings.NodeRatio), Allowance: settings.Ratio(rlbsettings.NodeAllowance),
+			Window: settings.Duration(rlbsettings.NodeWindow),
+		},
+		Metrics: a.registry, Now: rlbclock.Now,
+	})
+	return a, func() {
+		closeLink()
+		closeDispatcher()
+		closeEngines()
+		closeObjects()
+	}, nil
+}
+
+func internalAddress(settings *rlbsettings.Settings) (string, error) {
+	ports := settings.List(rlbsettings.NodePorts)
+	if len(ports) == 0 {
+		return "", fmt.Errorf("[node] internal_ports: no port")
+	}
+	return net.JoinHostPort(settings.Text(rlbsettings.NodeInternal), ports[0]), nil
+}
+
+// start runs the systems until ctx ends.
+func (a *app) start(ctx context.Context) {
+	config := &rlbview.Watcher{
+		API: a.api, Kind: rlbplatform.KindConfig, Sink: rlbview.ConfigSink{View: a.view, Name: rlbplatform.ConfigName}, Log: a.Log, Now: rlbclock.Now,
+	}
+	endpoints := &rlbview.Watcher{API: a.api, Kind: rlbplatform.KindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now}
+	go config.Run(ctx)
+	go endpoints.Run(ctx)
+	go a.register(ctx)
+	go a.link.Run(ctx, a.digest)
+	go a.duty.Run(ctx)
+	go a.sweep(ctx)
+}
+
+func (a *app) sweep(ctx context.Context) {
+	for rlbcommon.Sleep(ctx, sweepPeriod) {
+		a.view.Sweep()
+		snapshot := a.view.Snapshot()
+		a.loads.Forget(func(id string) bool { return snapshot.ByID[id] != nil })
+	}
+}
+
+func (a *app) demand() map[string]float32 { return a.front.Demand().Read() }
+
+// others returns the other instances' requests on an endpoint.
+func (a *app) others(endpoint string) int {
+	return a.fleet.InFlight(rlbclock.Now(), rlbpeer.Key(endpoint))
+}
+
+// inFlight returns all instances' requests on an endpoint.
+func (a *app) inFlight(endpoint string) int {
+	return a.others(endpoint) + a.loads.Own(endpoint)
+}
+
+// digest returns what the others are told next.
+func (a *app) digest() rlbpeer.Digest {
+	a.number++
+	d := rlbpeer.Digest{
+		Name: a.name, Domain: a.domain, Address: a.address, Life: a.life, Number: a.number,
+		Leaving: !a.front.Ready(), Fence: a.duty.Fence(), InFlight: map[uint32]uint16{}, Demand: a.demand(),
+	}
+	if config := a.view.Snapshot().Config; config != nil {
+		d.Config = config.Version
+	}
+	a.loads.InFlight(func(id string, n int) { d.InFlight[rlbpeer.Key(id)] = uint16(min(n, 1<<16-1)) })
+	return d
+}
+
+// answer answers the questions of other instances.
+func (a *app) answer(ctx context.Context, q rlbpeer.Question) rlbpeer.Answer {
+	switch {
+	case q.Adapter != nil && a.duty.Fence() > 0:
+		return a.duty.Provide(ctx, *q.Adapter)
+	case q.Adapter != nil:
+		return rlbpeer.Answer{Reason: "this instance does not hold the lease for orders"}
+	case q.Known:
+		return a.known()
+	default:
+		return rlbpeer.Answer{Reason: "unknown question"}
+	}
+}
+
+func (a *app) known() rlbpeer.Answer {
+	known := a.view.Known()
+	answer := rlbpeer.Answer{Config: known.Config}
+	for _, o := range known.Entries {
+		answer.Entries = append(answer.Entries, rlbpeer.Entry{Name: o.Name, Version: uint64(o.Version), Value: o.Value})
+	}
+	return answer
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -0,0 +1,202 @@
+package rlbduty
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
+)
+
+// Find returns the endpoints on which an adapter is loaded, the best first. It
+// asks the holder of the lease, which may load the adapter.
+func (d *Duty) Find(ctx context.Context, service, model, adapter string, avoid []string) ([]string, string) {
+	q := rlbpeer.AdapterQuestion{Service: service, Model: model, Adapter: adapter, Domain: d.Domain, Avoid: avoid}
+	key := strings.Join([]string{service, model, adapter}, "/")
+	if ids := d.cached(key, avoid); len(ids) > 0 {
+		return ids, ""
+	}
+	answer := d.find(ctx, q)
+	if len(answer.Endpoints) > 0 {
+		d.mu.Lock()
+		d.cache[key] = found{answer.Endpoints, d.now().Add(cacheFor)}
+		d.mu.Unlock()
+	}
+	return answer.Endpoints, answer.Reason
+}
+
+func (d *Duty) find(ctx context.Context, q rlbpeer.AdapterQuestion) rlbpeer.Answer {
+	ctx, cancel := context.WithTimeout(ctx, adapterWait)
+	defer cancel()
+	if d.Fence() > 0 {
+		return d.Provide(ctx, q)
+	}
+	holder, heard := d.Fleet.Holder(d.now())
+	if !heard {
+		return rlbpeer.Answer{Reason: "no instance is heard of that holds the lease for orders"}
+	}
+	answer, err := d.Ask(ctx, holder.Address, rlbpeer.Question{Adapter: &q})
+	if err != nil {
+		return rlbpeer.Answer{Reason: "holder " + holder.Name + " of the lease does not answer: " + err.Error()}
+	}
+	return answer
+}
+
+func (d *Duty) cached(key string, avoid []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hit, known := d.cache[key]
+	if !known {
+		return nil
+	}
+	if d.now().After(hit.until) {
+		delete(d.cache, key)
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(hit.endpoints), func(id string) bool { return slices.Contains(avoid, id) })
+}
+
+// Provide answers the question for an adapter as the holder of the lease.
+func (d *Duty) Provide(ctx context.Context, q rlbpeer.AdapterQuestion) rlbpeer.Answer {
+	lock := d.lock(q.Service + "/" + q.Model + "/" + q.Adapter)
+	lock.Lock()
+	defer lock.Unlock()
+	snapshot := d.View.Snapshot()
+	if snapshot.Config == nil || snapshot.Config.Services[q.Service].Engine == nil {
+		return rlbpeer.Answer{Reason: "the service has no engines"}
+	}
+	engine := snapshot.Config.Services[q.Service].Engine
+	options := d.options(ctx, snapshot, q)
+	if ids := d.loaded(ctx, options, q); len(ids) > 0 {
+		return rlbpeer.Answer{Endpoints: ids}
+	}
+	for _, o := range options {
+		if d.loadAdapter(ctx, o.desk, engine, q) {
+			return rlbpeer.Answer{Endpoints: []string{o.desk.endpoint.ID}}
+		}
+	}
+	return rlbpeer.Answer{Reason: "no endpoint with the model takes the adapter now"}
+}
+
+func (d *Duty) lock(key string) *sync.Mutex {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.locks[key] == nil {
+		d.locks[key] = &sync.Mutex{}
+	}
+	return d.locks[key]
+}
+
+// option is an endpoint that holds the model of an adapter.
+type option struct {
+	desk  *desk
+	cost  float64
+	ready time.Time // when the adapter can be used; zero: it is not there
+}
+
+// Weights of an option, in parts of an endpoint's full load.
+const (
+	otherDomain = 0.35
+	noSlot      = 0.3
+)
+
+// options returns the endpoints that hold the model, the best first.
+func (d *Duty) options(ctx context.Context, snapshot *rlbview.Snapshot, q rlbpeer.AdapterQuestion) []option {
+	var all []option
+	engine := snapshot.Config.Services[q.Service].Engine
+	for _, at := range d.all(snapshot, q.Service) {
+		entry := snapshot.ByID[at.endpoint.ID]
+		if entry == nil || entry.Leaving || slices.Contains(q.Avoid, entry.ID) {
+			continue
+		}
+		o := option{desk: at, cost: float64(d.InFlight(entry.ID)) / float64(max(engine.Slots, 1))}
+		if entry.Domain != q.Domain {
+			o.cost += otherDomain
+		}
+		at.mu.Lock()
+		known := d.refresh(ctx, at) && at.holds(q.Model)
+		if known {
+			if n, _ := at.adapters(d.now()); n >= engine.AdapterSlots {
+				o.cost += noSlot
+			}
+			if a := at.models[q.Model].adapters[q.Adapter]; a != nil {
+				o.ready = maxTime(a.ready, time.Unix(1, 0))
+			}
+		}
+		at.mu.Unlock()
+		if known {
+			all = append(all, o)
+		}
+	}
+	slices.SortFunc(all, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	return all
+}
+
+// loaded returns the endpoints that have the adapter, once the first of them
+// can be used.
+func (d *Duty) loaded(ctx context.Context, options []option, q rlbpeer.AdapterQuestion) []string {
+	var ids []string
+	var ready time.Time
+	for _, o := range options {
+		if o.ready.IsZero() {
+			continue
+		}
+		ids = append(ids, o.desk.endpoint.ID)
+		if ready.IsZero() || o.ready.Before(ready) {
+			ready = o.ready
+		}
+		o.desk.mu.Lock()
+		if m := o.desk.models[q.Model]; m != nil && m.adapters[q.Adapter] != nil {
+			m.adapters[q.Adapter].used = d.now()
+		}
+		o.desk.mu.Unlock()
+	}
+	if len(ids) > 0 {
+		rlbcommon.Sleep(ctx, ready.Sub(d.now()))
+	}
+	return ids
+}
+
+// loadAdapter loads an adapter on an endpoint, in place of the one that was
+// asked for longest ago if there is no slot left.
+func (d *Duty) loadAdapter(ctx context.Context, at *desk, engine *rlbsite.Engine, q rlbpeer.AdapterQuestion) bool {
+	ready, ordered := d.orderAdapter(ctx, at, engine, q)
+	if ordered {
+		rlbcommon.Sleep(ctx, ready.Sub(d.now()))
+	}
+	return ordered
+}
+
+func (d *Duty) orderAdapter(ctx context.Context, at *desk, engine *rlbsite.Engine, q rlbpeer.AdapterQuestion) (time.Time, bool) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	now := d.now()
+	if !at.known || !at.holds(q.Model) || now.Before(at.pause) {
+		return time.Time{}, false
+	}
+	all, coming := at.adapters(now)
+	if coming >= adaptersComing {
+		return time.Time{}, false
+	}
+	if all >= engine.AdapterSlots {
+		model, name, used := at.oldestAdapter()
+		if now.Sub(used) < keepFor {
+			return time.Time{}, false
+		}
+		o := rlbsite.Order{Action: rlbsite.ActionUnload, Model: model, Adapter: name}
+		if !d.order(ctx, at, engine, o, "makes room for "+q.Model+"/"+q.Adapter) {
+			return time.Time{}, false
+		}
+	}
+	o := rlbsite.Order{Action: rlbsite.ActionLoad, Model: q.Model, Adapter: q.Adapter}
+	if !d.order(ctx, at, engine, o, "asked for") {
+		return time.Time{}, false
+	}
+	return at.models[q.Model].adapters[q.Adapter].ready, true
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -0,0 +1,209 @@
+package rlbduty
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
+)
+
+// Periods.
+const (
+	tick          = 250 * time.Millisecond
+	contenders    = 2 // instances that read the lease while its holder is heard of
+	cacheFor      = 2 * time.Second
+	adapterWait   = 400 * time.Millisecond
+	keepFor       = time.Second // an adapter that was asked for stays at least that long
+	fencedBackoff = 3 * time.Second
+)
+
+// Opts are what a duty is made of.
+type Opts struct {
+	Log        log.Interface
+	Name       string // of this instance
+	Domain     string
+	Life       string // of this process, unique
+	API        rlbobject.API
+	Engines    rlbsite.Engines
+	View       *rlbview.View
+	Fleet      *rlbpeer.Fleet
+	Ask        func(ctx context.Context, address string, q rlbpeer.Question) (rlbpeer.Answer, error)
+	Demand     func() map[string]float32 // of this instance's callers
+	InFlight   func(endpoint string) int // of all instances
+	LeaseTTL   time.Duration
+	LoadWindow time.Duration
+	Now        func() time.Time
+}
+
+// Duty is an instance's part in the placement.
+type Duty struct {
+	Opts
+	log     log.Interface
+	name    string
+	now     func() time.Time
+	engines rlbsite.Engines
+	keeper  *keeper
+	rate    *loadRate
+
+	mu       sync.Mutex
+	desks    map[string]*desk
+	locks    map[string]*sync.Mutex // by adapter
+	cache    map[string]found
+	heldFrom time.Time // since when the lease is held; zero: it is not
+
+	leaving atomic.Bool
+	backOff atomic.Int64 // unix nanoseconds until which the lease is not wanted
+}
+
+type found struct {
+	endpoints []string
+	until     time.Time
+}
+
+// New returns a duty.
+func New(opts Opts) *Duty {
+	return &Duty{
+		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
+		keeper: newKeeper(opts.Log, opts.API, opts.Life, opts.LeaseTTL, opts.Now),
+		rate:   newLoadRate(opts.LoadWindow),
+		desks:  map[string]*desk{}, locks: map[string]*sync.Mutex{}, cache: map[string]found{},
+	}
+}
+
+// Run does the duty until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	go d.keep(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if d.follow() {
+			d.plan(ctx)
+		}
+	}
+}
+
+func (d *Duty) keep(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.keeper.step(ctx, d.contends())
+		}
+	}
+}
+
+// Leave gives the lease up: the instance is shutting down.
+func (d *Duty) Leave() { d.leaving.Store(true) }
+
+func (d *Duty) stopped() bool { return d.leaving.Load() }
+
+// Fence returns the fence of the lease if it is held, or 0.
+func (d *Duty) Fence() uint64 {
+	fence, held := d.keeper.held()
+	if !held || d.stopped() {
+		return 0
+	}
+	return fence
+}
+
+// fenced steps back after an endpoint has seen a higher fence.
+func (d *Duty) fenced(fence uint64) {
+	d.log.WithField("fence", fence).Warn("an endpoint has seen a higher fence; the lease is given up")
+	d.backOff.Store(d.now().Add(fencedBackoff).UnixNano())
+}
+
+// contends reports whether this instance wants the lease: it has it, or it is
+// among the first of the live ones, or no holder is heard of.
+func (d *Duty) contends() bool {
+	now := d.now()
+	if d.stopped() || d.View.Snapshot().Config == nil || now.UnixNano() < d.backOff.Load() {
+		return false
+	}
+	if _, held := d.keeper.held(); held {
+		return true
+	}
+	if _, heard := d.Fleet.Holder(now); !heard {
+		return true
+	}
+	before := 0
+	for _, peer := range d.Fleet.Live(now) {
+		if peer.Name < d.name && !peer.Leaving {
+			before++
+		}
+	}
+	return before < contenders
+}
+
+// follow brings the desks in line with the entries; it reports whether the
+// lease is held.
+func (d *Duty) follow() bool {
+	held := d.Fence() > 0
+	snapshot := d.View.Snapshot()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !held {
+		d.heldFrom = time.Time{}
+		return false
+	}
+	if d.heldFrom.IsZero() {
+		d.heldFrom = d.now()
+		clear(d.desks) // others gave orders in the meantime
+		d.rate.fill(d.now())
+	}
+	for id, e := range snapshot.ByID {
+		if d.engineOf(snapshot, e) == nil {
+			continue
+		}
+		if at := d.desks[id]; at == nil || !at.endpoint.SameLife(e) {
+			d.desks[id] = newDesk(e)
+		}
+	}
+	for id := range d.desks {
+		if snapshot.ByID[id] == nil {
+			delete(d.desks, id)
+		}
+	}
+	return true
+}
+
+func (d *Duty) engineOf(snapshot *rlbview.Snapshot, e *rlbsite.Endpoint) *rlbsite.Engine {
+	if snapshot.Config == nil {
+		return nil
+	}
+	return snapshot.Config.Services[e.Service].Engine
+}
+
+// all returns the desks of a service in a fixed order, each with its newest
+// entry.
+func (d *Duty) all(snapshot *rlbview.Snapshot, service string) []*desk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []*desk
+	for id, at := range d.desks {
+		if e := snapshot.ByID[id]; e != nil && e.Service == service {
+			all = append(all, at)
+		}
+	}
+	slices.SortFunc(all, func(a, b *desk) int {
+		if a.endpoint.ID < b.endpoint.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbduty/orders.go
@@ -0,0 +1,85 @@
+package rlbduty
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+)
+
+// Terms of calls to endpoints' control side.
+const (
+	orderTimeout  = 700 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	failedPause   = 500 * time.Millisecond
+)
+
+// refresh reads the endpoint's report if its state is not known. The desk is
+// locked.
+func (d *Duty) refresh(ctx context.Context, at *desk) bool {
+	now := d.now()
+	if at.known {
+		return true
+	}
+	if now.Before(at.pause) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := d.engines.Report(ctx, at.endpoint)
+	if err != nil {
+		at.pause = now.Add(failedPause)
+		d.log.WithError(err).WithField("endpoint", at.endpoint.ID).Warn("report of an endpoint cannot be read")
+		return false
+	}
+	if !report.Born.IsZero() && !report.Born.Equal(at.endpoint.Born) {
+		at.pause = now.Add(failedPause) // its entry tells of the new life soon
+		return false
+	}
+	at.report(report, d.now())
+	return true
+}
+
+// order gives an order under the lease. The desk is locked and its state known.
+func (d *Duty) order(ctx context.Context, at *desk, engine *rlbsite.Engine, o rlbsite.Order, reason string) bool {
+	fence, held := d.keeper.held()
+	if !held || d.stopped() {
+		return false
+	}
+	o.Sequence, o.Holder, o.Fence = at.sequence, d.name, fence
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	verdict, err := d.engines.Order(ctx, at.endpoint, o)
+	d.log.WithFields(log.Fields{
+		"endpoint": at.endpoint.ID, "order": o.Action.String(), "model": o.Model, "adapter": o.Adapter,
+		"sequence": o.Sequence, "fence": o.Fence, "verdict": verdict.String(), "reason": reason, "error": err,
+	}).Info("order given")
+	return d.settle(at, engine, o, verdict)
+}
+
+// settle notes what became of an order; it reports whether it takes effect.
+func (d *Duty) settle(at *desk, engine *rlbsite.Engine, o rlbsite.Order, verdict rlbsite.Verdict) bool {
+	now := d.now()
+	switch verdict {
+	case rlbsite.VerdictAccepted:
+		at.sequence++
+		at.applied(o, engine, now)
+		return true
+	case rlbsite.VerdictHolds:
+		if o.Action == rlbsite.ActionUnload {
+			at.sequence++ // an adapter that nothing uses goes at once
+		}
+		at.applied(o, engine, now)
+		return true
+	case rlbsite.VerdictUnknown:
+		at.known, at.unsure = false, now.Add(lateOrder)
+	case rlbsite.VerdictFenced:
+		at.known = false
+		d.fenced(o.Fence)
+	default:
+		at.known = false
+	}
+	at.pause = now.Add(failedPause / 5)
+	return false
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -0,0 +1,162 @@
+package rlbduty
+
+import (
+	"context"
+	"math"
+	"slices"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
+)
+
+// Weights of a plan.
+const (
+	moveWeight  = 0.2
+	replicas    = 2
+	secondsFull = 7.0 // the store serves as many loads at full speed as it starts in that time
+)
+
+// plan proposes changes for each service with engines, and orders them.
+func (d *Duty) plan(ctx context.Context) {
+	snapshot := d.View.Snapshot()
+	if snapshot.Config == nil {
+		return
+	}
+	demand := d.demand()
+	for name, service := range snapshot.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		desks := d.all(snapshot, name)
+		input := d.input(ctx, snapshot, service.Engine, desks, demand)
+		opts := rlbplace.Opts{
+			MoveWeight: moveWeight, Slots: float64(service.Engine.Slots), Replicas: replicas,
+			LoadsAtOnce: int(math.Ceil(service.Engine.LoadsPerSecond * secondsFull)),
+		}
+		for _, proposal := range rlbplace.Plan(input, opts) {
+			d.carryOut(ctx, desks, service.Engine, proposal)
+		}
+	}
+}
+
+// demand sums what all instances' callers want.
+func (d *Duty) demand() map[string]float64 {
+	sum := map[string]float64{}
+	for model, n := range d.Demand() {
+		sum[model] += float64(n)
+	}
+	for _, peer := range d.Fleet.Live(d.now()) {
+		for model, n := range peer.Demand {
+			sum[model] += float64(n)
+		}
+	}
+	return sum
+}
+
+// input describes the endpoints to the placement. Endpoints whose state is not
+// known are left out.
+func (d *Duty) input(ctx context.Context, snapshot *rlbview.Snapshot, engine *rlbsite.Engine, desks []*desk, demand map[string]float64) rlbplace.Input {
+	note := rlbnote.State{Models: map[string]rlbnote.Model{}}
+	for name, m := range engine.Models {
+		note.Models[name] = rlbnote.Model{Name: name, Memory: m.Memory}
+	}
+	input := rlbplace.Input{Note: note, Demand: demand, Settled: true}
+	for _, at := range desks {
+		if e, known := d.describe(ctx, snapshot, engine, at); known {
+			input.Engines = append(input.Engines, e)
+		}
+	}
+	return input
+}
+
+func (d *Duty) describe(ctx context.Context, snapshot *rlbview.Snapshot, engine *rlbsite.Engine, at *desk) (rlbplace.Engine, bool) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	entry := snapshot.ByID[at.endpoint.ID]
+	if entry == nil {
+		return rlbplace.Engine{}, false
+	}
+	at.take(entry)
+	if at.overdue(d.now()) {
+		at.known = false
+	}
+	if !d.refresh(ctx, at) {
+		return rlbplace.Engine{}, false
+	}
+	e := rlbplace.Engine{
+		ID: at.endpoint.ID, Domain: at.endpoint.Domain, Memory: memory(engine), Reserved: at.used(engine), Leaving: entry.Leaving,
+		Near: slices.Concat(at.endpoint.InMemory, at.endpoint.OnDisk),
+	}
+	for name, m := range at.models {
+		e.Residents = append(e.Residents, rlbengine.Resident{Name: name, Phase: phase(m), Memory: engine.Models[name].Memory})
+	}
+	slices.SortFunc(e.Residents, func(a, b rlbengine.Resident) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return e, true
+}
+
+func phase(m *model) rlbengine.Phase {
+	switch {
+	case m.leaving:
+		return rlbengine.PhaseUnloading
+	case !m.ready.IsZero():
+		return rlbengine.PhaseLoading
+	default:
+		return rlbengine.PhaseReady
+	}
+}
+
+// carryOut orders a proposal if it still may be.
+func (d *Duty) carryOut(ctx context.Context, desks []*desk, engine *rlbsite.Engine, p rlbplace.Proposal) {
+	at := slices.IndexFunc(desks, func(x *desk) bool { return x.endpoint.ID == p.Endpoint })
+	if at < 0 {
+		return
+	}
+	if p.Action == rlbengine.ActionUnload && d.ready(desks, p.Name) < 2 && d.listed(engine, p.Name) {
+		return // the last replica stays
+	}
+	go func() {
+		x := desks[at]
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		now := d.now()
+		if !x.known || x.busy() || now.Before(x.pause) || now.Before(x.unsure) {
+			return
+		}
+		if p.Action == rlbengine.ActionUnload {
+			if x.holds(p.Name) {
+				d.order(ctx, x, engine, rlbsite.Order{Action: rlbsite.ActionUnload, Model: p.Name}, p.Reason)
+			}
+			return
+		}
+		if !x.fits(engine, p.Name) || !x.endpoint.Near(p.Name) && !d.rate.take(now, engine.LoadsPerSecond) {
+			return
+		}
+		d.order(ctx, x, engine, rlbsite.Order{Action: rlbsite.ActionLoad, Model: p.Name}, p.Reason)
+	}()
+}
+
+func (d *Duty) listed(engine *rlbsite.Engine, name string) bool {
+	_, listed := engine.Models[name]
+	return listed
+}
+
+// ready returns the number of endpoints on which a model can be used.
+func (d *Duty) ready(desks []*desk, name string) int {
+	n := 0
+	for _, at := range desks {
+		at.mu.Lock()
+		if at.known && at.holds(name) && !at.endpoint.Leaving {
+			n++
+		}
+		at.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -0,0 +1,69 @@
+package rlbfront
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status int
+	after  time.Duration // when to come back; 0: not stated
+	text   string
+}
+
+// Times after which a caller may come back.
+const (
+	soon  = 300 * time.Millisecond
+	later = 700 * time.Millisecond
+)
+
+// The refusals. Those with 408 and 503 say that the request did not run.
+var (
+	refuseNoConfig   = &refusal{http.StatusServiceUnavailable, soon, "no config is known yet"}
+	refuseNoRoute    = &refusal{http.StatusNotFound, 0, "no route for this host and path"}
+	refuseLongBody   = &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
+	refuseBrokenBody = &refusal{http.StatusBadRequest, 0, "body ended before its length"}
+	refuseNoEndpoint = &refusal{http.StatusServiceUnavailable, later, "no endpoint can run it now"}
+	refuseRetries    = &refusal{http.StatusServiceUnavailable, later, "endpoints are full"}
+	refuseSuspect    = &refusal{http.StatusServiceUnavailable, later, "the request crashed endpoints before"}
+	refuseLate       = &refusal{http.StatusServiceUnavailable, soon, "no time left"}
+	failUnknown      = &refusal{http.StatusBadGateway, 0, "an endpoint may have run it, its answer is lost"}
+	failFailed       = &refusal{http.StatusBadGateway, 0, "an endpoint failed"}
+	failDeadline     = &refusal{http.StatusGatewayTimeout, 0, "no answer in time"}
+)
+
+func (s *Server) refuse(w http.ResponseWriter, x *request, r *refusal) {
+	s.meters.refused(r.status)
+	s.logEnd(x, r.status, r.text)
+	header := w.Header()
+	if r.after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', -1, 64))
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(r.status)
+	if _, err := w.Write([]byte(r.text + "\n")); err != nil {
+		s.Log.WithError(err).WithField("request", x.id).Debug("caller left")
+	}
+}
+
+// logEnd writes the line that ends a request.
+func (s *Server) logEnd(x *request, status int, text string) {
+	fields := log.Fields{
+		"request": x.id, "status": status, "outcome": text, "took_ms": s.Now().Sub(x.arrived).Milliseconds(),
+		"model": x.model, "adapter": x.adapter, "service": x.service, "endpoints": x.tried,
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+	}
+	if x.snapshot.Config != nil {
+		fields["config"] = x.snapshot.Config.Version
+	}
+	if x.reason != "" {
+		fields["reason"] = x.reason
+	}
+	s.Log.WithFields(fields).Info("request ended")
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -0,0 +1,111 @@
+package rlbfront
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
+)
+
+// Limits that hold until a config states them.
+const defaultBody = 4 << 20 // bytes
+
+// request is one request of a caller with what was decided about it.
+type request struct {
+	id       string
+	caller   *http.Request
+	body     []byte
+	snapshot *rlbview.Snapshot
+	route    *rlbsite.Route
+	service  string
+	model    string
+	adapter  string
+	print    uint64 // fingerprint, equal when the caller sends the request again
+	arrived  time.Time
+	deadline time.Time
+	exchange *rlbroute.Exchange
+	tried    []string // endpoints that it was sent to
+	lastID   string   // last whole event that the caller has
+	started  bool     // a part of the answer was sent
+	reason   string   // of the latest fault
+	failure  *answer  // latest answer of an endpoint that failed
+}
+
+// read reads a request and finds its route.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
+	x := &request{id: r.Header.Get(rlbplatform.HeaderRequestID), caller: r, arrived: s.Now(), snapshot: s.View.Snapshot()}
+	if x.snapshot.Config == nil {
+		return x, refuseNoConfig
+	}
+	route, found := x.snapshot.Config.Route(r.Host, r.URL.Path)
+	if !found {
+		return x, refuseNoRoute
+	}
+	x.route = route
+	x.service = route.Service(xxhash.Sum64String(x.id))
+	if refusal := s.readBody(w, x); refusal != nil {
+		return x, refusal
+	}
+	x.deadline = x.arrived.Add(route.Timeout)
+	if left, stated := rlbplatform.TimeLeft(r.Header); stated && left < route.Timeout {
+		x.deadline = x.arrived.Add(left)
+	}
+	x.model, x.adapter, _ = strings.Cut(r.Header.Get(rlbplatform.HeaderModel), "/")
+	x.lastID = r.Header.Get(rlbplatform.HeaderLastEvent)
+	x.print = fingerprint(r, x.body)
+	budget := s.budgets.of(x.service)
+	budget.request(s.Now())
+	x.exchange = rlbroute.NewExchange(rlbroute.ExchangeOpts{
+		Once: !route.Repeatable(), Deadline: x.deadline, MaxAttempts: route.Attempts,
+		Budget: spender{budget, s},
+	})
+	return x, nil
+}
+
+// readBody reads the whole body: a request that is not whole is sent nowhere.
+func (s *Server) readBody(w http.ResponseWriter, x *request) *refusal {
+	limits := x.snapshot.Config.Limits
+	longest := int64(limits.BodyBytes)
+	if longest <= 0 {
+		longest = defaultBody
+	}
+	if x.caller.ContentLength > longest {
+		return refuseLongBody
+	}
+	if x.caller.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	if limits.HeaderWait > 0 {
+		_ = control.SetReadDeadline(time.Now().Add(limits.HeaderWait))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, x.caller.Body, longest))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		x.body = body
+		return nil
+	}
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		return refuseLongBody
+	}
+	return refuseBrokenBody
+}
+
+// fingerprint is equal for the sends of one request by its caller.
+func fingerprint(r *http.Request, body []byte) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI(), r.Header.Get(rlbplatform.HeaderModel), r.Header.Get(rlbplatform.HeaderPrompt)} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -0,0 +1,226 @@
+package rlbfront
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
+)
+
+// Longest silence of an endpoint, where another may take over.
+const (
+	firstEvent = 1500 * time.Millisecond // of a stream that can be resumed
+	nextEvent  = 1200 * time.Millisecond
+	firstPart  = 2 // an idempotent request waits this part of its time for its first answer
+)
+
+// maxAnswer is the longest answer that is not a stream, in bytes.
+const maxAnswer = 8 << 20
+
+// mostUrgent and leastUrgent bound the priority that endpoints take.
+const (
+	mostUrgent  = 0
+	leastUrgent = 9
+)
+
+var noDeadline time.Time
+
+// answer is an endpoint's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send makes one attempt at an endpoint. Passed reports that the caller has the
+// final answer.
+func (s *Server) send(w http.ResponseWriter, x *request, e *rlbsite.Endpoint) (fault rlbroute.Fault, passed bool) {
+	ctx := x.caller.Context()
+	outcome := rlbpick.OutcomeNeutral
+	s.Loads.Begin(e)
+	defer func() { s.Loads.End(s.Now(), e, outcome) }()
+	in, err := s.Dispatcher.Send(ctx, e.Address, s.outgoing(x, e), x.exchange.Sent)
+	if err == nil {
+		fault, passed, err = s.receive(w, x, in)
+	} else {
+		fault, _ = rlberror.KindOf[rlbroute.Fault](err)
+	}
+	if err != nil {
+		x.reason = err.Error()
+	}
+	if ctx.Err() != nil && !passed {
+		return rlbroute.FaultCallerGone, false
+	}
+	outcome = outcomeOf(fault, passed)
+	if passed {
+		return fault, true
+	}
+	switch {
+	case fault == rlbroute.FaultNotSent:
+		x.exchange.Unsent()
+	case fault == rlbroute.FaultCut:
+		s.suspects.crashed(x.print)
+	case fault == rlbroute.FaultSilent && !s.Now().Before(x.deadline):
+		fault = rlbroute.FaultDeadline
+	}
+	return fault, false
+}
+
+func outcomeOf(fault rlbroute.Fault, passed bool) rlbpick.Outcome {
+	switch {
+	case passed:
+		return rlbpick.OutcomeGood
+	case fault == rlbroute.FaultRefused, fault == rlbroute.FaultCallerGone:
+		return rlbpick.OutcomeNeutral
+	default:
+		return rlbpick.OutcomeBad
+	}
+}
+
+// outgoing returns the request as an endpoint gets it.
+func (s *Server) outgoing(x *request, e *rlbsite.Endpoint) *rlbdispatch.Outgoing {
+	header := x.caller.Header.Clone()
+	dropHops(header)
+	rlbplatform.DropOwn(header)
+	header.Set(rlbplatform.HeaderInstance, e.ID)
+	rlbplatform.SetTimeLeft(header, s.Now(), x.deadline)
+	if x.model != "" {
+		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(min(max(x.route.Priority, mostUrgent), leastUrgent)))
+	}
+	if x.lastID != "" {
+		header.Set(rlbplatform.HeaderLastEvent, x.lastID)
+	}
+	if header.Get("User-Agent") == "" {
+		header.Set("User-Agent", "") // keeps the library from adding its own
+	}
+	path := x.caller.URL.EscapedPath()
+	if x.caller.URL.RawQuery != "" {
+		path += "?" + x.caller.URL.RawQuery
+	}
+	out := &rlbdispatch.Outgoing{
+		Method: x.caller.Method, Path: path, Host: x.caller.Host, Header: header, Body: x.body, Deadline: s.ioDeadline(x.deadline),
+		Fresh: !x.route.Repeatable(),
+		Mine:  func(r *http.Response) bool { return r.Header.Get(rlbplatform.HeaderRequestID) == x.id },
+	}
+	out.FirstByte, out.NextByte = s.silences(x)
+	return out
+}
+
+// ioDeadline returns a deadline as connections take it: on the process clock.
+func (s *Server) ioDeadline(deadline time.Time) time.Time {
+	return time.Now().Add(deadline.Sub(s.Now()))
+}
+
+// silences returns how long an endpoint may be silent before its answer and
+// within it.
+func (s *Server) silences(x *request) (first, next time.Duration) {
+	left := max(x.deadline.Sub(s.Now()), time.Millisecond)
+	switch {
+	case x.route.Kind == rlbsite.KindIdempotent:
+		return max(left/firstPart, time.Millisecond), left
+	case x.route.Repeatable():
+		return min(firstEvent, left), nextEvent
+	default:
+		return left, left
+	}
+}
+
+// hops are the headers that concern one connection only.
+var hops = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func dropHops(header http.Header) {
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hops {
+		header.Del(name)
+	}
+}
+
+// receive reads an endpoint's answer and passes it on.
+func (s *Server) receive(w http.ResponseWriter, x *request, in *rlbdispatch.Incoming) (rlbroute.Fault, bool, error) {
+	if in.Header.Get(rlbplatform.HeaderNotRun) != "" || in.StatusCode == http.StatusMisdirectedRequest {
+		return s.refused(x, in)
+	}
+	if in.Header.Get(rlbplatform.HeaderProof) == "" || in.Header.Get("Content-Encoding") != "" {
+		in.Abort()
+		x.reason = "answer without proof, status " + strconv.Itoa(in.StatusCode)
+		return rlbroute.FaultMalformed, false, nil
+	}
+	if x.route.Kind == rlbsite.KindStream && in.StatusCode/100 == 2 {
+		return s.stream(w, x, in)
+	}
+	return s.whole(w, x, in)
+}
+
+// refused notes that the endpoint did not run the request.
+func (s *Server) refused(x *request, in *rlbdispatch.Incoming) (rlbroute.Fault, bool, error) {
+	x.reason = "endpoint did not run it, status " + strconv.Itoa(in.StatusCode)
+	if _, err := in.ReadAll(maxAnswer); err != nil {
+		in.Abort()
+		return rlbroute.FaultRefused, false, nil
+	}
+	in.Done()
+	return rlbroute.FaultRefused, false, nil
+}
+
+// whole passes on an answer that is not a stream.
+func (s *Server) whole(w http.ResponseWriter, x *request, in *rlbdispatch.Incoming) (rlbroute.Fault, bool, error) {
+	body, err := in.ReadAll(maxAnswer)
+	if err != nil {
+		in.Abort()
+		fault, _ := rlberror.KindOf[rlbroute.Fault](err)
+		return fault, false, err
+	}
+	got := &answer{status: in.StatusCode, header: in.Header, body: body}
+	in.Done()
+	if got.status >= http.StatusInternalServerError && x.route.Repeatable() && !x.started {
+		x.failure = got
+		x.reason = "endpoint failed, status " + strconv.Itoa(got.status)
+		return rlbroute.FaultFailed, false, nil
+	}
+	if x.started {
+		return rlbroute.FaultFailed, false, nil
+	}
+	s.pass(w, x, got)
+	return 0, true, nil
+}
+
+// pass gives the caller an endpoint's whole answer.
+func (s *Server) pass(w http.ResponseWriter, x *request, got *answer) {
+	copyHeader(w.Header(), got.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
+	w.WriteHeader(got.status)
+	_, err := w.Write(got.body)
+	s.meters.answered(s.Now().Sub(x.arrived))
+	if err != nil {
+		s.logEnd(x, got.status, "caller left: "+err.Error())
+		return
+	}
+	s.logEnd(x, got.status, "passed on")
+}
+
+func copyHeader(to, from http.Header) {
+	leaves := to.Get("Connection")
+	kept := from.Clone()
+	dropHops(kept)
+	kept.Del("Content-Length")
+	for name, values := range kept {
+		to[name] = values
+	}
+	if leaves != "" {
+		to.Set("Connection", leaves)
+	}
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -0,0 +1,37 @@
+// Package rlbpeer links the instances of a fleet: each tells the others a short
+// digest several times a second, and may ask one of them a question.
+package rlbpeer
+
+import "github.com/cespare/xxhash/v2"
+
+// Digest is what an instance tells of itself.
+type Digest struct {
+	Name     string             `msgpack:"n"`
+	Domain   string             `msgpack:"d"`
+	Address  string             `msgpack:"a"` // IP:port, for digests and for questions
+	Life     int64              `msgpack:"l"` // rises with each start of the instance
+	Number   uint64             `msgpack:"s"` // rises within a life
+	Leaving  bool               `msgpack:"x,omitempty"`
+	Config   uint64             `msgpack:"c,omitempty"` // version in force
+	Fence    uint64             `msgpack:"f,omitempty"` // of the lease for orders, if this instance holds it
+	InFlight map[uint32]uint16  `msgpack:"i,omitempty"` // requests by endpoint, see Key
+	Demand   map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
+	Strikes  []Strike           `msgpack:"k,omitempty"`
+}
+
+// Strike tells that a request may have crashed the endpoint that ran it.
+type Strike struct {
+	Request  uint64 `msgpack:"r"` // fingerprint
+	Endpoint uint32 `msgpack:"e"`
+}
+
+// Key returns the short name of an endpoint in digests.
+func Key(endpoint string) uint32 { return uint32(xxhash.Sum64String(endpoint)) }
+
+// newer reports whether a digest replaces an older one of the same instance.
+func (d *Digest) newer(old *Digest) bool {
+	if d.Life != old.Life {
+		return d.Life > old.Life
+	}
+	return d.Number > old.Number
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -0,0 +1,199 @@
+package rlbpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Terms of a link.
+const (
+	maxDatagram  = 60 << 10 // bytes
+	digestPeriod = 250 * time.Millisecond
+	callSilence  = 2 * time.Second // of either end of a question
+)
+
+// Types of frames.
+const (
+	frameQuestion rlbwire.Type = iota + 1
+	frameAnswer
+)
+
+// Question is a call from one instance to another. One field is set.
+type Question struct {
+	Adapter *AdapterQuestion `msgpack:"a,omitempty"`
+	Known   bool             `msgpack:"k,omitempty"` // what the other knows of the deployment
+}
+
+// AdapterQuestion asks for an endpoint on which an adapter is loaded.
+type AdapterQuestion struct {
+	Service string   `msgpack:"s"`
+	Model   string   `msgpack:"m"`
+	Adapter string   `msgpack:"a"`
+	Domain  string   `msgpack:"d"` // of the instance that asks
+	Avoid   []string `msgpack:"v,omitempty"`
+}
+
+// Answer answers a question.
+type Answer struct {
+	Endpoints []string `msgpack:"e,omitempty"` // that hold the adapter, the best first
+	Reason    string   `msgpack:"r,omitempty"` // why there is none
+	Config    []byte   `msgpack:"c,omitempty"`
+	Entries   []Entry  `msgpack:"n,omitempty"`
+}
+
+// Entry is an endpoint's entry as it stands in the object API.
+type Entry struct {
+	Name    string `msgpack:"n"`
+	Version uint64 `msgpack:"v"`
+	Value   []byte `msgpack:"b"`
+}
+
+// Handler answers the questions of other instances.
+type Handler func(ctx context.Context, q Question) Answer
+
+// Link carries digests and questions.
+type Link struct {
+	log     log.Interface
+	fleet   *Fleet
+	now     func() time.Time
+	packets *net.UDPConn
+	calls   net.Listener
+	handler Handler
+}
+
+// NewLink listens on address (IP:port) for datagrams and for connections, and
+// returns the link with its clean-up function.
+func NewLink(logger log.Interface, address string, fleet *Fleet, now func() time.Time, handler Handler) (*Link, func(), error) {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	packets, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, nil, err
+	}
+	calls, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, nil, errors.Join(err, packets.Close())
+	}
+	l := &Link{log: logger, fleet: fleet, now: now, packets: packets, calls: calls, handler: handler}
+	go l.receive()
+	go l.serve()
+	return l, func() {
+		_ = packets.Close()
+		_ = calls.Close()
+	}, nil
+}
+
+// Run tells the digest to all others until ctx ends.
+func (l *Link) Run(ctx context.Context, digest func() Digest) {
+	ticker := time.NewTicker(digestPeriod)
+	defer ticker.Stop()
+	for {
+		l.tell(digest())
+		select {
+		case <-ctx.Done():
+			l.tell(digest())
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Link) tell(d Digest) {
+	packet, err := msgpack.Marshal(&d)
+	if err != nil || len(packet) > maxDatagram {
+		l.log.WithFields(log.Fields{"bytes": len(packet), "error": err}).Error("digest cannot be sent")
+		return
+	}
+	for _, target := range l.fleet.Targets(l.now()) {
+		if target == d.Address {
+			continue
+		}
+		at, err := net.ResolveUDPAddr("udp4", target)
+		if err != nil {
+			l.log.WithError(err).WithField("target", target).Warn("address of an instance cannot be read")
+			continue
+		}
+		// A datagram that cannot leave now is replaced by the next one.
+		_, _ = l.packets.WriteToUDP(packet, at)
+	}
+}
+
+func (l *Link) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := l.packets.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.log.WithError(err).Warn("digest cannot be received")
+			continue
+		}
+		var d Digest
+		if err := msgpack.Unmarshal(buffer[:n], &d); err != nil {
+			l.log.WithError(err).Warn("digest cannot be read")
+			continue
+		}
+		if l.fleet.Take(l.now(), d) {
+			l.log.WithFields(log.Fields{"peer": d.Name, "address": d.Address, "life": d.Life}).Info("instance known")
+		}
+	}
+}
+
+func (l *Link) serve() {
+	for {
+		conn, err := l.calls.Accept()
+		if err != nil {
+			return // closed at shutdown
+		}
+		go l.answer(rlbwire.NewConn(conn, callSilence))
+	}
+}
+
+func (l *Link) answer(conn *rlbwire.Conn) {
+	defer func() { _ = conn.Close() }()
+	frame, err := conn.Receive()
+	if err != nil {
+		return // the other end broke off
+	}
+	var q Question
+	if err := frame.Decode(&q); err != nil {
+		l.log.WithError(err).Warn("question of an instance cannot be read")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callSilence)
+	defer cancel()
+	if err := conn.Send(frameAnswer, frame.Call, l.handler(ctx, q)); err != nil {
+		l.log.WithError(err).Debug("answer to an instance cannot be sent")
+	}
+}
+
+// Ask puts a question to the instance at address.
+func (l *Link) Ask(ctx context.Context, address string, q Question) (Answer, error) {
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return Answer{}, err
+	}
+	conn := rlbwire.NewConn(raw, callSilence)
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := conn.Send(frameQuestion, 1, q); err != nil {
+		return Answer{}, err
+	}
+	frame, err := conn.Receive()
+	if err != nil {
+		return Answer{}, err
+	}
+	var answer Answer
+	return answer, frame.Decode(&answer)
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbview/view.go
@@ -0,0 +1,204 @@
+// Package rlbview is what an instance knows of the deployment: the config in
+// force and the entries of the endpoints. It is fed by watches of the object API
+// and by other instances, and read without locks.
+package rlbview
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+)
+
+// returnGrace is how long an entry that lapsed during an outage of the object
+// API may take to come back after it.
+const returnGrace = 2 * time.Second
+
+// Decoder reads what operators and endpoints write.
+type Decoder interface {
+	Config(value []byte) (*rlbsite.Config, error)
+	Endpoint(id string, value []byte) (*rlbsite.Endpoint, error)
+}
+
+// Snapshot is the view at one moment. It is never changed.
+type Snapshot struct {
+	Config    *rlbsite.Config // nil: none is known yet
+	ByID      map[string]*rlbsite.Endpoint
+	ByService map[string][]*rlbsite.Endpoint
+}
+
+// View is an instance's view. Its methods may be called from any goroutine.
+type View struct {
+	log     log.Interface
+	decoder Decoder
+	now     func() time.Time
+
+	mu        sync.Mutex
+	config    *rlbsite.Config
+	rawConfig []byte
+	entries   map[string]*entry
+	revision  rlbobject.Version // newest of the entries
+
+	snapshot atomic.Pointer[Snapshot]
+}
+
+type entry struct {
+	raw      []byte
+	version  rlbobject.Version
+	endpoint *rlbsite.Endpoint // nil: the entry names none
+	gone     time.Time         // when it is dropped; zero: it stays
+}
+
+// New returns an empty view.
+func New(logger log.Interface, decoder Decoder, now func() time.Time) *View {
+	v := &View{log: logger, decoder: decoder, now: now, entries: map[string]*entry{}}
+	v.snapshot.Store(&Snapshot{})
+	return v
+}
+
+// Snapshot returns the present view.
+func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
+
+// TakeConfig puts a config in force if it is newer than the present one.
+func (v *View) TakeConfig(value []byte, source string) {
+	decoded, err := v.decoder.Config(value)
+	if err != nil {
+		v.log.WithError(err).WithField("source", source).Error("config cannot be read; the old one stays in force")
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config != nil && decoded.Version <= v.config.Version {
+		return
+	}
+	v.config, v.rawConfig = decoded, value
+	v.publish()
+	v.log.WithFields(log.Fields{"version": decoded.Version, "routes": decoded.Routes(), "source": source}).Info("config in force")
+}
+
+// Reset takes the full list of entries. Entries that it lacks are dropped, at
+// once or, after an outage, when they had time to come back.
+func (v *View) Reset(objects []rlbobject.Object, afterOutage bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	listed := map[string]bool{}
+	for _, o := range objects {
+		listed[o.Name] = true
+		v.put(o)
+	}
+	for id, e := range v.entries {
+		if !listed[id] {
+			v.drop(id, e, afterOutage)
+		}
+	}
+	v.publish()
+}
+
+// Change takes changed entries.
+func (v *View) Change(objects []rlbobject.Object, afterOutage bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, o := range objects {
+		if !o.Deleted {
+			v.put(o)
+			continue
+		}
+		if e, known := v.entries[o.Name]; known {
+			v.drop(o.Name, e, afterOutage)
+		}
+	}
+	v.publish()
+}
+
+// Sweep drops entries whose time to come back has passed.
+func (v *View) Sweep() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now, dropped := v.now(), false
+	for id, e := range v.entries {
+		if !e.gone.IsZero() && !now.Before(e.gone) {
+			v.forget(id, "did not come back after an outage")
+			dropped = true
+		}
+	}
+	if dropped {
+		v.publish()
+	}
+}
+
+func (v *View) put(o rlbobject.Object) {
+	old, known := v.entries[o.Name]
+	if known && o.Version < old.version {
+		return
+	}
+	next := &entry{raw: o.Value, version: o.Version}
+	decoded, err := v.decoder.Endpoint(o.Name, o.Value)
+	if err != nil {
+		v.log.WithError(err).WithField("endpoint", o.Name).Warn("entry of an endpoint cannot be read; it is not used")
+	} else {
+		next.endpoint = decoded
+	}
+	v.entries[o.Name] = next
+	v.revision = max(v.revision, o.Version)
+	v.logPut(o.Name, old, next)
+}
+
+func (v *View) logPut(id string, old, next *entry) {
+	if next.endpoint == nil {
+		return
+	}
+	if old == nil || old.endpoint == nil || !old.endpoint.SameLife(next.endpoint) || old.endpoint.Leaving != next.endpoint.Leaving {
+		v.log.WithFields(log.Fields{
+			"endpoint": id, "address": next.endpoint.Address, "leaving": next.endpoint.Leaving,
+			"revision": uint64(next.version), "holds": next.endpoint.Holds,
+		}).Info("endpoint known")
+	}
+}
+
+func (v *View) drop(id string, e *entry, afterOutage bool) {
+	if !afterOutage {
+		v.forget(id, "removed from the list")
+		return
+	}
+	if e.gone.IsZero() {
+		e.gone = v.now().Add(returnGrace)
+	}
+}
+
+func (v *View) forget(id, reason string) {
+	delete(v.entries, id)
+	v.log.WithFields(log.Fields{"endpoint": id, "reason": reason}).Info("endpoint gone")
+}
+
+// publish makes a new snapshot.
+func (v *View) publish() {
+	s := &Snapshot{Config: v.config, ByID: map[string]*rlbsite.Endpoint{}, ByService: map[string][]*rlbsite.Endpoint{}}
+	for id, e := range v.entries {
+		if e.endpoint == nil {
+			continue
+		}
+		s.ByID[id] = e.endpoint
+		s.ByService[e.endpoint.Service] = append(s.ByService[e.endpoint.Service], e.endpoint)
+	}
+	v.snapshot.Store(s)
+}
+
+// Known is the config and the entries as they stand in the object API.
+type Known struct {
+	Config  []byte
+	Entries []rlbobject.Object
+}
+
+// Known returns what the view was made from.
+func (v *View) Known() Known {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	k := Known{Config: v.rawConfig}
+	for id, e := range v.entries {
+		k.Entries = append(k.Entries, rlbobject.Object{Name: id, Version: e.version, Value: e.raw})
+	}
+	return k
+}
