No order to an endpoint that is busy; a stopping instance refuses what it cannot finish

Cause: LIMIT: a new holder of the lease took a report with an unnamed load under way as idle and ordered the same model again. LOST: requests that came on kept connections more than 5 s after the signal to stop were cut at its end. Ruled out: overcommitted adapters (five of eight slots, by the logged reports). Change: reports from before the latest order, and of endpoints busy with an unknown order, leave the state unknown; fetches under way count as adapters; after the balancer has noticed, requests are refused as not run.

--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -61,6 +61,7 @@
 	a.front.Leave()
 	a.duty.Leave()
 	time.Sleep(noticed)
+	a.front.Close()
 	for a.front.Active() > 0 && time.Now().Before(end) {
 		time.Sleep(quietPeriod)
 	}
--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -120,7 +120,7 @@
 			o.cost += otherDomain
 		}
 		at.mu.Lock()
-		known := d.refresh(ctx, at) && at.holds(q.Model)
+		known := d.refresh(ctx, at) && at.holds(q.Model) && !at.busy()
 		if known {
 			if n, _ := at.adapters(d.now()); n >= engine.AdapterSlots {
 				o.cost += noSlot
@@ -177,7 +177,7 @@
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	now := d.now()
-	if !at.known || !at.holds(q.Model) || now.Before(at.pause) {
+	if !at.known || !at.holds(q.Model) || at.busy() || now.Before(at.pause) {
 		return time.Time{}, false
 	}
 	all, coming := at.adapters(now)
--- a/rlb-node/pkg/rlbduty/desk.go
+++ b/rlb-node/pkg/rlbduty/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	adapterPerMB   = 250 * time.Microsecond // of fetching
 	adapterFactor  = 1.5                    // the fetch may share the store with others
 	adaptersComing = 4                      // an endpoint fetches that many at once
+	reportLag      = 600 * time.Millisecond // by which a report may be older than the latest order
 	lateOrder      = 13 * time.Second       // for which an order without an answer may still take effect
 )
 
@@ -28,6 +30,7 @@
 	known    bool              // the state below was read after the latest order without an answer
 	sequence uint64
 	models   map[string]*model
+	ordered  time.Time // when the latest order was accepted
 	unsure   time.Time // until when an order without an answer may take effect
 	pause    time.Time // until when no order is tried
 }
@@ -76,8 +79,13 @@
 	return len(e.Holds) == len(d.models)
 }
 
-// report takes the endpoint's own report.
-func (d *desk) report(r rlbsite.Report, now time.Time) {
+// report takes the endpoint's own report; it reports whether the state is known
+// with it. It is not after a report from before the latest order, nor while the
+// endpoint carries out an order that somebody else gave.
+func (d *desk) report(r rlbsite.Report, now time.Time) bool {
+	if r.Sequence < d.sequence && now.Sub(d.ordered) < reportLag || r.Busy && !d.busy() {
+		return false
+	}
 	old := d.models
 	d.models, d.sequence, d.known = map[string]*model{}, r.Sequence, true
 	for _, h := range r.Holds {
@@ -90,6 +98,9 @@
 		}
 		d.models[h.Model] = m
 	}
+	for _, name := range r.Coming {
+		d.comes(name, now)
+	}
 	for name, m := range old {
 		if r.Busy && d.models[name] == nil && !m.ready.IsZero() {
 			d.models[name] = m // it is the one that is being loaded
@@ -99,6 +110,15 @@
 	endpoint := *d.endpoint
 	endpoint.InMemory, endpoint.OnDisk = r.InMemory, r.OnDisk
 	d.endpoint = &endpoint
+	return true
+}
+
+// comes notes an adapter, as MODEL/ADAPTER, that the endpoint is fetching.
+func (d *desk) comes(name string, now time.Time) {
+	modelName, adapterName, _ := strings.Cut(name, "/")
+	if m := d.models[modelName]; m != nil && m.adapters[adapterName] == nil {
+		m.adapters[adapterName] = &adapter{ready: now.Add(reportLag), used: now}
+	}
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/rlb-node/pkg/rlbduty/orders.go
+++ b/rlb-node/pkg/rlbduty/orders.go
@@ -13,6 +13,7 @@
 	orderTimeout  = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 	failedPause   = 500 * time.Millisecond
+	reportPause   = 200 * time.Millisecond // between two reports of an endpoint that is busy
 )
 
 // refresh reads the endpoint's report if its state is not known. The desk is
@@ -37,7 +38,14 @@
 		at.pause = now.Add(failedPause) // its entry tells of the new life soon
 		return false
 	}
-	at.report(report, d.now())
+	if !at.report(report, d.now()) {
+		at.pause = now.Add(reportPause)
+		return false
+	}
+	d.log.WithFields(log.Fields{
+		"endpoint": at.endpoint.ID, "sequence": report.Sequence, "busy": report.Busy, "holds": report.Holds, "coming": report.Coming,
+		"in_memory": report.InMemory, "on_disk": report.OnDisk,
+	}).Info("state of an endpoint read")
 	return true
 }
 
@@ -62,15 +70,16 @@
 func (d *Duty) settle(at *desk, engine *rlbsite.Engine, o rlbsite.Order, verdict rlbsite.Verdict) bool {
 	now := d.now()
 	switch verdict {
-	case rlbsite.VerdictAccepted:
-		at.sequence++
-		at.applied(o, engine, now)
-		return true
-	case rlbsite.VerdictHolds:
-		if o.Action == rlbsite.ActionUnload {
-			at.sequence++ // an adapter that nothing uses goes at once
+	case rlbsite.VerdictAccepted, rlbsite.VerdictHolds:
+		if verdict == rlbsite.VerdictAccepted || o.Action == rlbsite.ActionUnload {
+			at.sequence++ // an adapter that nothing uses is unloaded with this verdict
+			at.ordered = now
 		}
 		at.applied(o, engine, now)
+		if o.Adapter != "" && o.Action == rlbsite.ActionUnload && verdict == rlbsite.VerdictAccepted {
+			at.known, at.pause = false, now.Add(reportPause) // a request uses it: the endpoint is busy until that ends
+			return false
+		}
 		return true
 	case rlbsite.VerdictUnknown:
 		at.known, at.unsure = false, now.Add(lateOrder)
@@ -80,6 +89,6 @@
 	default:
 		at.known = false
 	}
-	at.pause = now.Add(failedPause / 5)
+	at.pause = now.Add(reportPause)
 	return false
 }
--- a/rlb-node/pkg/rlbfront/refusal.go
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -17,13 +17,15 @@
 
 // Times after which a caller may come back.
 const (
-	soon  = 300 * time.Millisecond
-	later = 700 * time.Millisecond
+	atOnce = 10 * time.Millisecond
+	soon   = 300 * time.Millisecond
+	later  = 700 * time.Millisecond
 )
 
 // The refusals. Those with 408 and 503 say that the request did not run.
 var (
 	refuseNoConfig   = &refusal{http.StatusServiceUnavailable, soon, "no config is known yet"}
+	refuseLeaving    = &refusal{http.StatusServiceUnavailable, atOnce, "the instance shuts down"}
 	refuseNoRoute    = &refusal{http.StatusNotFound, 0, "no route for this host and path"}
 	refuseLongBody   = &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
 	refuseBrokenBody = &refusal{http.StatusBadRequest, 0, "body ended before its length"}
--- a/rlb-node/pkg/rlbfront/server.go
+++ b/rlb-node/pkg/rlbfront/server.go
@@ -46,6 +46,7 @@
 	suspects *suspects
 	meters   meters
 	leaving  atomic.Bool
+	closed   atomic.Bool
 	active   atomic.Int64
 }
 
@@ -69,6 +70,10 @@
 // Leave makes each answer end its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// Close makes each further request be refused as not run: there is no time left
+// in which it could be answered.
+func (s *Server) Close() { s.closed.Store(true) }
+
 // Ready reports whether the instance can serve callers.
 func (s *Server) Ready() bool { return !s.leaving.Load() && s.View.Snapshot().Config != nil }
 
@@ -80,6 +85,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	x, refusal := s.read(w, r)
+	if refusal == nil && s.closed.Load() {
+		refusal = refuseLeaving
+	}
 	if refusal != nil {
 		s.refuse(w, x, refusal)
 		return
