A silent endpoint is left only for another one; removals after an outage count at once

Ruled out: the watch (the change of config and the removal were seen in time). Change: only removals in the first 0.3 s after an outage wait; on silence the dispatcher asks whether to wait on.

--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	net.Conn
 	reader  *bufio.Reader
 	silence time.Duration // longest wait of one read
+	wait    func() bool   // whether to go on waiting after that; nil: no
 	limit   time.Time     // deadline of the whole exchange
 	wrote   bool          // a byte of the present request may have left
 	idle    time.Time     // since when it waits in the pool
@@ -30,8 +32,22 @@
 	return wrapped
 }
 
-// Read implements io.Reader. Each read may take silence.
+// Read implements io.Reader. Each read may take silence, and as much again as
+// often as wait says so.
 func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.readOnce(p)
+		var timeout net.Error
+		if err == nil || n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return n, err
+		}
+		if c.wait == nil || !time.Now().Before(c.limit) || !c.wait() {
+			return n, err
+		}
+	}
+}
+
+func (c *conn) readOnce(p []byte) (int, error) {
 	deadline := time.Now().Add(c.silence)
 	if c.limit.Before(deadline) {
 		deadline = c.limit
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -76,6 +76,9 @@
 	Host      string        // empty: the endpoint's address
 	FirstByte time.Duration // in place of the dispatcher's; 0: that one
 	NextByte  time.Duration // the same
+	// Wait is asked whenever the endpoint was silent for that long: whether to
+	// wait on. nil: no.
+	Wait func() bool
 	// Mine reports whether an answer is this request's; others are read and
 	// dropped. nil: any is.
 	Mine func(*http.Response) bool
@@ -91,6 +94,7 @@
 	in := &Incoming{dispatcher: d, address: address, conn: c}
 	in.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.limit, c.silence, c.wrote = out.Deadline, cmp.Or(out.FirstByte, d.opts.FirstByte), false
+	c.wait = out.Wait
 	if c.reused && out.FirstByte == 0 {
 		c.silence = min(c.silence, d.opts.Reused)
 	}
--- a/rlb-gateway/pkg/rlbdispatch/incoming.go
+++ b/rlb-gateway/pkg/rlbdispatch/incoming.go
@@ -45,6 +45,7 @@
 		_ = in.conn.Close()
 		return
 	}
+	in.conn.wait = nil
 	in.dispatcher.pool.put(in.address, in.conn, time.Now())
 }
 
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -31,7 +31,7 @@
 	connectTimeout = 400 * time.Millisecond // to an endpoint or the object API
 	idleTimeout    = 4 * time.Second        // of connections to the object API and to engines' control side
 	idlePerHost    = 4
-	sweepPeriod    = 500 * time.Millisecond
+	sweepPeriod    = 250 * time.Millisecond
 	endpointWait   = 30 * time.Second // for an endpoint, where a request states nothing
 )
 
--- a/rlb-node/pkg/rlbfront/run.go
+++ b/rlb-node/pkg/rlbfront/run.go
@@ -62,6 +62,16 @@
 	if !found {
 		return nil
 	}
+	best := s.pick(x, holders)
+	if best == nil {
+		x.reason = "no endpoint holds the model"
+	}
+	return best
+}
+
+// pick returns the best endpoint that was not tried; nil: there is none. A
+// request for an adapter goes to one of its holders.
+func (s *Server) pick(x *request, holders []string) *rlbsite.Endpoint {
 	fits := func(e *rlbsite.Endpoint) bool {
 		if slices.Contains(x.tried, e.ID) {
 			return false
@@ -72,11 +82,7 @@
 		return x.model == "" || e.HoldsModel(x.model)
 	}
 	all := s.View.Snapshot().ByService[x.service]
-	best := s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Fits: fits, Others: s.Others})
-	if best == nil {
-		x.reason = "no endpoint holds the model"
-	}
-	return best
+	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Fits: fits, Others: s.Others})
 }
 
 // holders returns the endpoints that hold the request's adapter, if it names one.
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -110,6 +110,7 @@
 		Mine:  func(r *http.Response) bool { return r.Header.Get(rlbplatform.HeaderRequestID) == x.id },
 	}
 	out.FirstByte, out.NextByte = s.silences(x)
+	out.Wait = func() bool { return !s.mayMove(x) }
 	return out
 }
 
@@ -132,6 +133,17 @@
 	}
 }
 
+// mayMove reports whether a request whose endpoint is silent can go to another.
+func (s *Server) mayMove(x *request) bool {
+	if !x.route.Repeatable() || len(x.tried) >= x.route.Attempts {
+		return false
+	}
+	if x.adapter != "" && !x.started {
+		return true // an endpoint may be found that loads the adapter
+	}
+	return s.pick(x, nil) != nil
+}
+
 // hops are the headers that concern one connection only.
 var hops = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/rlb-node/pkg/rlbview/view.go
+++ b/rlb-node/pkg/rlbview/view.go
@@ -15,7 +15,7 @@
 
 // returnGrace is how long an entry that lapsed during an outage of the object
 // API may take to come back after it.
-const returnGrace = 2 * time.Second
+const returnGrace = 1700 * time.Millisecond
 
 // Decoder reads what operators and endpoints write.
 type Decoder interface {
--- a/rlb-node/pkg/rlbview/watcher.go
+++ b/rlb-node/pkg/rlbview/watcher.go
@@ -17,6 +17,8 @@
 	// outageAfter is the time without an answer after which entries of live
 	// endpoints may have lapsed.
 	outageAfter = watchWait + time.Second
+	// catchUp is how long after an outage entries that lapsed in it are told of.
+	catchUp = 300 * time.Millisecond
 )
 
 // Sink takes what a watcher reads.
@@ -96,7 +98,7 @@
 		w.Log.WithField("kind", w.Kind).Info("object API answers again")
 	}
 	w.answered, w.lost = now, false
-	return !w.regained.IsZero() && now.Sub(w.regained) < returnGrace
+	return !w.regained.IsZero() && now.Sub(w.regained) < catchUp
 }
 
 func (w *Watcher) failed(err error) {
