Requests go where they wait least, or are refused; hot models grow faster

Ruled out: the endpoints' places (14 endpoints of 64 were half empty by the logs). Change: the expected wait counts prompt tokens not yet read, of all instances; requests that would wait longer than 0.9 of their target are refused; a model in demand may have three loads under way; loads from copies nearby go first; an order without an answer does not block an endpoint, its expected sequence does that.

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -11,11 +11,14 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 )
 
-// Weights of a choice, in parts of an endpoint's full load.
+// Terms of an expected wait.
 const (
-	otherDomain = 0.35 // an endpoint in another failure domain
-	overfull    = 4.0  // each full load beyond the first
-	tie         = 0.02 // random, so that equal endpoints share the work
+	readPerMS   = 19                     // prompt tokens that an engine reads in a millisecond
+	slotFreed   = 90 * time.Millisecond  // between two requests that end at an engine with a full batch
+	plainFreed  = 10 * time.Millisecond  // the same at a plain service
+	otherDomain = 100 * time.Millisecond // that an endpoint in the own failure domain may be slower
+	perRequest  = 4 * time.Millisecond   // by which each request in progress slows the others
+	tie         = 2 * time.Millisecond   // random, so that equal endpoints share the work
 )
 
 // Times for which an endpoint that fails gets no requests while others can.
@@ -44,6 +47,7 @@
 type row struct {
 	born     time.Time // of the life that the row is about
 	inFlight int
+	unread   int       // prompt tokens of requests that have no answer yet
 	failures int       // in a row
 	paused   time.Time // until when others are preferred
 }
@@ -63,11 +67,19 @@
 	return r
 }
 
-// Begin notes that a request is sent to an endpoint.
-func (t *Table) Begin(e *rlbsite.Endpoint) {
+// Begin notes that a request with a prompt of so many tokens is sent to an
+// endpoint. Answered notes, once, that its answer has begun.
+func (t *Table) Begin(e *rlbsite.Endpoint, tokens int) (answered func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.row(e).inFlight++
+	r := t.row(e)
+	r.inFlight++
+	r.unread += tokens
+	return sync.OnceFunc(func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		r.unread -= tokens
+	})
 }
 
 // End notes how a request that was sent to an endpoint ended.
@@ -87,25 +99,48 @@
 	}
 }
 
-// InFlight calls yield for each endpoint with requests in progress.
-func (t *Table) InFlight(yield func(id string, n int)) {
+// Loads calls yield for each endpoint with requests in progress.
+func (t *Table) Loads(yield func(id string, load Load)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.rows {
 		if r.inFlight > 0 {
-			yield(id, r.inFlight)
+			yield(id, r.load())
 		}
 	}
 }
 
-// Own returns the number of requests in progress at an endpoint.
-func (t *Table) Own(id string) int {
+func (r *row) load() Load { return Load{InFlight: r.inFlight, Unread: r.unread} }
+
+// Load is the work at an endpoint.
+type Load struct {
+	InFlight int // requests in progress
+	Unread   int // prompt tokens of those that have no answer yet
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(other Load) Load {
+	return Load{InFlight: l.InFlight + other.InFlight, Unread: l.Unread + other.Unread}
+}
+
+// Wait returns how long a request is expected to wait for its answer to begin,
+// at an endpoint with so many places.
+func (l Load) Wait(slots int, engine bool) time.Duration {
+	queued := max(l.InFlight-slots+1, 0)
+	if !engine {
+		return time.Duration(queued) * plainFreed
+	}
+	return time.Duration(l.Unread)*time.Millisecond/readPerMS + time.Duration(queued)*slotFreed
+}
+
+// Own returns this instance's load on an endpoint.
+func (t *Table) Own(id string) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.rows[id]; r != nil {
-		return r.inFlight
+		return r.load()
 	}
-	return 0
+	return Load{}
 }
 
 // Forget drops the rows of endpoints that are not known any more.
@@ -122,38 +157,43 @@
 // Wanted describes the endpoint that a request needs.
 type Wanted struct {
 	Domain string                       // of this instance
+	Engine bool                         // the request is for a model
 	Fits   func(*rlbsite.Endpoint) bool // whether the endpoint can run it
-	Others func(id string) int          // other instances' requests on an endpoint
+	Others func(id string) Load         // the other instances' load on an endpoint
 }
 
-// Pick returns the best of the endpoints that fit, or nil. Endpoints whose
-// latest answers were bad are taken only if there are no others.
-func (t *Table) Pick(now time.Time, all []*rlbsite.Endpoint, w Wanted) *rlbsite.Endpoint {
+// Choice is an endpoint with what is expected of it.
+type Choice struct {
+	Endpoint *rlbsite.Endpoint // nil: none fits
+	Wait     time.Duration     // until the answer begins
+	Paused   bool              // its latest answers were bad
+}
+
+// Pick returns the best of the endpoints that fit. Endpoints whose latest
+// answers were bad are taken only if there are no others.
+func (t *Table) Pick(now time.Time, all []*rlbsite.Endpoint, w Wanted) Choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best *rlbsite.Endpoint
-	bestCost, bestPaused := 0.0, false
+	var best Choice
+	var bestCost time.Duration
 	for _, e := range all {
 		if e.Leaving || !w.Fits(e) {
 			continue
 		}
 		r := t.row(e)
-		paused := now.Before(r.paused)
-		cost := w.cost(e, r.inFlight)
-		if best == nil || bestPaused && !paused || paused == bestPaused && cost < bestCost {
-			best, bestCost, bestPaused = e, cost, paused
+		load := r.load().Plus(w.Others(e.ID))
+		c := Choice{Endpoint: e, Wait: load.Wait(e.Slots, w.Engine), Paused: now.Before(r.paused)}
+		cost := w.cost(c, load)
+		if best.Endpoint == nil || best.Paused && !c.Paused || best.Paused == c.Paused && cost < bestCost {
+			best, bestCost = c, cost
 		}
 	}
 	return best
 }
 
-func (w Wanted) cost(e *rlbsite.Endpoint, own int) float64 {
-	fill := float64(own+w.Others(e.ID)+1) / float64(max(e.Slots, 1))
-	cost := fill + tie*rand.Float64()
-	if fill > 1 {
-		cost += overfull * (fill - 1)
-	}
-	if e.Domain != w.Domain {
+func (w Wanted) cost(c Choice, load Load) time.Duration {
+	cost := c.Wait + time.Duration(load.InFlight)*perRequest + rand.N(tie)
+	if c.Endpoint.Domain != w.Domain {
 		cost += otherDomain
 	}
 	return cost
--- a/lib/pkg/rlbplace/demand.go
+++ b/lib/pkg/rlbplace/demand.go
@@ -1,6 +1,10 @@
 package rlbplace
 
-import "github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+import (
+	"slices"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+)
 
 // pressure is the relief that one more replica of a model brings, and the loss
 // that one fewer means: with d requests in flight, s slots a replica and r
@@ -40,7 +44,7 @@
 		if p.loading >= p.opts.LoadsAtOnce || !p.search() {
 			return
 		}
-		if i := p.roomiest(m); i >= 0 {
+		if i := p.roomiest(m); i >= 0 && gain > p.opts.MoveWeight+p.far(i, m) {
 			p.load(i, m, "demand")
 			continue
 		}
@@ -52,7 +56,18 @@
 
 // growing reports whether a replica of the model is on its way: its effect is
 // awaited before the next.
-func (p *planner) growing(m rlbnote.Model) bool { return p.replicas(m) > p.ready(m) }
+func (p *planner) growing(m rlbnote.Model) bool {
+	return p.replicas(m)-p.ready(m) >= max(p.opts.Growth, 1)
+}
+
+// far returns what the load of a model on an engine costs beyond one from a copy
+// that the engine has itself.
+func (p *planner) far(i int, m rlbnote.Model) float64 {
+	if slices.Contains(p.engines[i].Near, m.Name) {
+		return 0
+	}
+	return p.opts.FarWeight
+}
 
 func (p *planner) replace(m rlbnote.Model, gain float64) {
 	const moves = 2 // an unload and a load
@@ -65,7 +80,7 @@
 		if !enough || len(chosen) != 1 || chosen[0].Name == m.Name {
 			continue
 		}
-		if loss := p.lossOf(chosen[0].Name); loss < cost {
+		if loss := p.lossOf(chosen[0].Name) + p.far(i, m); loss < cost {
 			best, cost = i, loss
 		}
 	}
--- a/lib/pkg/rlbplace/input.go
+++ b/lib/pkg/rlbplace/input.go
@@ -40,6 +40,8 @@
 	MoveWeight  float64 // relief that a move must bring to be worth it
 	Slots       float64 // requests that a replica serves at once
 	LoadsAtOnce int     // that the weight store serves at full speed
+	Growth      int     // loads of one model that may be under way while its demand asks for more; 0: 1
+	FarWeight   float64 // relief that a load from the weight store must bring beyond one from a copy nearby
 	Replicas    int     // that each model keeps where memory is free, in different failure domains
 }
 
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"time"
@@ -121,7 +122,7 @@
 	a.duty = rlbduty.New(rlbduty.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Life: a.name + "/" + strconv.FormatInt(a.life, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Ask: link.Ask,
-		Demand: a.demand, InFlight: a.inFlight, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
+		Demand: a.demand, Load: a.load, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Now: rlbclock.Now,
 	})
 	a.front = rlbfront.New(rlbfront.Opts{
@@ -173,14 +174,14 @@
 
 func (a *app) demand() map[string]float32 { return a.front.Demand().Read() }
 
-// others returns the other instances' requests on an endpoint.
-func (a *app) others(endpoint string) int {
-	return a.fleet.InFlight(rlbclock.Now(), rlbpeer.Key(endpoint))
+// others returns the other instances' work at an endpoint.
+func (a *app) others(endpoint string) rlbpick.Load {
+	return a.fleet.Load(rlbclock.Now(), rlbpeer.Key(endpoint))
 }
 
-// inFlight returns all instances' requests on an endpoint.
-func (a *app) inFlight(endpoint string) int {
-	return a.others(endpoint) + a.loads.Own(endpoint)
+// load returns all instances' work at an endpoint.
+func (a *app) load(endpoint string) rlbpick.Load {
+	return a.others(endpoint).Plus(a.loads.Own(endpoint))
 }
 
 // digest returns what the others are told next.
@@ -188,12 +189,14 @@
 	a.number++
 	d := rlbpeer.Digest{
 		Name: a.name, Domain: a.domain, Address: a.address, Life: a.life, Number: a.number,
-		Leaving: !a.front.Ready(), Fence: a.duty.Fence(), InFlight: map[uint32]uint16{}, Demand: a.demand(),
+		Leaving: !a.front.Ready(), Fence: a.duty.Fence(), Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(),
 	}
 	if config := a.view.Snapshot().Config; config != nil {
 		d.Config = config.Version
 	}
-	a.loads.InFlight(func(id string, n int) { d.InFlight[rlbpeer.Key(id)] = uint16(min(n, 1<<16-1)) })
+	a.loads.Loads(func(id string, load rlbpick.Load) {
+		d.Loads[rlbpeer.Key(id)] = rlbpeer.Load{InFlight: uint16(min(load.InFlight, math.MaxUint16)), Unread: uint32(max(load.Unread, 0))}
+	})
 	return d
 }
 
--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -96,14 +96,15 @@
 // option is an endpoint that holds the model of an adapter.
 type option struct {
 	desk  *desk
-	cost  float64
+	cost  time.Duration
 	ready time.Time // when the adapter can be used; zero: it is not there
 }
 
-// Weights of an option, in parts of an endpoint's full load.
+// Weights of an option, as waits for the answer to begin.
 const (
-	otherDomain = 0.35
-	noSlot      = 0.3
+	otherDomain = 100 * time.Millisecond
+	noSlot      = 50 * time.Millisecond // another adapter must go first
+	perRequest  = 4 * time.Millisecond  // by which each request in progress slows the others
 )
 
 // options returns the endpoints that hold the model, the best first.
@@ -115,7 +116,8 @@
 		if entry == nil || entry.Leaving || slices.Contains(q.Avoid, entry.ID) {
 			continue
 		}
-		o := option{desk: at, cost: float64(d.InFlight(entry.ID)) / float64(max(engine.Slots, 1))}
+		load := d.Load(entry.ID)
+		o := option{desk: at, cost: load.Wait(entry.Slots, true) + time.Duration(load.InFlight)*perRequest}
 		if entry.Domain != q.Domain {
 			o.cost += otherDomain
 		}
--- a/rlb-node/pkg/rlbduty/desk.go
+++ b/rlb-node/pkg/rlbduty/desk.go
@@ -32,6 +32,7 @@
 	models   map[string]*model
 	ordered  time.Time // when the latest order was accepted
 	unsure   time.Time // until when an order without an answer may take effect
+	blocked  time.Time // until when such an order to an earlier life may reach this one
 	pause    time.Time // until when no order is tried
 }
 
@@ -52,6 +53,24 @@
 	return &desk{endpoint: e, entry: e, models: map[string]*model{}}
 }
 
+// sameLife reports whether an entry is of the endpoint's life that the desk is
+// about.
+func (d *desk) sameLife(e *rlbsite.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoint.SameLife(e)
+}
+
+// reborn returns the desk of an endpoint's next life. An order without an answer
+// may still reach it.
+func (d *desk) reborn(e *rlbsite.Endpoint) *desk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := newDesk(e)
+	next.blocked = d.unsure
+	return next
+}
+
 // take notes the endpoint's entry. One that names other models than the desk
 // knows of makes the state unknown.
 func (d *desk) take(e *rlbsite.Endpoint) {
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
@@ -35,8 +36,8 @@
 	View       *rlbview.View
 	Fleet      *rlbpeer.Fleet
 	Ask        func(ctx context.Context, address string, q rlbpeer.Question) (rlbpeer.Answer, error)
-	Demand     func() map[string]float32 // of this instance's callers
-	InFlight   func(endpoint string) int // of all instances
+	Demand     func() map[string]float32          // of this instance's callers
+	Load       func(endpoint string) rlbpick.Load // of all instances
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration
 	Now        func() time.Time
@@ -169,8 +170,12 @@
 		if d.engineOf(snapshot, e) == nil {
 			continue
 		}
-		if at := d.desks[id]; at == nil || !at.endpoint.SameLife(e) {
+		at := d.desks[id]
+		switch {
+		case at == nil:
 			d.desks[id] = newDesk(e)
+		case !at.sameLife(e):
+			d.desks[id] = at.reborn(e)
 		}
 	}
 	for id := range d.desks {
--- a/rlb-node/pkg/rlbduty/orders.go
+++ b/rlb-node/pkg/rlbduty/orders.go
@@ -10,8 +10,8 @@
 
 // Terms of calls to endpoints' control side.
 const (
-	orderTimeout  = 700 * time.Millisecond
-	reportTimeout = 500 * time.Millisecond
+	orderTimeout  = 250 * time.Millisecond
+	reportTimeout = 250 * time.Millisecond
 	failedPause   = 500 * time.Millisecond
 	reportPause   = 200 * time.Millisecond // between two reports of an endpoint that is busy
 )
--- a/rlb-node/pkg/rlbduty/plan.go
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -15,7 +15,10 @@
 // Weights of a plan.
 const (
 	moveWeight  = 0.2
+	farWeight   = 0.3 // of a load from the weight store beyond one from a copy nearby
 	replicas    = 2
+	goodLoad    = 16  // requests in progress that a replica answers well
+	growth      = 3   // loads of one model at once
 	secondsFull = 7.0 // the store serves as many loads at full speed as it starts in that time
 )
 
@@ -33,7 +36,7 @@
 		desks := d.all(snapshot, name)
 		input := d.input(ctx, snapshot, service.Engine, desks, demand)
 		opts := rlbplace.Opts{
-			MoveWeight: moveWeight, Slots: float64(service.Engine.Slots), Replicas: replicas,
+			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, FarWeight: farWeight,
 			LoadsAtOnce: int(math.Ceil(service.Engine.LoadsPerSecond * secondsFull)),
 		}
 		for _, proposal := range rlbplace.Plan(input, opts) {
@@ -127,7 +130,7 @@
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		now := d.now()
-		if !x.known || x.busy() || now.Before(x.pause) || now.Before(x.unsure) {
+		if !x.known || x.busy() || now.Before(x.pause) || now.Before(x.blocked) {
 			return
 		}
 		if p.Action == rlbengine.ActionUnload {
--- a/rlb-node/pkg/rlbfront/refusal.go
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -30,6 +30,7 @@
 	refuseLongBody   = &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
 	refuseBrokenBody = &refusal{http.StatusBadRequest, 0, "body ended before its length"}
 	refuseNoEndpoint = &refusal{http.StatusServiceUnavailable, later, "no endpoint can run it now"}
+	refuseBusy       = &refusal{http.StatusServiceUnavailable, later, "all endpoints of the model are busy"}
 	refuseRetries    = &refusal{http.StatusServiceUnavailable, later, "endpoints are full"}
 	refuseSuspect    = &refusal{http.StatusServiceUnavailable, later, "the request crashed endpoints before"}
 	refuseLate       = &refusal{http.StatusServiceUnavailable, soon, "no time left"}
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -27,13 +27,16 @@
 	service  string
 	model    string
 	adapter  string
+	tokens   int    // of its prompt
 	print    uint64 // fingerprint, equal when the caller sends the request again
 	arrived  time.Time
 	deadline time.Time
 	exchange *rlbroute.Exchange
 	tried    []string // endpoints that it was sent to
 	lastID   string   // last whole event that the caller has
+	busy     bool     // no endpoint can begin its answer in time
 	started  bool     // a part of the answer was sent
+	answered func()   // tells that the endpoint's answer has begun
 	reason   string   // of the latest fault
 	failure  *answer  // latest answer of an endpoint that failed
 }
@@ -58,6 +61,7 @@
 		x.deadline = x.arrived.Add(left)
 	}
 	x.model, x.adapter, _ = strings.Cut(r.Header.Get(rlbplatform.HeaderModel), "/")
+	x.tokens = rlbplatform.PromptTokens(r.Header)
 	x.lastID = r.Header.Get(rlbplatform.HeaderLastEvent)
 	x.print = fingerprint(r, x.body)
 	budget := s.budgets.of(x.service)
--- a/rlb-node/pkg/rlbfront/run.go
+++ b/rlb-node/pkg/rlbfront/run.go
@@ -10,6 +10,10 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 )
 
+// waitShare is the part of a route's target, in hundredths, that a request may
+// be expected to wait at an endpoint.
+const waitShare = 90
+
 // run sends a request to endpoints until it has an answer or must end.
 func (s *Server) run(w http.ResponseWriter, x *request) {
 	if x.model != "" {
@@ -63,15 +67,27 @@
 		return nil
 	}
 	best := s.pick(x, holders)
-	if best == nil {
+	switch {
+	case best.Endpoint == nil:
 		x.reason = "no endpoint holds the model"
+	case !s.admits(x, best):
+		x.reason = "expected wait " + best.Wait.String() + " at " + best.Endpoint.ID
+		x.busy = true
+		return nil
 	}
-	return best
+	return best.Endpoint
+}
+
+// admits reports whether a request is sent to an endpoint: not one that would
+// wait there for longer than its answer is worth having. One that the caller has
+// a part of goes on anyhow.
+func (s *Server) admits(x *request, c rlbpick.Choice) bool {
+	return x.model == "" || x.started || c.Wait <= x.route.Target*waitShare/100
 }
 
 // pick returns the best endpoint that was not tried; nil: there is none. A
 // request for an adapter goes to one of its holders.
-func (s *Server) pick(x *request, holders []string) *rlbsite.Endpoint {
+func (s *Server) pick(x *request, holders []string) rlbpick.Choice {
 	fits := func(e *rlbsite.Endpoint) bool {
 		if slices.Contains(x.tried, e.ID) {
 			return false
@@ -82,7 +98,7 @@
 		return x.model == "" || e.HoldsModel(x.model)
 	}
 	all := s.View.Snapshot().ByService[x.service]
-	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Fits: fits, Others: s.Others})
+	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Engine: x.model != "", Fits: fits, Others: s.Others})
 }
 
 // holders returns the endpoints that hold the request's adapter, if it names one.
@@ -108,6 +124,8 @@
 		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
 	case x.failure != nil:
 		s.pass(w, x, x.failure)
+	case outcome == rlbroute.NotRun && x.busy:
+		s.refuse(w, x, refuseBusy)
 	case outcome == rlbroute.NotRun && fault == rlbroute.FaultNoEndpoint:
 		s.refuse(w, x, refuseNoEndpoint)
 	case outcome == rlbroute.NotRun && fault == rlbroute.FaultDeadline:
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -44,8 +44,11 @@
 func (s *Server) send(w http.ResponseWriter, x *request, e *rlbsite.Endpoint) (fault rlbroute.Fault, passed bool) {
 	ctx := x.caller.Context()
 	outcome := rlbpick.OutcomeNeutral
-	s.Loads.Begin(e)
-	defer func() { s.Loads.End(s.Now(), e, outcome) }()
+	x.answered = s.Loads.Begin(e, x.tokens)
+	defer func() {
+		x.answered()
+		s.Loads.End(s.Now(), e, outcome)
+	}()
 	in, err := s.Dispatcher.Send(ctx, e.Address, s.outgoing(x, e), x.exchange.Sent)
 	if err == nil {
 		fault, passed, err = s.receive(w, x, in)
@@ -141,7 +144,7 @@
 	if x.adapter != "" && !x.started {
 		return true // an endpoint may be found that loads the adapter
 	}
-	return s.pick(x, nil) != nil
+	return s.pick(x, nil).Endpoint != nil
 }
 
 // hops are the headers that concern one connection only.
--- a/rlb-node/pkg/rlbfront/server.go
+++ b/rlb-node/pkg/rlbfront/server.go
@@ -29,8 +29,8 @@
 	Domain     string
 	View       *rlbview.View
 	Loads      *rlbpick.Table
-	Others     func(endpoint string) int // other instances' requests on an endpoint
-	Instances  func() int                // that share the budget for repeats
+	Others     func(endpoint string) rlbpick.Load // other instances' work at an endpoint
+	Instances  func() int                         // that share the budget for repeats
 	Dispatcher *rlbdispatch.Dispatcher
 	Adapters   Adapters
 	Budget     rlbbudget.Terms
--- a/rlb-node/pkg/rlbfront/stream.go
+++ b/rlb-node/pkg/rlbfront/stream.go
@@ -36,6 +36,7 @@
 		case !fits:
 			continue // the caller has it
 		}
+		x.answered()
 		s.startStream(w, x, in)
 		if err := s.forward(w, flusher, event, reader.Pending()); err != nil {
 			in.Abort()
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -6,17 +6,24 @@
 
 // Digest is what an instance tells of itself.
 type Digest struct {
-	Name     string             `msgpack:"n"`
-	Domain   string             `msgpack:"d"`
-	Address  string             `msgpack:"a"` // IP:port, for digests and for questions
-	Life     int64              `msgpack:"l"` // rises with each start of the instance
-	Number   uint64             `msgpack:"s"` // rises within a life
-	Leaving  bool               `msgpack:"x,omitempty"`
-	Config   uint64             `msgpack:"c,omitempty"` // version in force
-	Fence    uint64             `msgpack:"f,omitempty"` // of the lease for orders, if this instance holds it
-	InFlight map[uint32]uint16  `msgpack:"i,omitempty"` // requests by endpoint, see Key
-	Demand   map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
-	Strikes  []Strike           `msgpack:"k,omitempty"`
+	Name    string             `msgpack:"n"`
+	Domain  string             `msgpack:"d"`
+	Address string             `msgpack:"a"` // IP:port, for digests and for questions
+	Life    int64              `msgpack:"l"` // rises with each start of the instance
+	Number  uint64             `msgpack:"s"` // rises within a life
+	Leaving bool               `msgpack:"x,omitempty"`
+	Config  uint64             `msgpack:"c,omitempty"` // version in force
+	Fence   uint64             `msgpack:"f,omitempty"` // of the lease for orders, if this instance holds it
+	Loads   map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see Key
+	Demand  map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
+	Strikes []Strike           `msgpack:"k,omitempty"`
+}
+
+// Load is an instance's work at an endpoint.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	InFlight uint16   // requests in progress
+	Unread   uint32   // prompt tokens of those that have no answer yet
 }
 
 // Strike tells that a request may have crashed the endpoint that ran it.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
 )
 
 // Terms of liveness.
@@ -24,12 +26,12 @@
 // Fleet is what an instance knows of the others. Its methods may be called from
 // any goroutine.
 type Fleet struct {
-	mu       sync.Mutex
-	self     string
-	peers    map[string]*Peer
-	targets  map[string]time.Time // addresses told of by others or by the object API, until
-	inFlight map[uint32]int
-	dirty    bool
+	mu      sync.Mutex
+	self    string
+	peers   map[string]*Peer
+	targets map[string]time.Time    // addresses told of by others or by the object API, until
+	loads   map[uint32]rlbpick.Load // of all others
+	dirty   bool
 }
 
 // NewFleet returns a fleet in which nothing but the instance itself is known.
@@ -118,24 +120,24 @@
 	return holder, holder.Fence > 0
 }
 
-// InFlight returns the other instances' requests on an endpoint.
-func (f *Fleet) InFlight(now time.Time, key uint32) int {
+// Load returns the other instances' work at an endpoint.
+func (f *Fleet) Load(now time.Time, key uint32) rlbpick.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.dirty {
 		f.count(now)
 	}
-	return f.inFlight[key]
+	return f.loads[key]
 }
 
 func (f *Fleet) count(now time.Time) {
-	f.inFlight, f.dirty = map[uint32]int{}, false
+	f.loads, f.dirty = map[uint32]rlbpick.Load{}, false
 	for _, p := range f.peers {
 		if now.Sub(p.Heard) > SilentAfter {
 			continue
 		}
-		for key, n := range p.Digest.InFlight {
-			f.inFlight[key] += int(n)
+		for key, l := range p.Digest.Loads {
+			f.loads[key] = f.loads[key].Plus(rlbpick.Load{InFlight: int(l.InFlight), Unread: int(l.Unread)})
 		}
 	}
 }
