Placement counts endpoints in doubt, avoids models that are closing, uses the store's rate

Ruled out: the estimate of the wait (median first event 269 ms at 240 to 300 expected, 536 at 480 to 540). Change: such endpoints are frozen in plans; a refused model is avoided for 0.3 s at that endpoint; loads up to the ceiling of the window, with the earlier holder's loads told in digests; without a holder, endpoints that held the adapter last.

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -25,6 +25,7 @@
 const (
 	firstPause = 300 * time.Millisecond
 	longPause  = 5 * time.Second
+	closedFor  = 300 * time.Millisecond // a model whose request the endpoint refused
 )
 
 // Outcome is how an endpoint dealt with a request.
@@ -47,9 +48,10 @@
 type row struct {
 	born     time.Time // of the life that the row is about
 	inFlight int
-	unread   int       // prompt tokens of requests that have no answer yet
-	failures int       // in a row
-	paused   time.Time // until when others are preferred
+	unread   int                  // prompt tokens of requests that have no answer yet
+	failures int                  // in a row
+	paused   time.Time            // until when others are preferred
+	closed   map[string]time.Time // models that it refused requests for, until when
 }
 
 // NewTable returns an empty table.
@@ -62,7 +64,7 @@
 		t.rows[e.ID] = r
 	}
 	if e.Born.After(r.born) {
-		r.born, r.failures, r.paused = e.Born, 0, time.Time{}
+		r.born, r.failures, r.paused, r.closed = e.Born, 0, time.Time{}, nil
 	}
 	return r
 }
@@ -99,6 +101,18 @@
 	}
 }
 
+// Refused notes that an endpoint did not run a request for a model: it may be
+// about to unload it, or be full.
+func (t *Table) Refused(now time.Time, e *rlbsite.Endpoint, model string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.row(e)
+	if r.closed == nil {
+		r.closed = map[string]time.Time{}
+	}
+	r.closed[model] = now.Add(closedFor)
+}
+
 // Loads calls yield for each endpoint with requests in progress.
 func (t *Table) Loads(yield func(id string, load Load)) {
 	t.mu.Lock()
@@ -157,7 +171,7 @@
 // Wanted describes the endpoint that a request needs.
 type Wanted struct {
 	Domain string                       // of this instance
-	Engine bool                         // the request is for a model
+	Model  string                       // empty: of a plain service
 	Fits   func(*rlbsite.Endpoint) bool // whether the endpoint can run it
 	Others func(id string) Load         // the other instances' load on an endpoint
 }
@@ -182,7 +196,7 @@
 		}
 		r := t.row(e)
 		load := r.load().Plus(w.Others(e.ID))
-		c := Choice{Endpoint: e, Wait: load.Wait(e.Slots, w.Engine), Paused: now.Before(r.paused)}
+		c := Choice{Endpoint: e, Wait: load.Wait(e.Slots, w.Model != ""), Paused: now.Before(r.paused) || now.Before(r.closed[w.Model])}
 		cost := w.cost(c, load)
 		if best.Endpoint == nil || best.Paused && !c.Paused || best.Paused == c.Paused && cost < bestCost {
 			best, bestCost = c, cost
--- a/lib/pkg/rlbplace/demand.go
+++ b/lib/pkg/rlbplace/demand.go
@@ -73,7 +73,7 @@
 	const moves = 2 // an unload and a load
 	best, cost := -1, gain-moves*p.opts.MoveWeight
 	for i, e := range p.engines {
-		if e.Leaving || !matches(e, m.Role) || holds(e, m.Name, m.Version) {
+		if e.Leaving || e.Frozen || !matches(e, m.Role) || holds(e, m.Name, m.Version) {
 			continue
 		}
 		chosen, _, enough := p.victims(e, m.Memory, p.ready)
--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -26,8 +26,9 @@
 // counts are the replicas of a model's version in force, on engines that stay.
 type counts struct{ held, ready int }
 
-// maxSearches bounds the searches for replicas to give way in one plan: the
-// weight store allows no more loads than that before the next plan.
+// maxSearches bounds the searches for replicas to give way in one plan, where its
+// terms do not: the weight store allows no more loads than that before the next
+// plan.
 const maxSearches = 4
 
 // Plan returns the changes to begin now, the most urgent first. Equal inputs
@@ -42,7 +43,7 @@
 }
 
 func newPlanner(in Input, opts Opts) *planner {
-	p := &planner{in: in, opts: opts, engines: slices.Clone(in.Engines), models: byDemand(in), counts: map[string]*counts{}, searches: maxSearches}
+	p := &planner{in: in, opts: opts, engines: slices.Clone(in.Engines), models: byDemand(in), counts: map[string]*counts{}, searches: cmp.Or(opts.Searches, maxSearches)}
 	for name := range in.Note.Models {
 		p.counts[name] = &counts{}
 	}
@@ -143,12 +144,12 @@
 
 func (p *planner) canLoad(e Engine, m rlbnote.Model) bool {
 	present := slices.ContainsFunc(e.Residents, func(r rlbengine.Resident) bool { return r.Name == m.Name && r.Version == m.Version })
-	return !e.Leaving && matches(e, m.Role) && !present && free(e) >= m.Memory
+	return !e.Leaving && !e.Frozen && matches(e, m.Role) && !present && free(e) >= m.Memory
 }
 
 // couldHold reports whether an engine could take the model if it were empty.
 func couldHold(e Engine, m rlbnote.Model) bool {
-	return !e.Leaving && matches(e, m.Role) && e.Memory >= m.Memory
+	return !e.Leaving && !e.Frozen && matches(e, m.Role) && e.Memory >= m.Memory
 }
 
 func better(a, b Engine, model string, inDomain map[string]int) bool {
--- a/lib/pkg/rlbsite/endpoint.go
+++ b/lib/pkg/rlbsite/endpoint.go
@@ -30,6 +30,11 @@
 	return slices.ContainsFunc(e.Holds, func(h Held) bool { return h.Model == model })
 }
 
+// HoldsAdapter reports whether the endpoint holds an adapter of a model.
+func (e *Endpoint) HoldsAdapter(model, adapter string) bool {
+	return slices.ContainsFunc(e.Holds, func(h Held) bool { return h.Model == model && slices.Contains(h.Adapters, adapter) })
+}
+
 // Near reports whether a model loads from a copy that the endpoint has itself,
 // without the weight store.
 func (e *Endpoint) Near(model string) bool {
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -191,6 +191,7 @@
 		Name: a.name, Domain: a.domain, Address: a.address, Life: a.life, Number: a.number,
 		Leaving: !a.front.Ready(), Fence: a.duty.Fence(), Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(),
 	}
+	d.SetBegun(rlbclock.Now(), a.duty.Begun())
 	if config := a.view.Snapshot().Config; config != nil {
 		d.Config = config.Version
 	}
--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -19,18 +19,31 @@
 func (d *Duty) Find(ctx context.Context, service, model, adapter string, avoid []string) ([]string, string) {
 	q := rlbpeer.AdapterQuestion{Service: service, Model: model, Adapter: adapter, Domain: d.Domain, Avoid: avoid}
 	key := strings.Join([]string{service, model, adapter}, "/")
-	if ids := d.cached(key, avoid); len(ids) > 0 {
-		return ids, ""
+	known, fresh := d.cached(key, avoid)
+	if fresh && len(known) > 0 {
+		return known, ""
 	}
 	answer := d.find(ctx, q)
-	if len(answer.Endpoints) > 0 {
-		d.mu.Lock()
-		d.cache[key] = found{answer.Endpoints, d.now().Add(cacheFor)}
-		d.mu.Unlock()
+	if len(answer.Endpoints) == 0 {
+		return d.remembered(q, known), answer.Reason
 	}
+	d.mu.Lock()
+	d.cache[key] = found{answer.Endpoints, d.now().Add(cacheFor)}
+	d.mu.Unlock()
 	return answer.Endpoints, answer.Reason
 }
 
+// remembered returns the endpoints that held an adapter when it was last heard
+// of, by the holder of the lease or in their entries.
+func (d *Duty) remembered(q rlbpeer.AdapterQuestion, known []string) []string {
+	for _, e := range d.View.Snapshot().ByService[q.Service] {
+		if e.HoldsAdapter(q.Model, q.Adapter) && !slices.Contains(q.Avoid, e.ID) && !slices.Contains(known, e.ID) {
+			known = append(known, e.ID)
+		}
+	}
+	return known
+}
+
 func (d *Duty) find(ctx context.Context, q rlbpeer.AdapterQuestion) rlbpeer.Answer {
 	ctx, cancel := context.WithTimeout(ctx, adapterWait)
 	defer cancel()
@@ -48,18 +61,15 @@
 	return answer
 }
 
-func (d *Duty) cached(key string, avoid []string) []string {
+func (d *Duty) cached(key string, avoid []string) (endpoints []string, fresh bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	hit, known := d.cache[key]
 	if !known {
-		return nil
-	}
-	if d.now().After(hit.until) {
-		delete(d.cache, key)
-		return nil
+		return nil, false
 	}
-	return slices.DeleteFunc(slices.Clone(hit.endpoints), func(id string) bool { return slices.Contains(avoid, id) })
+	endpoints = slices.DeleteFunc(slices.Clone(hit.endpoints), func(id string) bool { return slices.Contains(avoid, id) })
+	return endpoints, !d.now().After(hit.until)
 }
 
 // Provide answers the question for an adapter as the holder of the lease.
--- a/rlb-node/pkg/rlbduty/desk.go
+++ b/rlb-node/pkg/rlbduty/desk.go
@@ -12,7 +12,8 @@
 
 // Terms of orders.
 const (
-	loadSlack      = 300 * time.Millisecond // after the time a load should take
+	orderPoll      = 150 * time.Millisecond // between two looks at an order that takes effect
+	loadSlack      = 250 * time.Millisecond // after the time a load should take
 	adapterBase    = 4 * time.Millisecond   // of fetching an adapter of no size
 	adapterPerMB   = 250 * time.Microsecond // of fetching
 	adapterFactor  = 1.5                    // the fetch may share the store with others
@@ -88,6 +89,13 @@
 	d.endpoint = &endpoint
 }
 
+// assume takes the models that an entry names, until a report tells more.
+func (d *desk) assume(e *rlbsite.Endpoint) {
+	for _, h := range e.Holds {
+		d.models[h.Model] = &model{adapters: map[string]*adapter{}}
+	}
+}
+
 // agrees reports whether an entry names the models that the desk knows of.
 func (d *desk) agrees(e *rlbsite.Endpoint) bool {
 	for name := range d.models {
@@ -105,6 +113,7 @@
 	if r.Sequence < d.sequence && now.Sub(d.ordered) < reportLag || r.Busy && !d.busy() {
 		return false
 	}
+	until := now.Add(orderPoll)
 	old := d.models
 	d.models, d.sequence, d.known = map[string]*model{}, r.Sequence, true
 	for _, h := range r.Holds {
@@ -121,9 +130,12 @@
 		d.comes(name, now)
 	}
 	for name, m := range old {
-		if r.Busy && d.models[name] == nil && !m.ready.IsZero() {
-			d.models[name] = m // it is the one that is being loaded
-			m.ready = maxTime(m.ready, now.Add(loadSlack))
+		if !r.Busy {
+			continue
+		}
+		if now := d.models[name]; now != nil && m.leaving || now == nil && !m.leaving && !m.ready.IsZero() {
+			d.models[name] = m // the one that the endpoint is busy with
+			m.ready = maxTime(m.ready, until)
 		}
 	}
 	endpoint := *d.endpoint
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -17,7 +17,7 @@
 
 // Periods.
 const (
-	tick          = 250 * time.Millisecond
+	tick          = 150 * time.Millisecond
 	contenders    = 2 // instances that read the lease while its holder is heard of
 	cacheFor      = 2 * time.Second
 	adapterWait   = 400 * time.Millisecond
@@ -122,6 +122,15 @@
 	return fence
 }
 
+// Begun returns when the loads from the weight store that this holder ordered in
+// the latest window began.
+func (d *Duty) Begun() []time.Time {
+	if d.Fence() == 0 {
+		return nil
+	}
+	return d.rate.recent(d.now())
+}
+
 // fenced steps back after an endpoint has seen a higher fence.
 func (d *Duty) fenced(fence uint64) {
 	d.log.WithField("fence", fence).Warn("an endpoint has seen a higher fence; the lease is given up")
@@ -164,7 +173,8 @@
 	if d.heldFrom.IsZero() {
 		d.heldFrom = d.now()
 		clear(d.desks) // others gave orders in the meantime
-		d.rate.fill(d.now())
+		heard, begun := d.Fleet.Begun(d.now())
+		d.rate.takeOver(d.now(), heard, begun)
 	}
 	for id, e := range snapshot.ByID {
 		if d.engineOf(snapshot, e) == nil {
--- a/rlb-node/pkg/rlbduty/plan.go
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -17,8 +17,9 @@
 	moveWeight  = 0.2
 	farWeight   = 0.3 // of a load from the weight store beyond one from a copy nearby
 	replicas    = 2
-	goodLoad    = 16  // requests in progress that a replica answers well
-	growth      = 3   // loads of one model at once
+	goodLoad    = 12  // requests in progress that a replica answers well
+	searches    = 12  // for replicas to give way, in one plan
+	growth      = 6   // loads of one model at once
 	secondsFull = 7.0 // the store serves as many loads at full speed as it starts in that time
 )
 
@@ -36,7 +37,7 @@
 		desks := d.all(snapshot, name)
 		input := d.input(ctx, snapshot, service.Engine, desks, demand)
 		opts := rlbplace.Opts{
-			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, FarWeight: farWeight,
+			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, Searches: searches, FarWeight: farWeight,
 			LoadsAtOnce: int(math.Ceil(service.Engine.LoadsPerSecond * secondsFull)),
 		}
 		for _, proposal := range rlbplace.Plan(input, opts) {
@@ -60,7 +61,7 @@
 }
 
 // input describes the endpoints to the placement. Endpoints whose state is not
-// known are left out.
+// known count with what is believed of them, and get no orders.
 func (d *Duty) input(ctx context.Context, snapshot *rlbview.Snapshot, engine *rlbsite.Engine, desks []*desk, demand map[string]float64) rlbplace.Input {
 	note := rlbnote.State{Models: map[string]rlbnote.Model{}}
 	for name, m := range engine.Models {
@@ -86,11 +87,13 @@
 	if at.overdue(d.now()) {
 		at.known = false
 	}
-	if !d.refresh(ctx, at) {
-		return rlbplace.Engine{}, false
+	known := d.refresh(ctx, at)
+	if !known && len(at.models) == 0 {
+		at.assume(entry)
 	}
 	e := rlbplace.Engine{
-		ID: at.endpoint.ID, Domain: at.endpoint.Domain, Memory: memory(engine), Reserved: at.used(engine), Leaving: entry.Leaving,
+		Frozen: !known || at.busy() || d.now().Before(at.pause) || d.now().Before(at.blocked),
+		ID:     at.endpoint.ID, Domain: at.endpoint.Domain, Memory: memory(engine), Reserved: at.used(engine), Leaving: entry.Leaving,
 		Near: slices.Concat(at.endpoint.InMemory, at.endpoint.OnDisk),
 	}
 	for name, m := range at.models {
--- a/rlb-node/pkg/rlbduty/rate.go
+++ b/rlb-node/pkg/rlbduty/rate.go
@@ -5,43 +5,63 @@
 	"time"
 )
 
-// spare is the part of the weight store's rate that is used: loads begin a
-// little later than they are ordered.
-const spare = 0.9
+// Terms of the weight store.
+const (
+	over    = 1.1 // loads in a window may exceed the rate by this factor
+	besides = 3   // loads that may begin in a window besides
+	kept    = 1   // of these, for loads that begin later than they are ordered
+)
 
-// loadRate bounds the loads that the weight store sees in any window.
+// loadRate bounds the loads that the weight store sees in any window, over all
+// holders of the lease.
 type loadRate struct {
 	mu     sync.Mutex
 	window time.Duration
 	begun  []time.Time
-	full   time.Time // until when loads of an earlier holder may still count
+	unsure time.Time // until when loads of a holder that was not heard of may count
 }
 
 func newLoadRate(window time.Duration) *loadRate { return &loadRate{window: window} }
 
-// fill notes that another holder may have used the rate until now.
-func (r *loadRate) fill(now time.Time) {
+// takeOver notes that another holder's loads were heard of until heard.
+func (r *loadRate) takeOver(now, heard time.Time, begun []time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.full = now.Add(r.window)
+	r.begun = append([]time.Time(nil), begun...)
+	r.unsure = now
+	if heard.IsZero() {
+		r.unsure = now.Add(r.window)
+	}
 }
 
-// take takes one load if the window that ends now has room for it.
-func (r *loadRate) take(now time.Time, perSecond float64) bool {
+// recent returns when the loads of the latest window began.
+func (r *loadRate) recent(now time.Time) []time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	kept := r.begun[:0]
+	r.sweep(now)
+	return append([]time.Time(nil), r.begun...)
+}
+
+func (r *loadRate) sweep(now time.Time) {
+	inWindow := r.begun[:0]
 	for _, t := range r.begun {
 		if now.Sub(t) < r.window {
-			kept = append(kept, t)
+			inWindow = append(inWindow, t)
 		}
 	}
-	r.begun = kept
-	limit := spare * perSecond * r.window.Seconds()
-	if now.Before(r.full) {
-		limit /= 2
+	r.begun = inWindow
+}
+
+// take takes one load if the window that ends now has room for it.
+func (r *loadRate) take(now time.Time, perSecond float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep(now)
+	limit := perSecond*r.window.Seconds()*over + besides - kept
+	if now.Before(r.unsure) {
+		limit /= 2 // an earlier holder may have used the other half
 	}
-	if float64(len(r.begun)+1) > max(limit, 1) {
+	if float64(len(r.begun)+1) > limit {
 		return false
 	}
 	r.begun = append(r.begun, now)
--- a/rlb-node/pkg/rlbfront/refusal.go
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -62,6 +62,9 @@
 	if x.route != nil {
 		fields["route"] = x.route.Name
 	}
+	if x.model != "" {
+		fields["expected_ms"], fields["first_ms"], fields["tokens"] = x.expected.Milliseconds(), x.first.Milliseconds(), x.tokens
+	}
 	if x.snapshot.Config != nil {
 		fields["config"] = x.snapshot.Config.Version
 	}
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -32,13 +32,16 @@
 	arrived  time.Time
 	deadline time.Time
 	exchange *rlbroute.Exchange
-	tried    []string // endpoints that it was sent to
-	lastID   string   // last whole event that the caller has
-	busy     bool     // no endpoint can begin its answer in time
-	started  bool     // a part of the answer was sent
-	answered func()   // tells that the endpoint's answer has begun
-	reason   string   // of the latest fault
-	failure  *answer  // latest answer of an endpoint that failed
+	tried    []string      // endpoints that it was sent to
+	lastID   string        // last whole event that the caller has
+	busy     bool          // no endpoint can begin its answer in time
+	expected time.Duration // wait for the answer to begin, of the latest choice
+	sent     time.Time     // when the latest attempt began
+	first    time.Duration // from then until the answer began
+	started  bool          // a part of the answer was sent
+	answered func()        // tells that the endpoint's answer has begun
+	reason   string        // of the latest fault
+	failure  *answer       // latest answer of an endpoint that failed
 }
 
 // read reads a request and finds its route.
--- a/rlb-node/pkg/rlbfront/run.go
+++ b/rlb-node/pkg/rlbfront/run.go
@@ -67,6 +67,7 @@
 		return nil
 	}
 	best := s.pick(x, holders)
+	x.expected, x.sent = best.Wait, s.Now()
 	switch {
 	case best.Endpoint == nil:
 		x.reason = "no endpoint holds the model"
@@ -98,7 +99,7 @@
 		return x.model == "" || e.HoldsModel(x.model)
 	}
 	all := s.View.Snapshot().ByService[x.service]
-	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Engine: x.model != "", Fits: fits, Others: s.Others})
+	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Model: x.model, Fits: fits, Others: s.Others})
 }
 
 // holders returns the endpoints that hold the request's adapter, if it names one.
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -66,6 +66,8 @@
 		return fault, true
 	}
 	switch {
+	case fault == rlbroute.FaultRefused:
+		s.Loads.Refused(s.Now(), e, x.model)
 	case fault == rlbroute.FaultNotSent:
 		x.exchange.Unsent()
 	case fault == rlbroute.FaultCut:
--- a/rlb-node/pkg/rlbfront/stream.go
+++ b/rlb-node/pkg/rlbfront/stream.go
@@ -52,6 +52,7 @@
 		return
 	}
 	x.started = true
+	x.first = s.Now().Sub(x.sent)
 	x.exchange.Answering()
 	copyHeader(w.Header(), in.Header)
 	w.WriteHeader(in.StatusCode)
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -2,7 +2,12 @@
 // digest several times a second, and may ask one of them a question.
 package rlbpeer
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Digest is what an instance tells of itself.
 type Digest struct {
@@ -16,6 +21,7 @@
 	Fence   uint64             `msgpack:"f,omitempty"` // of the lease for orders, if this instance holds it
 	Loads   map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see Key
 	Demand  map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
+	Begun   []uint16           `msgpack:"b,omitempty"` // ages in milliseconds of the holder's latest loads from the weight store
 	Strikes []Strike           `msgpack:"k,omitempty"`
 }
 
@@ -35,6 +41,22 @@
 // Key returns the short name of an endpoint in digests.
 func Key(endpoint string) uint32 { return uint32(xxhash.Sum64String(endpoint)) }
 
+// SetBegun states when loads began.
+func (d *Digest) SetBegun(now time.Time, begun []time.Time) {
+	for _, t := range begun {
+		d.Begun = append(d.Begun, uint16(min(now.Sub(t).Milliseconds(), math.MaxUint16)))
+	}
+}
+
+// begun returns when the loads began of which a digest heard at heard tells.
+func (d *Digest) begun(heard time.Time) []time.Time {
+	var all []time.Time
+	for _, age := range d.Begun {
+		all = append(all, heard.Add(-time.Duration(age)*time.Millisecond))
+	}
+	return all
+}
+
 // newer reports whether a digest replaces an older one of the same instance.
 func (d *Digest) newer(old *Digest) bool {
 	if d.Life != old.Life {
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -30,6 +30,7 @@
 	self    string
 	peers   map[string]*Peer
 	targets map[string]time.Time    // addresses told of by others or by the object API, until
+	holder  Peer                    // the latest digest of a holder of the lease
 	loads   map[uint32]rlbpick.Load // of all others
 	dirty   bool
 }
@@ -53,6 +54,9 @@
 	f.peers[d.Name] = &Peer{Digest: d, Heard: now}
 	f.targets[d.Address] = now.Add(forgetAfter)
 	f.dirty = true
+	if d.Fence > 0 && d.Fence >= f.holder.Digest.Fence {
+		f.holder = Peer{Digest: d, Heard: now}
+	}
 	return !known || old.Digest.Life != d.Life
 }
 
@@ -120,6 +124,17 @@
 	return holder, holder.Fence > 0
 }
 
+// Begun returns when the loads began that the latest holder told of, and when it
+// did; zero: none was heard of.
+func (f *Fleet) Begun(now time.Time) (heard time.Time, begun []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.holder.Heard) > forgetAfter {
+		return time.Time{}, nil
+	}
+	return f.holder.Heard, f.holder.Digest.begun(f.holder.Heard)
+}
+
 // Load returns the other instances' work at an endpoint.
 func (f *Fleet) Load(now time.Time, key uint32) rlbpick.Load {
 	f.mu.Lock()
