Fewer calls to the store: longer watches, gathered changes, growing pauses

Change: watches wait 6 s; other instances' newer versions cut a silent one short; changes of entries are gathered for 0.25 s; pauses double up to 1 s; any removed entry has 1.2 s to come back.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,7 +34,9 @@
 	idleTimeout    = 4 * time.Second        // of connections to the object API and to engines' control side
 	idlePerHost    = 4
 	sweepPeriod    = 250 * time.Millisecond
-	endpointWait   = 30 * time.Second // for an endpoint, where a request states nothing
+	gatherPeriod   = 250 * time.Millisecond // of changes of entries
+	behindSweeps   = 3                      // in which others must know more before a list is read
+	endpointWait   = 30 * time.Second       // for an endpoint, where a request states nothing
 )
 
 // app is a running node.
@@ -53,6 +56,7 @@
 	loads    *rlbpick.Table
 	front    *rlbfront.Server
 	duty     *rlbduty.Duty
+	behind   []*behind
 }
 
 // decoder decodes what operators and endpoints write on the platform.
@@ -156,6 +160,11 @@
 		API: a.api, Kind: rlbplatform.KindConfig, Sink: rlbview.ConfigSink{View: a.view, Name: rlbplatform.ConfigName}, Log: a.Log, Now: rlbclock.Now,
 	}
 	endpoints := &rlbview.Watcher{API: a.api, Kind: rlbplatform.KindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now}
+	endpoints.Gather = gatherPeriod
+	a.behind = []*behind{
+		{watcher: config, ahead: func(d rlbpeer.Digest) bool { c := a.view.Snapshot().Config; return c != nil && d.Config > c.Version }},
+		{watcher: endpoints, ahead: func(d rlbpeer.Digest) bool { return d.Entries > uint64(a.view.Revision()) }},
+	}
 	go config.Run(ctx)
 	go endpoints.Run(ctx)
 	go a.register(ctx)
@@ -167,11 +176,34 @@
 func (a *app) sweep(ctx context.Context) {
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
 		a.view.Sweep()
+		a.catchUp()
 		snapshot := a.view.Snapshot()
 		a.loads.Forget(func(id string) bool { return snapshot.ByID[id] != nil })
 	}
 }
 
+// behind follows whether others know more than a watch has told.
+type behind struct {
+	watcher *rlbview.Watcher
+	ahead   func(rlbpeer.Digest) bool
+	sweeps  int // in a row in which somebody was ahead
+}
+
+// catchUp has lists read whose watches tell nothing though others know more: a
+// connection may have gone silent.
+func (a *app) catchUp() {
+	live := a.fleet.Live(rlbclock.Now())
+	for _, b := range a.behind {
+		if !slices.ContainsFunc(live, b.ahead) {
+			b.sweeps = 0
+			continue
+		}
+		if b.sweeps++; b.sweeps%behindSweeps == 0 {
+			b.watcher.Nudge()
+		}
+	}
+}
+
 func (a *app) demand() map[string]float32 { return a.front.Demand().Read() }
 
 // others returns the other instances' work at an endpoint.
@@ -192,6 +224,7 @@
 		Leaving: !a.front.Ready(), Fence: a.duty.Fence(), Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(),
 	}
 	d.SetBegun(rlbclock.Now(), a.duty.Begun())
+	d.Entries = uint64(a.view.Revision())
 	if config := a.view.Snapshot().Config; config != nil {
 		d.Config = config.Version
 	}
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -18,6 +18,7 @@
 	Number  uint64             `msgpack:"s"` // rises within a life
 	Leaving bool               `msgpack:"x,omitempty"`
 	Config  uint64             `msgpack:"c,omitempty"` // version in force
+	Entries uint64             `msgpack:"e,omitempty"` // newest revision of an endpoint's entry
 	Fence   uint64             `msgpack:"f,omitempty"` // of the lease for orders, if this instance holds it
 	Loads   map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see Key
 	Demand  map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
--- a/rlb-node/pkg/rlbview/view.go
+++ b/rlb-node/pkg/rlbview/view.go
@@ -13,9 +13,11 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 )
 
-// returnGrace is how long an entry that lapsed during an outage of the object
-// API may take to come back after it.
-const returnGrace = 1700 * time.Millisecond
+// Times for which an entry that is removed may come back.
+const (
+	returnGrace = 1700 * time.Millisecond // after an outage of the object API
+	removeGrace = 1200 * time.Millisecond // an outage may have been too short to be noticed
+)
 
 // Decoder reads what operators and endpoints write.
 type Decoder interface {
@@ -59,6 +61,13 @@
 	return v
 }
 
+// Revision returns the newest revision of the entries.
+func (v *View) Revision() rlbobject.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.revision
+}
+
 // Snapshot returns the present view.
 func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
 
@@ -120,7 +129,7 @@
 	now, dropped := v.now(), false
 	for id, e := range v.entries {
 		if !e.gone.IsZero() && !now.Before(e.gone) {
-			v.forget(id, "did not come back after an outage")
+			v.forget(id, "removed from the list, and not back")
 			dropped = true
 		}
 	}
@@ -159,11 +168,15 @@
 }
 
 func (v *View) drop(id string, e *entry, afterOutage bool) {
-	if !afterOutage {
+	if e.endpoint == nil || e.endpoint.Leaving {
 		v.forget(id, "removed from the list")
 		return
 	}
-	if e.gone.IsZero() {
+	if !e.gone.IsZero() {
+		return
+	}
+	e.gone = v.now().Add(removeGrace)
+	if afterOutage {
 		e.gone = v.now().Add(returnGrace)
 	}
 }
--- a/rlb-node/pkg/rlbview/watcher.go
+++ b/rlb-node/pkg/rlbview/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -11,9 +12,10 @@
 
 // Terms of a watch.
 const (
-	watchWait   = 2500 * time.Millisecond // for the next change; a silent connection is noticed after it
+	watchWait   = 6 * time.Second // for the next change
 	listTimeout = time.Second
-	retryPause  = 150 * time.Millisecond
+	firstPause  = 150 * time.Millisecond // after a call that failed; doubled with each further one
+	longPause   = time.Second
 	// outageAfter is the time without an answer after which entries of live
 	// endpoints may have lapsed.
 	outageAfter = watchWait + time.Second
@@ -34,11 +36,16 @@
 	Sink Sink
 	Log  log.Interface
 	Now  func() time.Time
+	// Gather is how long changes are gathered before the next call: each call is
+	// paid for.
+	Gather time.Duration
 
-	revision rlbobject.Version // 0: the list must be read
-	answered time.Time         // latest answer
-	regained time.Time         // end of the latest outage
-	lost     bool              // the latest call failed
+	nudge    atomic.Pointer[context.CancelFunc] // ends the present call
+	failures int                                // in a row
+	revision rlbobject.Version                  // 0: the list must be read
+	answered time.Time                          // latest answer
+	regained time.Time                          // end of the latest outage
+	lost     bool                               // the latest call failed
 }
 
 // Run follows the kind until ctx ends.
@@ -47,7 +54,8 @@
 	for ctx.Err() == nil {
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			w.failed(err)
-			rlbcommon.Sleep(ctx, retryPause)
+			rlbcommon.Sleep(ctx, min(firstPause<<min(w.failures, 8), longPause))
+			w.failures++
 		}
 	}
 }
@@ -72,10 +80,11 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+listTimeout)
+	call, cancel := context.WithTimeout(ctx, watchWait+listTimeout)
 	defer cancel()
-	changes, err := w.API.Watch(ctx, w.Kind, w.revision, time.Now().Add(watchWait))
-	if rlbobject.Is(err, rlbobject.KindExpired) {
+	w.nudge.Store(&cancel)
+	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(watchWait))
+	if nudged := w.nudge.Swap(nil) == nil; nudged && err != nil || rlbobject.Is(err, rlbobject.KindExpired) {
 		w.revision = 0
 		return nil
 	}
@@ -84,9 +93,21 @@
 	}
 	w.Sink.Change(changes.Objects, w.succeeded())
 	w.revision = max(w.revision, changes.Revision)
+	if len(changes.Objects) > 0 {
+		rlbcommon.Sleep(ctx, w.Gather)
+	}
 	return nil
 }
 
+// Nudge ends a call that waits for changes, and has the list read: another
+// instance knows of changes that this one should have been told of.
+func (w *Watcher) Nudge() {
+	if cancel := w.nudge.Swap(nil); cancel != nil {
+		w.Log.WithField("kind", w.Kind).Info("others know more; reading the list")
+		(*cancel)()
+	}
+}
+
 // succeeded notes an answer; it reports whether entries may be missing because
 // of an outage that ended just now.
 func (w *Watcher) succeeded() bool {
@@ -97,7 +118,7 @@
 	if w.lost {
 		w.Log.WithField("kind", w.Kind).Info("object API answers again")
 	}
-	w.answered, w.lost = now, false
+	w.answered, w.lost, w.failures = now, false, 0
 	return !w.regained.IsZero() && now.Sub(w.regained) < catchUp
 }
 
