Adapters in use stay; the lease is taken over without waiting for the next read

Ruled out: the store's fetch limit (at most 4 fetches under way by the reports). Change: an adapter asked for within 7 s is the last to go; a contender acts when the lease lapses or when its holder is no longer heard.

--- a/lib/pkg/rlblease/lease.go
+++ b/lib/pkg/rlblease/lease.go
@@ -118,6 +118,13 @@
 	return StepWrite, value, l.version, nil
 }
 
+// Hurry makes the next step come at once: the holder is no longer heard of.
+func (l *Lease) Hurry() {
+	if !l.waiting {
+		l.next = time.Time{}
+	}
+}
+
 // Read takes the object as read at now; version 0: there is none.
 func (l *Lease) Read(now time.Time, version rlbobject.Version, value []byte) error {
 	var record Record
@@ -132,6 +139,9 @@
 	if !l.known || version != l.version {
 		l.changed = now
 	}
+	if lapses := l.changed.Add(l.opts.TTL); lapses.Before(l.next) {
+		l.next = lapses // the step that takes it over need not wait for the next read
+	}
 	f := l.flight
 	l.flight = nil
 	l.record, l.version, l.known = record, version, true
--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -114,6 +114,7 @@
 const (
 	otherDomain = 100 * time.Millisecond
 	noSlot      = 50 * time.Millisecond // another adapter must go first
+	slotInUse   = 2 * time.Second       // one that may be in use
 	perRequest  = 4 * time.Millisecond  // by which each request in progress slows the others
 )
 
@@ -134,9 +135,7 @@
 		at.mu.Lock()
 		known := d.refresh(ctx, at) && at.holds(q.Model) && !at.busy()
 		if known {
-			if n, _ := at.adapters(d.now()); n >= engine.AdapterSlots {
-				o.cost += noSlot
-			}
+			o.cost += d.slotCost(at, engine)
 			if a := at.models[q.Model].adapters[q.Adapter]; a != nil {
 				o.ready = maxTime(a.ready, time.Unix(1, 0))
 			}
@@ -150,6 +149,19 @@
 	return all
 }
 
+// slotCost returns what it costs to find a slot for an adapter. One that may be
+// in use is the last to go: its endpoint would be busy until the use ends.
+func (d *Duty) slotCost(at *desk, engine *rlbsite.Engine) time.Duration {
+	now := d.now()
+	if n, _ := at.adapters(now); n < engine.AdapterSlots {
+		return 0
+	}
+	if _, _, used := at.oldestAdapter(); now.Sub(used) < inUseFor {
+		return slotInUse
+	}
+	return noSlot
+}
+
 // loaded returns the endpoints that have the adapter, once the first of them
 // can be used.
 func (d *Duty) loaded(ctx context.Context, options []option, q rlbpeer.AdapterQuestion) []string {
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -21,7 +21,8 @@
 	contenders    = 2 // instances that read the lease while its holder is heard of
 	cacheFor      = 2 * time.Second
 	adapterWait   = 400 * time.Millisecond
-	keepFor       = time.Second // an adapter that was asked for stays at least that long
+	keepFor       = 3 * time.Second // an adapter that was asked for stays at least that long
+	inUseFor      = 7 * time.Second // a request may use it
 	fencedBackoff = 3 * time.Second
 )
 
@@ -98,13 +99,19 @@
 func (d *Duty) keep(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	heard := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.keeper.step(ctx, d.contends())
 		}
+		_, hears := d.Fleet.Holder(d.now())
+		if heard && !hears {
+			d.keeper.hurry()
+		}
+		heard = hears
+		d.keeper.step(ctx, d.contends())
 	}
 }
 
--- a/rlb-node/pkg/rlbduty/lease.go
+++ b/rlb-node/pkg/rlbduty/lease.go
@@ -62,6 +62,13 @@
 	k.note()
 }
 
+// hurry makes the next step come at once.
+func (k *keeper) hurry() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.own.Hurry()
+}
+
 func (k *keeper) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
