Hot models take several rooms in one plan; spares wait until nothing else loads

Ruled out: the lease and the reports (both answered all the while). Change: rlbplace grows a model up to its limit in one plan; spares load one at a time; a load from the store must bring 1.0 more relief than one from a copy nearby.

--- a/lib/pkg/rlbplace/demand.go
+++ b/lib/pkg/rlbplace/demand.go
@@ -32,32 +32,37 @@
 // memory for one move, in place of a less wanted replica for two and its loss.
 func (p *planner) followDemand() {
 	for _, w := range p.models {
-		m := w.Model
-		n := p.replicas(m)
-		if n == 0 || p.growing(m) {
-			continue
-		}
-		gain := relief(p.pressure(m.Name), n)
-		if gain <= p.opts.MoveWeight {
-			continue
+		if p.replicas(w.Model) > 0 {
+			p.grow(w.Model)
 		}
-		if p.loading >= p.opts.LoadsAtOnce || !p.search() {
+	}
+}
+
+// grow adds replicas of one model. Room that is being made counts as a replica.
+func (p *planner) grow(m rlbnote.Model) {
+	for rooms := 0; p.comes(m)+rooms < max(p.opts.Growth, 1); {
+		gain := relief(p.pressure(m.Name), p.replicas(m)+rooms)
+		if gain <= p.opts.MoveWeight || p.loading >= p.opts.LoadsAtOnce || !p.search() {
 			return
 		}
 		if i := p.roomiest(m); i >= 0 && gain > p.opts.MoveWeight+p.far(i, m) {
 			p.load(i, m, "demand")
 			continue
 		}
-		if !p.awaitsRoom(m) {
-			p.replace(m, gain)
+		if !p.awaitsRoom(m) && !p.replace(m, gain) {
+			return
 		}
+		rooms++
 	}
 }
 
+// comes returns how many replicas of a model are on their way.
+func (p *planner) comes(m rlbnote.Model) int { return p.replicas(m) - p.ready(m) }
+
 // growing reports whether a replica of the model is on its way: its effect is
 // awaited before the next.
 func (p *planner) growing(m rlbnote.Model) bool {
-	return p.replicas(m)-p.ready(m) >= max(p.opts.Growth, 1)
+	return p.comes(m) >= max(p.opts.Growth, 1)
 }
 
 // far returns what the load of a model on an engine costs beyond one from a copy
@@ -69,7 +74,9 @@
 	return p.opts.FarWeight
 }
 
-func (p *planner) replace(m rlbnote.Model, gain float64) {
+// replace unloads a less wanted replica to make room for a model; it reports
+// whether there is one.
+func (p *planner) replace(m rlbnote.Model, gain float64) bool {
 	const moves = 2 // an unload and a load
 	best, cost := -1, gain-moves*p.opts.MoveWeight
 	for i, e := range p.engines {
@@ -85,9 +92,10 @@
 		}
 	}
 	if best < 0 {
-		return
+		return false
 	}
 	chosen, _, _ := p.victims(p.engines[best], m.Memory, p.ready)
 	p.unload(best, chosen[0], true, "makes room for "+m.Name)
 	p.keepRoom(best, m)
+	return true
 }
--- a/lib/pkg/rlbplace/input.go
+++ b/lib/pkg/rlbplace/input.go
@@ -42,6 +42,7 @@
 	Slots       float64 // requests that a replica serves at once
 	LoadsAtOnce int     // that the weight store serves at full speed
 	Growth      int     // loads of one model that may be under way while its demand asks for more; 0: 1
+	Spares      int     // loads under way at which no replica is loaded that is only a spare; 0: LoadsAtOnce
 	Searches    int     // for replicas to give way, in one plan; 0: few
 	FarWeight   float64 // relief that a load from the weight store must bring beyond one from a copy nearby
 	Replicas    int     // that each model keeps where memory is free, in different failure domains
--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -196,7 +196,7 @@
 		if n := p.replicas(m); n == 0 || n >= p.opts.Replicas || p.growing(m) {
 			continue
 		}
-		if p.loading >= p.opts.LoadsAtOnce {
+		if p.loading >= min(p.opts.LoadsAtOnce, cmp.Or(p.opts.Spares, p.opts.LoadsAtOnce)) {
 			return
 		}
 		i := p.roomiest(m)
--- a/rlb-node/pkg/rlbduty/plan.go
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -15,10 +15,11 @@
 // Weights of a plan.
 const (
 	moveWeight  = 0.2
-	farWeight   = 0.3 // of a load from the weight store beyond one from a copy nearby
+	farWeight   = 1.0 // of a load from the weight store beyond one from a copy nearby
 	replicas    = 2
 	goodLoad    = 12  // requests in progress that a replica answers well
 	searches    = 12  // for replicas to give way, in one plan
+	spares      = 1   // loads under way at which no further spare is loaded: a load keeps its endpoint busy
 	growth      = 6   // loads of one model at once
 	secondsFull = 7.0 // the store serves as many loads at full speed as it starts in that time
 )
@@ -37,7 +38,7 @@
 		desks := d.all(snapshot, name)
 		input := d.input(ctx, snapshot, service.Engine, desks, demand)
 		opts := rlbplace.Opts{
-			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, Searches: searches, FarWeight: farWeight,
+			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, Searches: searches, Spares: spares, FarWeight: farWeight,
 			LoadsAtOnce: int(math.Ceil(service.Engine.LoadsPerSecond * secondsFull)),
 		}
 		for _, proposal := range rlbplace.Plan(input, opts) {
--- a/rlb-node/pkg/rlbfront/refusal.go
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -64,6 +64,7 @@
 	}
 	if x.model != "" {
 		fields["expected_ms"], fields["first_ms"], fields["tokens"] = x.expected.Milliseconds(), x.first.Milliseconds(), x.tokens
+		fields["pause_ms"] = x.pause.Milliseconds()
 	}
 	if x.snapshot.Config != nil {
 		fields["config"] = x.snapshot.Config.Version
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -38,6 +38,8 @@
 	expected time.Duration // wait for the answer to begin, of the latest choice
 	sent     time.Time     // when the latest attempt began
 	first    time.Duration // from then until the answer began
+	latest   time.Time     // when the latest event was passed on
+	pause    time.Duration // longest between two events
 	started  bool          // a part of the answer was sent
 	answered func()        // tells that the endpoint's answer has begun
 	reason   string        // of the latest fault
--- a/rlb-node/pkg/rlbfront/stream.go
+++ b/rlb-node/pkg/rlbfront/stream.go
@@ -43,6 +43,7 @@
 			return rlbroute.FaultCallerGone, false, err
 		}
 		x.lastID = string(event.ID)
+		s.notePause(x)
 	}
 }
 
@@ -59,6 +60,15 @@
 	s.meters.answered(s.Now().Sub(x.arrived))
 }
 
+// notePause keeps the longest pause between two events.
+func (s *Server) notePause(x *request) {
+	now := s.Now()
+	if !x.latest.IsZero() {
+		x.pause = max(x.pause, now.Sub(x.latest))
+	}
+	x.latest = now
+}
+
 func (s *Server) forward(w io.Writer, flusher *http.ResponseController, event rlbrelay.Event, more bool) error {
 	if _, err := w.Write(event.Raw); err != nil {
 		return err
