Room that is being made on a busy endpoint is awaited

Ruled out: the missing models' demand (3 requests in 2 s). Change: only the search for victims passes over busy endpoints. Test: TestFrozenEngines, red before.

--- a/lib/pkg/rlbplace/plan.go
+++ b/lib/pkg/rlbplace/plan.go
@@ -149,7 +149,7 @@
 
 // couldHold reports whether an engine could take the model if it were empty.
 func couldHold(e Engine, m rlbnote.Model) bool {
-	return !e.Leaving && !e.Frozen && matches(e, m.Role) && e.Memory >= m.Memory
+	return !e.Leaving && matches(e, m.Role) && e.Memory >= m.Memory
 }
 
 func better(a, b Engine, model string, inDomain map[string]int) bool {
--- a/lib/pkg/rlbplace/room.go
+++ b/lib/pkg/rlbplace/room.go
@@ -18,7 +18,7 @@
 	best, cost := -1, 0.0
 	var victims []rlbengine.Resident
 	for i, e := range p.engines {
-		if !couldHold(e, m) {
+		if e.Frozen || !couldHold(e, m) {
 			continue
 		}
 		chosen, loss, enough := p.victims(e, m.Memory, p.ready)
