--- a/rlb-node/pkg/rlbfront/refusal.go
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -15,11 +15,19 @@
 	text   string
 }
 
+// at returns the refusal with another time to come back, within bounds.
+func (r *refusal) at(after time.Duration) *refusal {
+	other := *r
+	other.after = min(max(after, soon), longest)
+	return &other
+}
+
 // Times after which a caller may come back.
 const (
-	atOnce = 10 * time.Millisecond
-	soon   = 300 * time.Millisecond
-	later  = 700 * time.Millisecond
+	atOnce  = 10 * time.Millisecond
+	soon    = 300 * time.Millisecond
+	later   = 700 * time.Millisecond
+	longest = 2 * time.Second
 )
 
 // The refusals. Those with 408 and 503 say that the request did not run.
--- a/rlb-node/pkg/rlbfront/run.go
+++ b/rlb-node/pkg/rlbfront/run.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
@@ -83,9 +84,12 @@
 // wait there for longer than its answer is worth having. One that the caller has
 // a part of goes on anyhow.
 func (s *Server) admits(x *request, c rlbpick.Choice) bool {
-	return x.model == "" || x.started || c.Wait <= x.route.Target*waitShare/100
+	return x.model == "" || x.started || c.Wait <= s.longestWait(x)
 }
 
+// longestWait returns how long a request may be expected to wait at an endpoint.
+func (s *Server) longestWait(x *request) time.Duration { return x.route.Target * waitShare / 100 }
+
 // pick returns the best endpoint that was not tried; nil: there is none. A
 // request for an adapter goes to one of its holders.
 func (s *Server) pick(x *request, holders []string) rlbpick.Choice {
@@ -126,7 +130,7 @@
 	case x.failure != nil:
 		s.pass(w, x, x.failure)
 	case outcome == rlbroute.NotRun && x.busy:
-		s.refuse(w, x, refuseBusy)
+		s.refuse(w, x, refuseBusy.at(x.expected-s.longestWait(x)))
 	case outcome == rlbroute.NotRun && fault == rlbroute.FaultNoEndpoint:
 		s.refuse(w, x, refuseNoEndpoint)
 	case outcome == rlbroute.NotRun && fault == rlbroute.FaultDeadline:
