Endpoints whose streams pause too long get no second prompt while others can take it

Ruled out: preemption and distance (none at the others). Change: instances learn the share of paused streams per endpoint and tell it.

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -18,6 +18,8 @@
 	plainFreed  = 10 * time.Millisecond  // the same at a plain service
 	otherDomain = 100 * time.Millisecond // that an endpoint in the own failure domain may be slower
 	perRequest  = 4 * time.Millisecond   // by which each request in progress slows the others
+	crowding    = 300 * time.Millisecond // that prompts being read delay the streams of an endpoint that pauses
+	slowWeight  = 0.2                    // of the latest stream in an endpoint's share of slow ones
 	tie         = 2 * time.Millisecond   // random, so that equal endpoints share the work
 )
 
@@ -49,6 +51,7 @@
 	born     time.Time // of the life that the row is about
 	inFlight int
 	unread   int                  // prompt tokens of requests that have no answer yet
+	slow     float64              // part of its latest streams with a pause that was too long
 	failures int                  // in a row
 	paused   time.Time            // until when others are preferred
 	closed   map[string]time.Time // models that it refused requests for, until when
@@ -64,7 +67,7 @@
 		t.rows[e.ID] = r
 	}
 	if e.Born.After(r.born) {
-		r.born, r.failures, r.paused, r.closed = e.Born, 0, time.Time{}, nil
+		r.born, r.slow, r.failures, r.paused, r.closed = e.Born, 0, 0, time.Time{}, nil
 	}
 	return r
 }
@@ -124,17 +127,37 @@
 	}
 }
 
-func (r *row) load() Load { return Load{InFlight: r.inFlight, Unread: r.unread} }
+// Streamed notes whether a stream of an endpoint had a pause that was too long.
+func (t *Table) Streamed(e *rlbsite.Endpoint, slow bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.row(e)
+	r.slow *= 1 - slowWeight
+	if slow {
+		r.slow += slowWeight
+	}
+}
+
+func (r *row) load() Load { return Load{InFlight: r.inFlight, Unread: r.unread, Slow: r.slow} }
 
 // Load is the work at an endpoint.
 type Load struct {
-	InFlight int // requests in progress
-	Unread   int // prompt tokens of those that have no answer yet
+	InFlight int     // requests in progress
+	Unread   int     // prompt tokens of those that have no answer yet
+	Slow     float64 // part of the latest streams with a pause that was too long
 }
 
 // Plus returns the sum of two loads.
 func (l Load) Plus(other Load) Load {
-	return Load{InFlight: l.InFlight + other.InFlight, Unread: l.Unread + other.Unread}
+	return Load{InFlight: l.InFlight + other.InFlight, Unread: l.Unread + other.Unread, Slow: max(l.Slow, other.Slow)}
+}
+
+// crowding returns what a prompt more costs the streams that run.
+func (l Load) crowding() time.Duration {
+	if l.Unread == 0 {
+		return 0
+	}
+	return time.Duration(l.Slow * float64(crowding))
 }
 
 // Wait returns how long a request is expected to wait for its answer to begin,
@@ -206,7 +229,7 @@
 }
 
 func (w Wanted) cost(c Choice, load Load) time.Duration {
-	cost := c.Wait + time.Duration(load.InFlight)*perRequest + rand.N(tie)
+	cost := c.Wait + load.crowding() + time.Duration(load.InFlight)*perRequest + rand.N(tie)
 	if c.Endpoint.Domain != w.Domain {
 		cost += otherDomain
 	}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -229,7 +229,9 @@
 		d.Config = config.Version
 	}
 	a.loads.Loads(func(id string, load rlbpick.Load) {
-		d.Loads[rlbpeer.Key(id)] = rlbpeer.Load{InFlight: uint16(min(load.InFlight, math.MaxUint16)), Unread: uint32(max(load.Unread, 0))}
+		d.Loads[rlbpeer.Key(id)] = rlbpeer.Load{
+			InFlight: uint16(min(load.InFlight, math.MaxUint16)), Unread: uint32(max(load.Unread, 0)), Slow: uint8(100 * load.Slow),
+		}
 	})
 	return d
 }
--- a/rlb-node/pkg/rlbfront/stream.go
+++ b/rlb-node/pkg/rlbfront/stream.go
@@ -83,6 +83,9 @@
 	status := in.StatusCode
 	s.startStream(w, x, in)
 	in.Done()
+	if e := s.View.Snapshot().ByID[x.tried[len(x.tried)-1]]; e != nil {
+		s.Loads.Streamed(e, x.route.Pause > 0 && x.pause > x.route.Pause)
+	}
 	s.logEnd(x, status, "passed on")
 	return 0, true, nil
 }
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -31,6 +31,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	InFlight uint16   // requests in progress
 	Unread   uint32   // prompt tokens of those that have no answer yet
+	Slow     uint8    // hundredths of the latest streams that paused too long
 }
 
 // Strike tells that a request may have crashed the endpoint that ran it.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		for key, l := range p.Digest.Loads {
-			f.loads[key] = f.loads[key].Plus(rlbpick.Load{InFlight: int(l.InFlight), Unread: int(l.Unread)})
+			f.loads[key] = f.loads[key].Plus(rlbpick.Load{InFlight: int(l.InFlight), Unread: int(l.Unread), Slow: float64(l.Slow) / 100})
 		}
 	}
 }
