--- a/lib/pkg/rlbbudget/budget.go
+++ b/lib/pkg/rlbbudget/budget.go
@@ -35,6 +35,15 @@
 // New returns a budget that has spent nothing.
 func New(terms Terms) *Budget { return &Budget{terms: terms} }
 
+// SetTerms changes the terms. What was spent still counts, unless the window
+// has another length.
+func (b *Budget) SetTerms(terms Terms) {
+	if terms.Window != b.terms.Window {
+		b.ring = [slices + 1]counts{}
+	}
+	b.terms = terms
+}
+
 func (b *Budget) slice(now time.Time) *counts {
 	at := now.UnixNano() / int64(b.terms.Window/slices)
 	c := &b.ring[at%int64(len(b.ring))]
--- a/lib/pkg/rlbcommon/common.go
+++ b/lib/pkg/rlbcommon/common.go
@@ -17,6 +17,10 @@
 type Common struct {
 	Log      *log.Entry
 	Settings *rlbsettings.Settings
+	// Path is that of the settings file; empty: there is none.
+	Path string
+	// Reload reads the settings again, as at the start.
+	Reload func() (*rlbsettings.Settings, error)
 }
 
 // New returns a Common that logs JSON lines to w, each with the instance.
--- a/lib/pkg/rlbcommon/program.go
+++ b/lib/pkg/rlbcommon/program.go
@@ -39,6 +39,8 @@
 			if err != nil {
 				return err
 			}
+			common.Path = path
+			common.Reload = func() (*rlbsettings.Settings, error) { return LoadSettings(path, overrides, opts.For) }
 			stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer release()
 			return opts.Run(stop, common, cmd.OutOrStdout())
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -9,10 +9,10 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbudget"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
@@ -46,8 +46,8 @@
 	domain   string
 	address  string // for other instances
 	life     int64
-	number   uint64 // of the latest digest
-	grace    time.Duration
+	number   uint64       // of the latest digest
+	grace    atomic.Int64 // nanoseconds
 	registry metrics.Registry
 	api      rlbobject.API
 	view     *rlbview.View
@@ -85,6 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	a.start(ctx)
+	go a.followSettings(ctx)
 	ready := rlbcommon.Ready{Program: "rlb-node", Instance: a.name, Listen: map[string]string{
 		"callers": servers.callers.Addr, "readiness": servers.ready.Addr, "internal": a.address,
 	}}
@@ -107,9 +108,10 @@
 	}
 	a := &app{
 		Common: common, name: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
-		address: address, life: time.Now().UnixNano(), grace: settings.Duration(rlbsettings.NodeGrace),
+		address: address, life: time.Now().UnixNano(),
 		registry: metrics.NewRegistry(), loads: rlbpick.NewTable(),
 	}
+	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
 	a.fleet = rlbpeer.NewFleet(a.name)
 	a.view = rlbview.New(a.Log, decoder{}, rlbclock.Now)
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, idlePerHost)
@@ -132,10 +134,7 @@
 	a.front = rlbfront.New(rlbfront.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Loads: a.loads, Others: a.others,
 		Instances: func() int { return a.fleet.Known(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.duty,
-		Budget: rlbbudget.Terms{
-			Ratio: settings.Ratio(rlbsettings.NodeRatio), Allowance: settings.Ratio(rlbsettings.NodeAllowance),
-			Window: settings.Duration(rlbsettings.NodeWindow),
-		},
+		Budget:  budgetTerms(settings),
 		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	return a, func() {
--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -56,7 +56,7 @@
 // shutDown serves what comes until the balancer has noticed, then waits for the
 // requests in progress.
 func (a *app) shutDown(s *servers) error {
-	end := time.Now().Add(a.grace - cutBefore)
+	end := time.Now().Add(time.Duration(a.grace.Load()) - cutBefore)
 	a.Log.WithField("in_progress", a.front.Active()).Info("shutting down")
 	a.front.Leave()
 	a.duty.Leave()
--- a/rlb-node/pkg/rlbfront/budgets.go
+++ b/rlb-node/pkg/rlbfront/budgets.go
@@ -24,6 +24,16 @@
 	return &budgets{terms: terms, all: map[string]*budget{}}
 }
 
+// SetBudget changes the terms of the retry budget.
+func (s *Server) SetBudget(terms rlbbudget.Terms) {
+	s.budgets.mu.Lock()
+	defer s.budgets.mu.Unlock()
+	s.budgets.terms = terms
+	for _, b := range s.budgets.all {
+		b.setTerms(terms)
+	}
+}
+
 func (b *budgets) of(service string) *budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -33,6 +43,12 @@
 	return b.all[service]
 }
 
+func (b *budget) setTerms(terms rlbbudget.Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share.SetTerms(terms)
+}
+
 func (b *budget) request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
