Watches of three scouts wait shortly; the others rely on their news

Ruled out: the digests (no instance knew more). Change: three instances wait 1.8 s; the rest are nudged by digests; an instance that the store does not answer asks another for config and entries.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -34,9 +34,7 @@
 	idleTimeout    = 4 * time.Second        // of connections to the object API and to engines' control side
 	idlePerHost    = 4
 	sweepPeriod    = 250 * time.Millisecond
-	gatherPeriod   = 250 * time.Millisecond // of changes of entries
-	behindSweeps   = 3                      // in which others must know more before a list is read
-	endpointWait   = 30 * time.Second       // for an endpoint, where a request states nothing
+	endpointWait   = 30 * time.Second // for an endpoint, where a request states nothing
 )
 
 // app is a running node.
@@ -137,6 +135,7 @@
 		Budget:  budgetTerms(settings),
 		Metrics: a.registry, Now: rlbclock.Now,
 	})
+	a.behind = a.watchers()
 	return a, func() {
 		closeLink()
 		closeDispatcher()
@@ -155,17 +154,9 @@
 
 // start runs the systems until ctx ends.
 func (a *app) start(ctx context.Context) {
-	config := &rlbview.Watcher{
-		API: a.api, Kind: rlbplatform.KindConfig, Sink: rlbview.ConfigSink{View: a.view, Name: rlbplatform.ConfigName}, Log: a.Log, Now: rlbclock.Now,
-	}
-	endpoints := &rlbview.Watcher{API: a.api, Kind: rlbplatform.KindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now}
-	endpoints.Gather = gatherPeriod
-	a.behind = []*behind{
-		{watcher: config, ahead: func(d rlbpeer.Digest) bool { c := a.view.Snapshot().Config; return c != nil && d.Config > c.Version }},
-		{watcher: endpoints, ahead: func(d rlbpeer.Digest) bool { return d.Entries > uint64(a.view.Revision()) }},
+	for _, b := range a.behind {
+		go b.watcher.Run(ctx)
 	}
-	go config.Run(ctx)
-	go endpoints.Run(ctx)
 	go a.register(ctx)
 	go a.link.Run(ctx, a.digest)
 	go a.duty.Run(ctx)
@@ -175,34 +166,12 @@
 func (a *app) sweep(ctx context.Context) {
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
 		a.view.Sweep()
-		a.catchUp()
+		a.catchUp(ctx)
 		snapshot := a.view.Snapshot()
 		a.loads.Forget(func(id string) bool { return snapshot.ByID[id] != nil })
 	}
 }
 
-// behind follows whether others know more than a watch has told.
-type behind struct {
-	watcher *rlbview.Watcher
-	ahead   func(rlbpeer.Digest) bool
-	sweeps  int // in a row in which somebody was ahead
-}
-
-// catchUp has lists read whose watches tell nothing though others know more: a
-// connection may have gone silent.
-func (a *app) catchUp() {
-	live := a.fleet.Live(rlbclock.Now())
-	for _, b := range a.behind {
-		if !slices.ContainsFunc(live, b.ahead) {
-			b.sweeps = 0
-			continue
-		}
-		if b.sweeps++; b.sweeps%behindSweeps == 0 {
-			b.watcher.Nudge()
-		}
-	}
-}
-
 func (a *app) demand() map[string]float32 { return a.front.Demand().Read() }
 
 // others returns the other instances' work at an endpoint.
@@ -223,6 +192,7 @@
 		Leaving: !a.front.Ready(), Fence: a.duty.Fence(), Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(),
 	}
 	d.SetBegun(rlbclock.Now(), a.duty.Begun())
+	d.Lost = slices.ContainsFunc(a.behind, func(b *behind) bool { return b.watcher.Lost() })
 	d.Entries = uint64(a.view.Revision())
 	if config := a.view.Snapshot().Config; config != nil {
 		d.Config = config.Version
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -17,6 +17,7 @@
 	Life    int64              `msgpack:"l"` // rises with each start of the instance
 	Number  uint64             `msgpack:"s"` // rises within a life
 	Leaving bool               `msgpack:"x,omitempty"`
+	Lost    bool               `msgpack:"o,omitempty"` // the object API does not answer this instance
 	Config  uint64             `msgpack:"c,omitempty"` // version in force
 	Entries uint64             `msgpack:"e,omitempty"` // newest revision of an endpoint's entry
 	Fence   uint64             `msgpack:"f,omitempty"` // of the lease for orders, if this instance holds it
--- a/rlb-node/pkg/rlbview/watcher.go
+++ b/rlb-node/pkg/rlbview/watcher.go
@@ -12,7 +12,9 @@
 
 // Terms of a watch.
 const (
-	watchWait   = 6 * time.Second // for the next change
+	scoutWait   = 1800 * time.Millisecond // for the next change, of an instance that the others rely on
+	watchWait   = 6 * time.Second         // of the others
+	slack       = 500 * time.Millisecond  // after the wait, until the answer is there
 	listTimeout = time.Second
 	firstPause  = 150 * time.Millisecond // after a call that failed; doubled with each further one
 	longPause   = time.Second
@@ -36,6 +38,9 @@
 	Sink Sink
 	Log  log.Interface
 	Now  func() time.Time
+	// Scout reports whether the others rely on this instance to hear of changes in
+	// time, should a connection have gone silent.
+	Scout func() bool
 	// Gather is how long changes are gathered before the next call: each call is
 	// paid for.
 	Gather time.Duration
@@ -45,7 +50,7 @@
 	revision rlbobject.Version                  // 0: the list must be read
 	answered time.Time                          // latest answer
 	regained time.Time                          // end of the latest outage
-	lost     bool                               // the latest call failed
+	lost     atomic.Bool                        // the latest call failed
 }
 
 // Run follows the kind until ctx ends.
@@ -80,10 +85,14 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, watchWait+listTimeout)
+	wait := watchWait
+	if w.Scout() {
+		wait = scoutWait
+	}
+	call, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	w.nudge.Store(&cancel)
-	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(watchWait))
+	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(wait))
 	if nudged := w.nudge.Swap(nil) == nil; nudged && err != nil || rlbobject.Is(err, rlbobject.KindExpired) {
 		w.revision = 0
 		return nil
@@ -115,20 +124,22 @@
 	if now.Sub(w.answered) > outageAfter {
 		w.regained = now
 	}
-	if w.lost {
+	if w.lost.Swap(false) {
 		w.Log.WithField("kind", w.Kind).Info("object API answers again")
 	}
-	w.answered, w.lost, w.failures = now, false, 0
+	w.answered, w.failures = now, 0
 	return !w.regained.IsZero() && now.Sub(w.regained) < catchUp
 }
 
 func (w *Watcher) failed(err error) {
-	if !w.lost {
+	if !w.lost.Swap(true) {
 		w.Log.WithError(err).WithField("kind", w.Kind).Warn("object API lost")
 	}
-	w.lost = true
 }
 
+// Lost reports whether the latest call failed.
+func (w *Watcher) Lost() bool { return w.lost.Load() }
+
 // ConfigSink puts one object of a kind in force as the config.
 type ConfigSink struct {
 	View *View
