Front: tests against stand-in replicas; whole events are delivered before a break

Written with a stand-in of the platform's store and replicas (rlbfakesite). Two tests failed first: an answer with another request's id on a new connection was waited on for the whole time limit; events held in the buffer were lost when a later one was missing. Ruled out: nothing else. Change: such an answer fails at once on a new connection; held events are flushed before a stream breaks off.

--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -149,6 +149,9 @@
 		if err != nil || out.Mine == nil || out.Mine(response) {
 			return response, err
 		}
+		if !c.reused {
+			return nil, errors.New("the answer belongs to another request")
+		}
 		c.spoiled = true
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
--- a/rlb-node/pkg/rlbfront/stream.go
+++ b/rlb-node/pkg/rlbfront/stream.go
@@ -26,11 +26,13 @@
 			return s.streamEnded(w, x, in)
 		}
 		if err != nil {
+			s.deliver(x, flusher)
 			in.Abort()
 			return in.Fault(err), false, err
 		}
 		switch fits, err := follows(x.lastID, event.ID); {
 		case err != nil:
+			s.deliver(x, flusher)
 			in.Abort()
 			return rlbroute.FaultGap, false, err
 		case !fits:
@@ -60,6 +62,16 @@
 	s.meters.answered(s.Now().Sub(x.arrived))
 }
 
+// deliver sends the whole events that are still held, before a stream breaks.
+func (s *Server) deliver(x *request, flusher *http.ResponseController) {
+	if !x.started {
+		return
+	}
+	if err := flusher.Flush(); err != nil {
+		s.Log.WithError(err).WithField("request", x.id).Debug("caller left")
+	}
+}
+
 // notePause keeps the longest pause between two events.
 func (s *Server) notePause(x *request) {
 	now := s.Now()
--- /dev/null
+++ b/rlb-standin/pkg/rlbfakesite/replica.go
@@ -0,0 +1,275 @@
+package rlbfakesite
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Spec describes a model as the operator lists it.
+type Spec struct {
+	Name      string
+	WeightsMb float64
+	LoadS     float64
+	Adapters  int
+	AdapterMb float64
+	WarmS     float64
+	DiskS     float64
+}
+
+// ReplicaOpts describe a replica.
+type ReplicaOpts struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	MemoryMb float64
+	Adapters int // slots
+	Models   map[string]Spec
+	Fencing  bool
+	Step     time.Duration // between two events of a stream
+	Holds    []string      // models at the start
+}
+
+// Replica is one replica. Fault hooks are set before requests come.
+type Replica struct {
+	opts ReplicaOpts
+	born int64
+
+	// Answer, if set, takes over requests; it reports whether it answered.
+	Answer func(w http.ResponseWriter, r *http.Request, run int) bool
+
+	mu       sync.Mutex
+	sequence uint64
+	fence    uint64
+	busy     time.Time // until when an order is carried out
+	holds    map[string][]string
+	pending  func()
+	runs     []string // ids of requests that ran, in order
+	over     bool     // it was ordered to hold more than it can
+}
+
+// NewReplica returns a replica.
+func NewReplica(opts ReplicaOpts) *Replica {
+	r := &Replica{opts: opts, born: time.Now().UnixMilli(), holds: map[string][]string{}}
+	for _, name := range opts.Holds {
+		r.holds[name] = []string{}
+	}
+	return r
+}
+
+// Entry returns what the replica writes of itself.
+func (r *Replica) Entry(state string) map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return map[string]any{
+		"Service": r.opts.Service, "Address": r.opts.Address, "Zone": r.opts.Zone, "Version": "v1", "Slots": r.opts.Slots,
+		"State": state, "ColdLeftMs": 0, "Seq": 1, "born": r.born, "Stage": "both", "Models": r.models(),
+	}
+}
+
+// Runs returns the ids of the requests that ran.
+func (r *Replica) Runs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.runs)
+}
+
+// Overcommitted reports whether the replica was ordered to hold more than it can.
+func (r *Replica) Overcommitted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
+func (r *Replica) models() []map[string]any {
+	all := []map[string]any{}
+	for name, adapters := range r.holds {
+		all = append(all, map[string]any{"Name": name, "Version": 1, "Adapters": adapters})
+	}
+	return all
+}
+
+// settle carries out the order whose time has passed.
+func (r *Replica) settle() {
+	if r.pending != nil && !time.Now().Before(r.busy) {
+		r.pending()
+		r.pending = nil
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("X-Instance-Id", r.opts.ID)
+	if id := req.Header.Get("X-Expect-Instance"); id != "" && id != r.opts.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case req.URL.Path == "/-/order":
+		r.order(w, req)
+	case req.URL.Path == "/-/report":
+		r.report(w)
+	case req.URL.Path == "/health":
+		w.WriteHeader(http.StatusOK)
+	default:
+		r.request(w, req)
+	}
+}
+
+func (r *Replica) report(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	answer(w, http.StatusOK, map[string]any{
+		"Stage": "both", "Models": r.models(), "Busy": r.pending != nil, "Seq": r.sequence, "Waiting": 0, "Running": 0,
+		"KvUsed": 0, "KvTotal": 100000, "Handles": 0, "born": r.born, "AtHand": map[string]any{"InMemory": []string{}, "OnDisk": []string{}},
+	})
+}
+
+// orderBody is an order as the wire has it.
+type orderBody struct {
+	Op, Model, Adapter, Holder string
+	Precondition               *uint64
+	Fence                      uint64
+}
+
+func (r *Replica) order(w http.ResponseWriter, req *http.Request) {
+	var o orderBody
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	if r.opts.Fencing && o.Fence < r.fence {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	if r.pending != nil || o.Precondition != nil && *o.Precondition != r.sequence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	r.fence = max(r.fence, o.Fence)
+	w.WriteHeader(r.carryOut(o))
+}
+
+func (r *Replica) carryOut(o orderBody) int {
+	adapters, held := r.holds[o.Model]
+	switch {
+	case o.Adapter != "" && !held:
+		return http.StatusMisdirectedRequest
+	case o.Adapter != "" && o.Op == "unload":
+		r.holds[o.Model] = slices.DeleteFunc(adapters, func(a string) bool { return a == o.Adapter })
+		r.sequence++
+		return http.StatusOK
+	case o.Adapter != "" && slices.Contains(adapters, o.Adapter), o.Adapter == "" && o.Op == "load" && held, o.Op == "unload" && !held:
+		return http.StatusOK
+	case o.Adapter != "":
+		r.holds[o.Model] = append(adapters, o.Adapter)
+	case o.Op == "unload":
+		r.begin(0, func() { delete(r.holds, o.Model) })
+	default:
+		r.begin(time.Duration(r.opts.Models[o.Model].LoadS*float64(time.Second)), func() { r.holds[o.Model] = []string{} })
+		r.holds[o.Model] = nil
+		r.over = r.over || r.used() > r.opts.MemoryMb
+		delete(r.holds, o.Model)
+	}
+	r.sequence++
+	r.over = r.over || r.adapters() > r.opts.Adapters
+	return http.StatusAccepted
+}
+
+func (r *Replica) begin(takes time.Duration, effect func()) {
+	r.busy, r.pending = time.Now().Add(takes), effect
+}
+
+func (r *Replica) used() (mb float64) {
+	for name := range r.holds {
+		mb += r.opts.Models[name].WeightsMb
+	}
+	return mb
+}
+
+func (r *Replica) adapters() (n int) {
+	for _, adapters := range r.holds {
+		n += len(adapters)
+	}
+	return n
+}
+
+// request runs a caller's request.
+func (r *Replica) request(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return // the sender broke off
+	}
+	id := req.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if status := r.admit(req); status != http.StatusOK {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(status)
+		return
+	}
+	r.mu.Lock()
+	r.runs = append(r.runs, id)
+	run := len(r.runs)
+	r.mu.Unlock()
+	if r.Answer != nil && r.Answer(w, req, run) {
+		return
+	}
+	if req.Header.Get("X-Model") == "" {
+		w.Header().Set("X-Server-Stamp", r.opts.ID+".1")
+		_, _ = fmt.Fprintf(w, "%s %s %d", req.Method, req.URL.RequestURI(), len(body))
+		return
+	}
+	r.Stream(w, req, 0)
+}
+
+func (r *Replica) admit(req *http.Request) int {
+	model, adapter, _ := strings.Cut(req.Header.Get("X-Model"), "/")
+	if model == "" {
+		return http.StatusOK
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	adapters, held := r.holds[model]
+	if !held || adapter != "" && !slices.Contains(adapters, adapter) {
+		return http.StatusMisdirectedRequest
+	}
+	return http.StatusOK
+}
+
+// Stream sends the events of a request, from the one after Last-Event-Id; it
+// stops before the event stop (0: none), without ending the stream.
+func (r *Replica) Stream(w http.ResponseWriter, req *http.Request, stop int) {
+	_, out, _ := strings.Cut(req.Header.Get("X-Token-Count"), ",")
+	tokens, _ := strconv.Atoi(out)
+	first := 0
+	if last := req.Header.Get("Last-Event-Id"); last != "" {
+		first, _ = strconv.Atoi(last)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Server-Stamp", r.opts.ID+".1")
+	control := http.NewResponseController(w)
+	for n := first + 1; n <= max(tokens, 1); n++ {
+		if n == stop {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s token %d\n\n", n, req.Header.Get("X-Request-Id"), n); err != nil || control.Flush() != nil {
+			return
+		}
+		if r.opts.Step > 0 {
+			time.Sleep(r.opts.Step)
+		}
+	}
+}
--- /dev/null
+++ b/rlb-standin/pkg/rlbfakesite/store.go
@@ -0,0 +1,298 @@
+// Package rlbfakesite plays the users' platform for tests and trials: its object
+// store, and the replicas behind it. It speaks the platform's own names, which
+// only package rlbplatform knows on the product's side.
+package rlbfakesite
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Terms of the store.
+const (
+	pageItems = 50               // of one answer to a list
+	longest   = 30 * time.Second // that a watch waits
+	prefix    = "/-/objects/"
+)
+
+// Metadata is the part of an object that the store keeps itself.
+type Metadata struct {
+	Name       string
+	Revision   uint64
+	CreatedRev uint64
+	Finalizers []string
+	Deleting   bool
+}
+
+// Object is an object as the store holds it.
+type Object struct {
+	Metadata Metadata
+	Spec     json.RawMessage
+	Status   json.RawMessage
+}
+
+type event struct {
+	Object  Object
+	Deleted bool
+	kind    string
+}
+
+// Store is the object store. Its faults are switched by fields that are set
+// between calls.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	oldest   uint64 // revisions up to this one have no history
+	objects  map[string]map[string]Object
+	events   []event
+	changed  chan struct{}
+	refuse   int // status of every call; 0: none
+	lose     int // writes that take effect and are not answered
+	calls    int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{})}
+}
+
+// Refuse makes every call be answered with a status; 0 ends that.
+func (s *Store) Refuse(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = status
+}
+
+// LoseAnswers makes so many writes take effect and go unanswered.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Compact drops the history and ends the waiting watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest, s.events = s.revision, nil
+	s.wake()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Set writes an object as an operator or a replica does.
+func (s *Store) Set(kind, name string, spec any) {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // a fixture of a test that cannot be written
+	}
+	s.SetRaw(kind, name, raw)
+}
+
+// SetRaw writes an object of any form.
+func (s *Store) SetRaw(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, Object{Metadata: Metadata{Name: name}, Spec: spec})
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) put(kind string, o Object) Object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]Object{}
+	}
+	s.revision++
+	o.Metadata.Revision = s.revision
+	o.Metadata.CreatedRev = cmp.Or(s.objects[kind][o.Metadata.Name].Metadata.CreatedRev, s.revision)
+	if o.Metadata.Finalizers == nil {
+		o.Metadata.Finalizers = []string{}
+	}
+	s.objects[kind][o.Metadata.Name] = o
+	s.events = append(s.events, event{Object: o, kind: kind})
+	s.wake()
+	return o
+}
+
+func (s *Store) remove(kind, name string) {
+	o, found := s.objects[kind][name]
+	if !found {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	o.Metadata.Revision = s.revision
+	s.events = append(s.events, event{Object: o, Deleted: true, kind: kind})
+	s.wake()
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	refuse := s.refuse
+	s.mu.Unlock()
+	if refuse != 0 {
+		w.WriteHeader(refuse)
+		return
+	}
+	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, prefix), "/")
+	query := r.URL.Query()
+	switch {
+	case r.Method == http.MethodGet && named:
+		s.get(w, kind, name)
+	case r.Method == http.MethodGet && query.Get("Watch") != "":
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.list(w, kind, query.Get("after"))
+	case named:
+		s.write(w, r, kind, name)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, found := s.objects[kind][name]
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, o)
+}
+
+func (s *Store) list(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []Object{}
+	for _, o := range s.objects[kind] {
+		if o.Metadata.Name > after {
+			items = append(items, o)
+		}
+	}
+	slices.SortFunc(items, func(a, b Object) int { return cmp.Compare(a.Metadata.Name, b.Metadata.Name) })
+	more := len(items) > pageItems
+	answer(w, http.StatusOK, map[string]any{"items": items[:min(len(items), pageItems)], "HasMore": more, "CurrentRev": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("Watch"), 10, 64)
+	ms, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
+	timer := time.NewTimer(min(time.Duration(ms)*time.Millisecond, longest))
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		gone, events, revision, changed := after < s.oldest, s.since(kind, after), s.revision, s.changed
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": events, "CurrentRev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timer.C:
+			answer(w, http.StatusOK, map[string]any{"events": []event{}, "CurrentRev": revision})
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, after uint64) []event {
+	var events []event
+	for _, e := range s.events {
+		if e.kind == kind && e.Object.Metadata.Revision > after {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var given Object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&given); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	condition := given.Metadata.Revision
+	if text := r.URL.Query().Get("Revision"); text != "" {
+		condition, _ = strconv.ParseUint(text, 10, 64)
+	}
+	name, status := strings.CutSuffix(name, "/status")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present, found := s.objects[kind][name]
+	switch {
+	case r.Method == http.MethodPost && found, found && condition != 0 && condition != present.Metadata.Revision:
+		answer(w, http.StatusConflict, present)
+		return
+	case r.Method != http.MethodPost && !found:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	next := s.apply(kind, name, present, given, r.Method, status)
+	if s.lose > 0 {
+		s.lose--
+		panic(http.ErrAbortHandler) // the answer is lost
+	}
+	answer(w, http.StatusOK, next)
+}
+
+// apply carries a write out. One that changes nothing makes no revision.
+func (s *Store) apply(kind, name string, present, given Object, method string, status bool) Object {
+	next := present
+	next.Metadata.Name = name
+	switch {
+	case method == http.MethodDelete && len(present.Metadata.Finalizers) > 0:
+		next.Metadata.Deleting = true
+	case method == http.MethodDelete:
+		s.remove(kind, name)
+		return present
+	case status:
+		next.Status = given.Status
+	default:
+		next.Spec, next.Metadata.Finalizers = given.Spec, given.Metadata.Finalizers
+	}
+	if method == http.MethodPut && string(next.Spec) == string(present.Spec) && string(next.Status) == string(present.Status) &&
+		slices.Equal(next.Metadata.Finalizers, present.Metadata.Finalizers) {
+		return present
+	}
+	return s.put(kind, next)
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An answer that cannot leave is the caller's to notice.
+	_ = json.NewEncoder(w).Encode(body)
+}
