Tests of view, watches, desks, load rate and placement on fake clocks

Found: a mutex held while an adapter is fetched made those who wait for it deaf to their time limit; now a channel, which also lets the fake clock run. Found: an outage shorter than 7 s went unnoticed by scouts; the bound follows the wait of the watch. Ruled out: nothing else.

--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -5,7 +5,6 @@
 	"context"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
@@ -74,9 +73,13 @@
 
 // Provide answers the question for an adapter as the holder of the lease.
 func (d *Duty) Provide(ctx context.Context, q rlbpeer.AdapterQuestion) rlbpeer.Answer {
-	lock := d.lock(q.Service + "/" + q.Model + "/" + q.Adapter)
-	lock.Lock()
-	defer lock.Unlock()
+	turn := d.turn(q.Service + "/" + q.Model + "/" + q.Adapter)
+	select {
+	case turn <- struct{}{}:
+		defer func() { <-turn }()
+	case <-ctx.Done():
+		return rlbpeer.Answer{Reason: "the adapter is being loaded for others"}
+	}
 	snapshot := d.View.Snapshot()
 	if snapshot.Config == nil || snapshot.Config.Services[q.Service].Engine == nil {
 		return rlbpeer.Answer{Reason: "the service has no engines"}
@@ -94,13 +97,14 @@
 	return rlbpeer.Answer{Reason: "no endpoint with the model takes the adapter now"}
 }
 
-func (d *Duty) lock(key string) *sync.Mutex {
+// turn returns what lets one goroutine at a time deal with an adapter.
+func (d *Duty) turn(key string) chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.locks[key] == nil {
-		d.locks[key] = &sync.Mutex{}
+	if d.turns[key] == nil {
+		d.turns[key] = make(chan struct{}, 1)
 	}
-	return d.locks[key]
+	return d.turns[key]
 }
 
 // option is an endpoint that holds the model of an adapter.
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -56,7 +56,7 @@
 
 	mu       sync.Mutex
 	desks    map[string]*desk
-	locks    map[string]*sync.Mutex // by adapter
+	turns    map[string]chan struct{} // by adapter
 	cache    map[string]found
 	heldFrom time.Time // since when the lease is held; zero: it is not
 
@@ -75,7 +75,7 @@
 		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
 		keeper: newKeeper(opts.Log, opts.API, opts.Life, opts.LeaseTTL, opts.Now),
 		rate:   newLoadRate(opts.LoadWindow),
-		desks:  map[string]*desk{}, locks: map[string]*sync.Mutex{}, cache: map[string]found{},
+		desks:  map[string]*desk{}, turns: map[string]chan struct{}{}, cache: map[string]found{},
 	}
 }
 
--- /dev/null
+++ b/rlb-node/pkg/rlbduty/duty_test.go
@@ -0,0 +1,249 @@
+package rlbduty
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
+)
+
+// engines is a strict fake of the endpoints' control side.
+type engines struct {
+	mu    sync.Mutex
+	t     *testing.T
+	state map[string]*engineState
+	given []string // "endpoint order model/adapter verdict"
+	mute  int      // orders that get no answer and no effect
+}
+
+type engineState struct {
+	sequence uint64
+	fence    uint64
+	models   map[string]map[string]bool
+	coming   string
+	until    time.Time
+}
+
+func (e *engines) settle(s *engineState) {
+	if s.coming != "" && !time.Now().Before(s.until) {
+		s.models[s.coming], s.coming = map[string]bool{}, ""
+	}
+}
+
+func (e *engines) Order(_ context.Context, to *rlbsite.Endpoint, o rlbsite.Order) (rlbsite.Verdict, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state[to.ID]
+	e.settle(s)
+	verdict := e.apply(s, o)
+	e.given = append(e.given, to.ID+" "+o.Action.String()+" "+o.Model+"/"+o.Adapter+" "+verdict.String())
+	if verdict == rlbsite.VerdictUnknown {
+		return verdict, errors.New("no answer")
+	}
+	return verdict, nil
+}
+
+func (e *engines) apply(s *engineState, o rlbsite.Order) rlbsite.Verdict {
+	switch {
+	case e.mute > 0:
+		e.mute--
+		return rlbsite.VerdictUnknown
+	case o.Fence < s.fence:
+		return rlbsite.VerdictFenced
+	case s.coming != "" || o.Sequence != s.sequence:
+		return rlbsite.VerdictConflict
+	}
+	s.fence = o.Fence
+	s.sequence++
+	switch {
+	case o.Adapter != "" && o.Action == rlbsite.ActionLoad:
+		s.models[o.Model][o.Adapter] = true
+	case o.Adapter != "":
+		delete(s.models[o.Model], o.Adapter)
+		return rlbsite.VerdictHolds
+	case o.Action == rlbsite.ActionUnload:
+		delete(s.models, o.Model)
+	default:
+		s.coming, s.until = o.Model, time.Now().Add(8*time.Second)
+	}
+	e.check(s)
+	return rlbsite.VerdictAccepted
+}
+
+func (e *engines) check(s *engineState) {
+	models, adapters := len(s.models), 0
+	if s.coming != "" {
+		models++
+	}
+	for _, held := range s.models {
+		adapters += len(held)
+	}
+	if models > 2 || adapters > 2 {
+		e.t.Errorf("overcommitted: %d models, %d adapters", models, adapters)
+	}
+}
+
+func (e *engines) Report(_ context.Context, of *rlbsite.Endpoint) (rlbsite.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state[of.ID]
+	e.settle(s)
+	r := rlbsite.Report{Sequence: s.sequence, Busy: s.coming != ""}
+	for name, adapters := range s.models {
+		h := rlbsite.Held{Model: name}
+		for a := range adapters {
+			h.Adapters = append(h.Adapters, a)
+		}
+		r.Holds = append(r.Holds, h)
+	}
+	return r, nil
+}
+
+func (e *engines) count(line string) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, given := range e.given {
+		if given == line {
+			n++
+		}
+	}
+	return n
+}
+
+// fixed decodes every config as the one with the test's engine, and every entry
+// as an endpoint with the model m.
+type fixed struct{}
+
+func (fixed) Config([]byte) (*rlbsite.Config, error) {
+	return rlbsite.NewConfig(1, nil, map[string]rlbsite.Service{"s": {Name: "s", Engine: testEngine()}}, rlbsite.Limits{}), nil
+}
+
+func (fixed) Endpoint(id string, _ []byte) (*rlbsite.Endpoint, error) {
+	return &rlbsite.Endpoint{ID: id, Service: "s", Slots: 4, Domain: "a", Holds: []rlbsite.Held{{Model: "m"}}}, nil
+}
+
+// fleet is instances that share an object API and endpoints.
+type fleet struct {
+	api     *rlbfake.Objects
+	engines *engines
+	demand  map[string]float32
+}
+
+func newFleet(t *testing.T, endpoints ...string) *fleet {
+	f := &fleet{api: rlbfake.NewObjects(), engines: &engines{t: t, state: map[string]*engineState{}}, demand: map[string]float32{}}
+	for _, id := range endpoints {
+		f.engines.state[id] = &engineState{models: map[string]map[string]bool{"m": {}}}
+	}
+	return f
+}
+
+// start runs an instance until ctx ends.
+func (f *fleet) start(ctx context.Context, name string) *Duty {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	view := rlbview.New(quiet, fixed{}, time.Now)
+	view.TakeConfig(nil, "test")
+	var entries []rlbobject.Object
+	for id := range f.engines.state {
+		entries = append(entries, rlbobject.Object{Name: id, Version: 1})
+	}
+	view.Reset(entries, false)
+	d := New(Opts{
+		Log: quiet, Name: name, Domain: "a", Life: name, API: f.api, Engines: f.engines, View: view, Fleet: rlbpeer.NewFleet(name),
+		Ask: func(context.Context, string, rlbpeer.Question) (rlbpeer.Answer, error) {
+			return rlbpeer.Answer{}, errors.New("nobody")
+		},
+		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbpick.Load { return rlbpick.Load{} },
+		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, Now: time.Now,
+	})
+	go d.Run(ctx)
+	return d
+}
+
+func TestPlacement(t *testing.T) {
+	t.Run("every model listed comes to be held, within memory, by orders of one holder", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "e1", "e2", "e3")
+			f.start(t.Context(), "a")
+			f.start(t.Context(), "b")
+			time.Sleep(time.Minute)
+			if f.engines.count("e1 load n/ accepted")+f.engines.count("e2 load n/ accepted")+f.engines.count("e3 load n/ accepted") == 0 {
+				t.Errorf("n is held nowhere: %v", f.engines.given)
+			}
+		})
+	})
+	t.Run("a holder that stops is replaced, and its load is not ordered again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "e1")
+			ctx, stop := context.WithCancel(t.Context())
+			f.start(ctx, "a")
+			time.Sleep(2 * time.Second)
+			stop()
+			f.start(t.Context(), "b")
+			time.Sleep(time.Minute)
+			loads := f.engines.count("e1 load n/ accepted") + f.engines.count("e1 load o/ accepted")
+			again := f.engines.count("e1 load n/ conflict") + f.engines.count("e1 load o/ conflict")
+			if loads == 0 || again > 0 {
+				t.Errorf("%d loads, %d ordered on a busy endpoint: %v", loads, again, f.engines.given)
+			}
+		})
+	})
+}
+
+func TestAdapters(t *testing.T) {
+	find := func(t *testing.T, d *Duty, adapter string) []string {
+		t.Helper()
+		ids, reason := d.Find(t.Context(), "s", "m", adapter, nil)
+		if len(ids) == 0 {
+			t.Errorf("adapter %s: %s", adapter, reason)
+		}
+		return ids
+	}
+	t.Run("an adapter is loaded once for many that ask, and the oldest gives way", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "e1")
+			f.engines.state["e1"].models["n"] = map[string]bool{}
+			d := f.start(t.Context(), "a")
+			time.Sleep(2 * time.Second)
+			var all sync.WaitGroup
+			for range 5 {
+				all.Go(func() { find(t, d, "a1") })
+			}
+			all.Wait()
+			if n := f.engines.count("e1 load m/a1 accepted"); n != 1 {
+				t.Errorf("a1 was loaded %d times: %v", n, f.engines.given)
+			}
+			time.Sleep(inUseFor)
+			find(t, d, "a2")
+			time.Sleep(inUseFor)
+			find(t, d, "a3")
+			if f.engines.count("e1 unload m/a1 holds already") != 1 {
+				t.Errorf("a1 did not give way: %v", f.engines.given)
+			}
+		})
+	})
+	t.Run("an order without an answer is settled by a report", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "e1")
+			d := f.start(t.Context(), "a")
+			time.Sleep(20 * time.Second)
+			f.engines.mute = 1
+			ids, _ := d.Find(t.Context(), "s", "m", "a1", nil)
+			if len(ids) != 0 {
+				t.Errorf("an order without an answer counts as done")
+			}
+			time.Sleep(time.Second)
+			find(t, d, "a1")
+		})
+	})
+}
--- /dev/null
+++ b/rlb-node/pkg/rlbduty/rate_test.go
@@ -0,0 +1,56 @@
+package rlbduty
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestLoadRate checks every window of loads over changes of the holder: of a
+// holder that was heard of, and of one that was not.
+func TestLoadRate(t *testing.T) {
+	const window = 5 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.SampledFrom([]float64{1.1, 1.4, 16, 20}).Draw(t, "rate")
+		rate, now := newLoadRate(window), time.Unix(1000, 0)
+		var loads []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 60).Draw(t, "change") == 0 {
+				next := newLoadRate(window)
+				next.takeOver(now, now, rate.recent(now))
+				rate = next
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "wanted") {
+				if rate.take(now, perSecond) {
+					loads = append(loads, now)
+				}
+			}
+		}
+		for _, end := range loads {
+			n := 0
+			for _, at := range loads {
+				if at.After(end.Add(-window)) && !at.After(end) {
+					n++
+				}
+			}
+			if limit := perSecond*window.Seconds()*1.1 + 3; float64(n) > limit {
+				t.Fatalf("%d loads in a window, %.2f allowed", n, limit)
+			}
+		}
+	})
+}
+
+func TestLoadRateOfUnknownHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rate := newLoadRate(5 * time.Second)
+	rate.takeOver(now, time.Time{}, nil)
+	n := 0
+	for rate.take(now, 1.1) {
+		n++
+	}
+	if n != 4 {
+		t.Errorf("%d loads right after an unknown holder, want half of the window's eight", n)
+	}
+}
--- a/rlb-node/pkg/rlbfront/front_test.go
+++ b/rlb-node/pkg/rlbfront/front_test.go
@@ -257,4 +257,3 @@
 		So(r.server.Active(), ShouldBeLessThanOrEqualTo, int64(1))
 	})
 }
-
--- a/rlb-node/pkg/rlbview/watcher.go
+++ b/rlb-node/pkg/rlbview/watcher.go
@@ -18,9 +18,9 @@
 	listTimeout = time.Second
 	firstPause  = 150 * time.Millisecond // after a call that failed; doubled with each further one
 	longPause   = time.Second
-	// outageAfter is the time without an answer after which entries of live
-	// endpoints may have lapsed.
-	outageAfter = watchWait + time.Second
+	// outageAfter is the time beyond a watch's wait without an answer after which
+	// entries of live endpoints may have lapsed.
+	outageAfter = time.Second
 	// catchUp is how long after an outage entries that lapsed in it are told of.
 	catchUp = 300 * time.Millisecond
 )
@@ -50,6 +50,7 @@
 	revision rlbobject.Version                  // 0: the list must be read
 	answered time.Time                          // latest answer
 	regained time.Time                          // end of the latest outage
+	wait     time.Duration                      // of the latest watch
 	lost     atomic.Bool                        // the latest call failed
 }
 
@@ -85,14 +86,14 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	wait := watchWait
+	w.wait = watchWait
 	if w.Scout() {
-		wait = scoutWait
+		w.wait = scoutWait
 	}
-	call, cancel := context.WithTimeout(ctx, wait+slack)
+	call, cancel := context.WithTimeout(ctx, w.wait+slack)
 	defer cancel()
 	w.nudge.Store(&cancel)
-	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(wait))
+	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(w.wait))
 	if nudged := w.nudge.Swap(nil) == nil; nudged && err != nil || rlbobject.Is(err, rlbobject.KindExpired) {
 		w.revision = 0
 		return nil
@@ -121,7 +122,7 @@
 // of an outage that ended just now.
 func (w *Watcher) succeeded() bool {
 	now := w.Now()
-	if now.Sub(w.answered) > outageAfter {
+	if now.Sub(w.answered) > w.wait+outageAfter {
 		w.regained = now
 	}
 	if w.lost.Swap(false) {
--- /dev/null
+++ b/rlb-node/pkg/rlbview/watcher_test.go
@@ -0,0 +1,144 @@
+package rlbview
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+)
+
+// script is an object API whose answers are given one after the other.
+type script struct {
+	rlbobject.API
+	lists   []answer
+	watches []answer
+	calls   []string
+}
+
+type answer struct {
+	changes rlbobject.Changes
+	err     error
+	silent  bool // the call ends with its context only
+}
+
+func next(all *[]answer) answer {
+	if len(*all) == 0 {
+		return answer{silent: true}
+	}
+	first := (*all)[0]
+	*all = (*all)[1:]
+	return first
+}
+
+func (s *script) List(ctx context.Context, _ string) (rlbobject.Changes, error) {
+	s.calls = append(s.calls, "list")
+	return give(ctx, next(&s.lists))
+}
+
+func (s *script) Watch(ctx context.Context, _ string, _ rlbobject.Version, _ time.Time) (rlbobject.Changes, error) {
+	s.calls = append(s.calls, "watch")
+	return give(ctx, next(&s.watches))
+}
+
+func give(ctx context.Context, a answer) (rlbobject.Changes, error) {
+	if a.silent {
+		<-ctx.Done()
+		return rlbobject.Changes{}, rlberror.New("call", rlbobject.KindUnknown, ctx.Err())
+	}
+	return a.changes, a.err
+}
+
+// sink notes what it is given.
+type sink struct{ got []string }
+
+func (s *sink) Reset(_ []rlbobject.Object, afterOutage bool) { s.note("reset", afterOutage) }
+func (s *sink) Change(_ []rlbobject.Object, afterOutage bool) {
+	s.note("change", afterOutage)
+}
+
+func (s *sink) note(what string, afterOutage bool) {
+	if afterOutage {
+		what += " after outage"
+	}
+	s.got = append(s.got, what)
+}
+
+// watch runs a watcher for a time and returns what its sink was given.
+func watch(t *testing.T, api *script, scout bool, span time.Duration, during func(*Watcher)) []string {
+	t.Helper()
+	s := &sink{}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := &Watcher{API: api, Kind: "k", Sink: s, Log: quiet, Now: time.Now, Scout: func() bool { return scout }}
+		done := make(chan struct{})
+		go func() {
+			w.Run(ctx)
+			close(done)
+		}()
+		if during != nil {
+			synctest.Wait()
+			during(w)
+		}
+		time.Sleep(span)
+		cancel()
+		<-done
+	})
+	return s.got
+}
+
+func at(revision int) answer {
+	return answer{changes: rlbobject.Changes{Revision: rlbobject.Version(revision)}}
+}
+
+func expired() answer {
+	return answer{err: rlberror.New("watch", rlbobject.KindExpired, nil)}
+}
+
+func shouldGive(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("sink got %v, want %v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("sink got %v, want %v", got, want)
+		}
+	}
+}
+
+func TestWatcher(t *testing.T) {
+	t.Run("lists, then watches", func(t *testing.T) {
+		api := &script{lists: []answer{at(1)}, watches: []answer{at(2), at(3)}}
+		shouldGive(t, watch(t, api, true, time.Second, nil), "reset", "change", "change")
+	})
+	t.Run("lists again where the history is gone", func(t *testing.T) {
+		api := &script{lists: []answer{at(1), at(9)}, watches: []answer{expired()}}
+		shouldGive(t, watch(t, api, true, time.Second, nil), "reset", "reset")
+	})
+	t.Run("a scout leaves a silent connection within the bound of a config", func(t *testing.T) {
+		api := &script{lists: []answer{at(1)}, watches: []answer{{silent: true}, at(2)}}
+		shouldGive(t, watch(t, api, true, scoutWait+slack+firstPause, nil), "reset", "change")
+	})
+	t.Run("the others wait until they are nudged, and list", func(t *testing.T) {
+		api := &script{lists: []answer{at(1), at(2)}, watches: []answer{{silent: true}}}
+		shouldGive(t, watch(t, api, false, time.Second, (*Watcher).Nudge), "reset", "reset")
+	})
+	t.Run("what is missing right after an outage may have lapsed in it", func(t *testing.T) {
+		api := &script{lists: []answer{at(1)}, watches: []answer{{silent: true}, {silent: true}, at(2), at(3)}}
+		got := watch(t, api, false, 2*(watchWait+slack)+longPause, nil)
+		shouldGive(t, got, "reset", "change after outage", "change after outage")
+	})
+	t.Run("pauses between failed calls grow, up to a bound", func(t *testing.T) {
+		api := &script{}
+		for range 1000 {
+			api.lists = append(api.lists, answer{err: rlberror.New("list", rlbobject.KindUnavailable, nil)})
+		}
+		watch(t, api, true, 10*time.Second, nil)
+		if calls := len(api.calls); calls > 14 {
+			t.Errorf("%d calls in 10 s of an outage", calls)
+		}
+	})
+}
