Logs on standard output, bounded and never blocking; metrics on an internal port

Cause: logs went to standard error by a write each; metrics were on the readiness address. Ruled out: sampling by request (a failed request must be found).

--- a/lib/pkg/rlbcommon/common.go
+++ b/lib/pkg/rlbcommon/common.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblog"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 
 	jsonhandler "github.com/apex/log/handlers/json"
@@ -25,11 +27,23 @@
 
 // New returns a Common that logs JSON lines to w, each with the instance.
 func New(w io.Writer, settings *rlbsettings.Settings) (*Common, error) {
+	return newCommon(jsonhandler.New(w), settings)
+}
+
+// NewBounded returns a Common whose log lines are bounded and never block, and
+// its clean-up function, which writes those that wait.
+func NewBounded(w io.Writer, settings *rlbsettings.Settings) (*Common, func(), error) {
+	handler, cleanUp := rlblog.New(w, rlblog.DefaultOpts, time.Now)
+	common, err := newCommon(handler, settings)
+	return common, cleanUp, err
+}
+
+func newCommon(handler log.Handler, settings *rlbsettings.Settings) (*Common, error) {
 	level, err := log.ParseLevel(settings.Text(rlbsettings.LogLevel))
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", settings.Text(rlbsettings.LogLevel), err)
 	}
-	logger := &log.Logger{Handler: jsonhandler.New(w), Level: level}
+	logger := &log.Logger{Handler: handler, Level: level}
 	entry := logger.WithField("instance", settings.Text(rlbsettings.InstanceID))
 	return &Common{Log: entry, Settings: settings}, nil
 }
--- a/lib/pkg/rlbcommon/program.go
+++ b/lib/pkg/rlbcommon/program.go
@@ -18,6 +18,9 @@
 	Name  string
 	Short string
 	For   rlbsettings.Program
+	// Bounded sends logs to standard output, bounded; else they go to standard
+	// error as they come.
+	Bounded bool
 	// Run serves until stop ends, then shuts down gracefully.
 	Run func(stop context.Context, common *Common, out io.Writer) error
 }
@@ -35,10 +38,11 @@
 			if err != nil {
 				return err
 			}
-			common, err := New(cmd.ErrOrStderr(), settings)
+			common, cleanUp, err := opts.common(cmd, settings)
 			if err != nil {
 				return err
 			}
+			defer cleanUp()
 			common.Path = path
 			common.Reload = func() (*rlbsettings.Settings, error) { return LoadSettings(path, overrides, opts.For) }
 			stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -51,6 +55,14 @@
 	return cmd
 }
 
+func (opts ProgramOpts) common(cmd *cobra.Command, settings *rlbsettings.Settings) (*Common, func(), error) {
+	if opts.Bounded {
+		return NewBounded(cmd.OutOrStdout(), settings)
+	}
+	common, err := New(cmd.ErrOrStderr(), settings)
+	return common, func() {}, err
+}
+
 // LoadSettings reads a program's settings file and applies the overrides.
 func LoadSettings(path string, overrides []string, program rlbsettings.Program) (*rlbsettings.Settings, error) {
 	settings, err := rlbsettings.Load(path, program)
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -100,7 +100,7 @@
 
 func newApp(common *rlbcommon.Common) (*app, func(), error) {
 	settings := common.Settings
-	address, err := internalAddress(settings)
+	address, err := internalAddress(settings, 0)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -144,12 +144,18 @@
 	}, nil
 }
 
-func internalAddress(settings *rlbsettings.Settings) (string, error) {
+// internalAddress returns the address with the first or, with -1, the last of the
+// internal ports.
+func internalAddress(settings *rlbsettings.Settings, which int) (string, error) {
 	ports := settings.List(rlbsettings.NodePorts)
-	if len(ports) == 0 {
-		return "", fmt.Errorf("[node] internal_ports: no port")
+	if len(ports) < 2 {
+		return "", fmt.Errorf("[node] internal_ports: want the first and the last port, got %v", ports)
 	}
-	return net.JoinHostPort(settings.Text(rlbsettings.NodeInternal), ports[0]), nil
+	port := ports[0]
+	if which < 0 {
+		port = ports[len(ports)-1]
+	}
+	return net.JoinHostPort(settings.Text(rlbsettings.NodeInternal), port), nil
 }
 
 // start runs the systems until ctx ends.
--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 )
 
@@ -29,19 +30,24 @@
 type servers struct {
 	callers *http.Server
 	ready   *http.Server
+	metrics *http.Server
 	failed  chan error
 }
 
 func (a *app) listen() (*servers, func(), error) {
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /-/readiness", a.front.ServeReadiness)
-	readiness.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteJSONOnce(a.registry, w) })
+	metricsAddress, err := internalAddress(a.Settings, -1)
+	if err != nil {
+		return nil, nil, err
+	}
 	s := &servers{
 		callers: &http.Server{Addr: a.Settings.Text(rlbsettings.NodeCallers), Handler: a.front, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader},
 		ready:   &http.Server{Addr: a.Settings.Text(rlbsettings.NodeReady), Handler: readiness, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle},
-		failed:  make(chan error, 2),
+		metrics: &http.Server{Addr: metricsAddress, Handler: a.metricsHandler(), ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle},
+		failed:  make(chan error, 3),
 	}
-	for _, server := range []*http.Server{s.callers, s.ready} {
+	for _, server := range s.all() {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil {
 			return nil, nil, errors.Join(fmt.Errorf("listen on %s: %w", server.Addr, err), s.close())
@@ -51,7 +57,35 @@
 	return s, func() { _ = s.close() }, nil
 }
 
-func (s *servers) close() error { return errors.Join(s.callers.Close(), s.ready.Close()) }
+func (s *servers) all() []*http.Server { return []*http.Server{s.callers, s.ready, s.metrics} }
+
+func (s *servers) close() error {
+	return errors.Join(s.callers.Close(), s.ready.Close(), s.metrics.Close())
+}
+
+// metricsHandler serves the counters and histograms as JSON text.
+func (a *app) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		a.gauge()
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(a.registry, w)
+	})
+	return mux
+}
+
+// gauge sets the gauges to what the instance knows now.
+func (a *app) gauge() {
+	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, a.registry).Update(value) }
+	snapshot, now := a.view.Snapshot(), rlbclock.Now()
+	set("requests_in_progress", a.front.Active())
+	set("endpoints_known", int64(len(snapshot.ByID)))
+	set("instances_live", int64(len(a.fleet.Live(now))+1))
+	set("lease_fence", int64(a.duty.Fence()))
+	if snapshot.Config != nil {
+		set("config_version", int64(snapshot.Config.Version))
+	}
+}
 
 // shutDown serves what comes until the balancer has noticed, then waits for the
 // requests in progress.
