A watcher's test ends after the moment it waits for, not at it

Cause: TestWatcher failed once of three: the test's end and the call it waits for fell on the same instant of the fake clock. Ruled out: the watcher (bound kept at each run). Change: one millisecond more in the test; the bound checked stays 2.45 s.

--- a/rlb-node/pkg/rlbview/watcher_test.go
+++ b/rlb-node/pkg/rlbview/watcher_test.go
@@ -120,7 +120,7 @@
 	})
 	t.Run("a scout leaves a silent connection within the bound of a config", func(t *testing.T) {
 		api := &script{lists: []answer{at(1)}, watches: []answer{{silent: true}, at(2)}}
-		shouldGive(t, watch(t, api, true, scoutWait+slack+firstPause, nil), "reset", "change")
+		shouldGive(t, watch(t, api, true, scoutWait+slack+firstPause+time.Millisecond, nil), "reset", "change")
 	})
 	t.Run("the others wait until they are nudged, and list", func(t *testing.T) {
 		api := &script{lists: []answer{at(1), at(2)}, watches: []answer{{silent: true}}}
