A stream that has begun leaves a silent endpoint only on other evidence against it

Ruled out: a cut by the endpoint (its run ended by our close). Change: silence moves a stream that has begun only if its endpoint is gone or other requests failed there. Test: TestSilentStreams, written after the change.

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -180,6 +180,13 @@
 	return Load{}
 }
 
+// Paused reports whether the latest answers of an endpoint were bad.
+func (t *Table) Paused(now time.Time, e *rlbsite.Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.row(e).paused)
+}
+
 // Forget drops the rows of endpoints that are not known any more.
 func (t *Table) Forget(known func(id string) bool) {
 	t.mu.Lock()
--- a/rlb-node/pkg/rlbfront/front_test.go
+++ b/rlb-node/pkg/rlbfront/front_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakesite"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -187,6 +189,30 @@
 	})
 }
 
+func TestSilentStreams(t *testing.T) {
+	Convey("Given a stream that has begun at one of two endpoints", t, func() {
+		r := newRig(t)
+		r.add(t, "e1", "llm", "a")
+		r.add(t, "e2", "llm", "b")
+		x := &request{route: &rlbsite.Route{Kind: rlbsite.KindStream, Resumable: true, Attempts: 2}, service: "llm", model: "m", tried: []string{"e1"}, started: true}
+		Convey("an endpoint that is only slow keeps it", func() {
+			So(r.server.mayMove(x), ShouldBeFalse)
+		})
+		Convey("one where other requests failed does not", func() {
+			e := r.view.Snapshot().ByID["e1"]
+			r.server.Loads.Begin(e, 0)
+			r.server.Loads.End(r.server.Now(), e, rlbpick.OutcomeBad)
+			So(r.server.mayMove(x), ShouldBeTrue)
+		})
+		Convey("nor does one that is gone, unless there is no attempt left", func() {
+			x.tried = []string{"gone"}
+			So(r.server.mayMove(x), ShouldBeTrue)
+			x.route.Attempts = 1
+			So(r.server.mayMove(x), ShouldBeFalse)
+		})
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	Convey("Without a config nothing is called unknown", t, func() {
 		r := newRig(t)
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -143,12 +143,22 @@
 	if !x.route.Repeatable() || len(x.tried) >= x.route.Attempts {
 		return false
 	}
+	if x.started && !s.suspected(x) {
+		return false // slow is no reason to risk an answer that has begun
+	}
 	if x.adapter != "" && !x.started {
 		return true // an endpoint may be found that loads the adapter
 	}
 	return s.pick(x, nil).Endpoint != nil
 }
 
+// suspected reports whether the endpoint of the latest attempt is gone, or other
+// requests have failed there.
+func (s *Server) suspected(x *request) bool {
+	e := s.View.Snapshot().ByID[x.tried[len(x.tried)-1]]
+	return e == nil || s.Loads.Paused(s.Now(), e)
+}
+
 // hops are the headers that concern one connection only.
 var hops = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
