--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -125,7 +125,7 @@
 		Log: a.Log, Name: a.name, Domain: a.domain, Life: a.name + "/" + strconv.FormatInt(a.life, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Ask: link.Ask,
 		Demand: a.demand, Load: a.load, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
-		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Now: rlbclock.Now,
+		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Settle: settle(settings), Now: rlbclock.Now,
 	})
 	a.front = rlbfront.New(rlbfront.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Loads: a.loads, Others: a.others,
@@ -142,6 +142,14 @@
 	}, nil
 }
 
+// settle returns how long a new holder of the lease gives no orders.
+func settle(settings *rlbsettings.Settings) time.Duration {
+	if settings.Bool(rlbsettings.NodeFencing) {
+		return 0
+	}
+	return settings.Duration(rlbsettings.NodeLease)
+}
+
 // internalAddress returns the address with the first or, with -1, the last of the
 // internal ports.
 func internalAddress(settings *rlbsettings.Settings, which int) (string, error) {
--- a/rlb-node/pkg/rlbduty/desk.go
+++ b/rlb-node/pkg/rlbduty/desk.go
@@ -113,30 +113,16 @@
 	if r.Sequence < d.sequence && now.Sub(d.ordered) < reportLag || r.Busy && !d.busy() {
 		return false
 	}
-	until := now.Add(orderPoll)
 	old := d.models
 	d.models, d.sequence, d.known = map[string]*model{}, r.Sequence, true
 	for _, h := range r.Holds {
-		m := &model{adapters: map[string]*adapter{}}
-		for _, name := range h.Adapters {
-			m.adapters[name] = &adapter{}
-			if before := old[h.Model]; before != nil && before.adapters[name] != nil {
-				m.adapters[name].used = before.adapters[name].used
-			}
-		}
-		d.models[h.Model] = m
+		d.models[h.Model] = heldModel(h, old[h.Model])
 	}
 	for _, name := range r.Coming {
 		d.comes(name, now)
 	}
-	for name, m := range old {
-		if !r.Busy {
-			continue
-		}
-		if now := d.models[name]; now != nil && m.leaving || now == nil && !m.leaving && !m.ready.IsZero() {
-			d.models[name] = m // the one that the endpoint is busy with
-			m.ready = maxTime(m.ready, until)
-		}
+	if r.Busy {
+		d.keepBusy(old, now.Add(orderPoll))
 	}
 	endpoint := *d.endpoint
 	endpoint.InMemory, endpoint.OnDisk = r.InMemory, r.OnDisk
@@ -144,6 +130,30 @@
 	return true
 }
 
+// heldModel returns a model that an endpoint holds; old is what was known of it.
+func heldModel(h rlbsite.Held, old *model) *model {
+	m := &model{adapters: map[string]*adapter{}}
+	for _, name := range h.Adapters {
+		m.adapters[name] = &adapter{}
+		if old != nil && old.adapters[name] != nil {
+			m.adapters[name].used = old.adapters[name].used
+		}
+	}
+	return m
+}
+
+// keepBusy keeps the model that the endpoint loads or unloads as it was, until
+// the next look.
+func (d *desk) keepBusy(old map[string]*model, until time.Time) {
+	for name, m := range old {
+		held := d.models[name] != nil
+		if held && m.leaving || !held && !m.leaving && !m.ready.IsZero() {
+			d.models[name] = m
+			m.ready = maxTime(m.ready, until)
+		}
+	}
+}
+
 // comes notes an adapter, as MODEL/ADAPTER, that the endpoint is fetching.
 func (d *desk) comes(name string, now time.Time) {
 	modelName, adapterName, _ := strings.Cut(name, "/")
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -41,7 +41,10 @@
 	Load       func(endpoint string) rlbpick.Load // of all instances
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration
-	Now        func() time.Time
+	// Settle is how long a new holder of the lease gives no orders: where
+	// endpoints do not check fences, those of the earlier one must have ended.
+	Settle time.Duration
+	Now    func() time.Time
 }
 
 // Duty is an instance's part in the placement.
@@ -90,7 +93,7 @@
 			return
 		case <-ticker.C:
 		}
-		if d.follow() {
+		if d.follow() && !d.settling() {
 			d.plan(ctx)
 		}
 	}
--- a/rlb-node/pkg/rlbduty/duty_test.go
+++ b/rlb-node/pkg/rlbduty/duty_test.go
@@ -138,6 +138,7 @@
 	api     *rlbfake.Objects
 	engines *engines
 	demand  map[string]float32
+	settle  time.Duration
 }
 
 func newFleet(t *testing.T, endpoints ...string) *fleet {
@@ -164,7 +165,7 @@
 			return rlbpeer.Answer{}, errors.New("nobody")
 		},
 		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbpick.Load { return rlbpick.Load{} },
-		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, Now: time.Now,
+		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, Settle: f.settle, Now: time.Now,
 	})
 	go d.Run(ctx)
 	return d
@@ -200,6 +201,22 @@
 	})
 }
 
+func TestSettle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "e1")
+		f.settle = 3 * time.Second
+		f.start(t.Context(), "a")
+		time.Sleep(f.settle)
+		if len(f.engines.given) > 0 {
+			t.Errorf("orders right after the lease was taken: %v", f.engines.given)
+		}
+		time.Sleep(f.settle)
+		if len(f.engines.given) == 0 {
+			t.Error("no orders")
+		}
+	})
+}
+
 func TestAdapters(t *testing.T) {
 	find := func(t *testing.T, d *Duty, adapter string) []string {
 		t.Helper()
--- a/rlb-node/pkg/rlbduty/orders.go
+++ b/rlb-node/pkg/rlbduty/orders.go
@@ -52,7 +52,7 @@
 // order gives an order under the lease. The desk is locked and its state known.
 func (d *Duty) order(ctx context.Context, at *desk, engine *rlbsite.Engine, o rlbsite.Order, reason string) bool {
 	fence, held := d.keeper.held()
-	if !held || d.stopped() {
+	if !held || d.stopped() || d.settling() {
 		return false
 	}
 	o.Sequence, o.Holder, o.Fence = at.sequence, d.name, fence
@@ -66,6 +66,13 @@
 	return d.settle(at, engine, o, verdict)
 }
 
+// settling reports whether orders of an earlier holder may still arrive.
+func (d *Duty) settling() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heldFrom.IsZero() || d.now().Before(d.heldFrom.Add(d.Settle))
+}
+
 // settle notes what became of an order; it reports whether it takes effect.
 func (d *Duty) settle(at *desk, engine *rlbsite.Engine, o rlbsite.Order, verdict rlbsite.Verdict) bool {
 	now := d.now()
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -38,10 +38,9 @@
 
 // Load is work at an endpoint.
 type Load struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	InFlight uint16   // requests in progress
-	Unread   uint32   // prompt tokens of those that have no answer yet
-	Slow     uint8    // hundredths of the latest streams that paused too long
+	InFlight uint16 `msgpack:"i"`           // requests in progress
+	Unread   uint32 `msgpack:"u,omitempty"` // prompt tokens of those that have no answer yet
+	Slow     uint8  `msgpack:"s,omitempty"` // hundredths of the latest streams that paused too long
 }
 
 // NewLoad returns a load as digests have it.
--- a/rlb-standin/pkg/rlbfakesite/replica.go
+++ b/rlb-standin/pkg/rlbfakesite/replica.go
@@ -112,12 +112,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	switch {
-	case req.URL.Path == "/-/order":
+	switch req.URL.Path {
+	case "/-/order":
 		r.order(w, req)
-	case req.URL.Path == "/-/report":
+	case "/-/report":
 		r.report(w)
-	case req.URL.Path == "/health":
+	case "/health":
 		w.WriteHeader(http.StatusOK)
 	default:
 		r.request(w, req)
--- a/rlbctl/pkg/rlbcommand/settings.go
+++ b/rlbctl/pkg/rlbcommand/settings.go
@@ -56,7 +56,7 @@
 			}
 			return shown
 		}
-		return exitf(ExitUsage, "--program %s: write rlb-gateway, rlb-controller, rlbctl, rlb-standin or rlb-load", program)
+		return exitf(ExitUsage, "--program %s: write rlb-gateway, rlb-controller, rlbctl, rlb-standin, rlb-load or rlb-node", program)
 	}
 	return cmd
 }
