No deadlock between a desk and the table of desks

An order without an answer held its desk and asked whether the holder is settled, which took the lock of the table; the table's loop held that and waited for the desk. Ruled out: the lease (renewed all the while), the store. Change: what an order asks takes no lock of the table; a plan passes over desks with an order under way. Test: 'orders whose answers take long hold up no plan', which hangs on the code before.

--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -91,7 +91,7 @@
 	}
 	for _, o := range options {
 		if d.loadAdapter(ctx, o.desk, engine, q) {
-			return rlbpeer.Answer{Endpoints: []string{o.desk.endpoint.ID}}
+			return rlbpeer.Answer{Endpoints: []string{o.desk.life.ID}}
 		}
 	}
 	return rlbpeer.Answer{Reason: "no endpoint with the model takes the adapter now"}
@@ -127,7 +127,7 @@
 	var all []option
 	engine := snapshot.Config.Services[q.Service].Engine
 	for _, at := range d.all(snapshot, q.Service) {
-		entry := snapshot.ByID[at.endpoint.ID]
+		entry := snapshot.ByID[at.life.ID]
 		if entry == nil || entry.Leaving || slices.Contains(q.Avoid, entry.ID) {
 			continue
 		}
@@ -175,7 +175,7 @@
 		if o.ready.IsZero() {
 			continue
 		}
-		ids = append(ids, o.desk.endpoint.ID)
+		ids = append(ids, o.desk.life.ID)
 		if ready.IsZero() || o.ready.Before(ready) {
 			ready = o.ready
 		}
--- a/rlb-node/pkg/rlbduty/desk.go
+++ b/rlb-node/pkg/rlbduty/desk.go
@@ -25,6 +25,7 @@
 // desk is what the holder of the lease knows of one endpoint and its orders.
 // One order is given at a time. The mutex is held while an order is on its way.
 type desk struct {
+	life     *rlbsite.Endpoint // the entry that the desk began with; it never changes
 	mu       sync.Mutex
 	endpoint *rlbsite.Endpoint // with the copies that its latest report told of
 	entry    *rlbsite.Endpoint // as taken last
@@ -51,16 +52,12 @@
 }
 
 func newDesk(e *rlbsite.Endpoint) *desk {
-	return &desk{endpoint: e, entry: e, models: map[string]*model{}}
+	return &desk{life: e, endpoint: e, entry: e, models: map[string]*model{}}
 }
 
 // sameLife reports whether an entry is of the endpoint's life that the desk is
 // about.
-func (d *desk) sameLife(e *rlbsite.Endpoint) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.endpoint.SameLife(e)
-}
+func (d *desk) sameLife(e *rlbsite.Endpoint) bool { return d.life.SameLife(e) }
 
 // reborn returns the desk of an endpoint's next life. An order without an answer
 // may still reach it.
@@ -75,11 +72,11 @@
 // take notes the endpoint's entry. One that names other models than the desk
 // knows of makes the state unknown.
 func (d *desk) take(e *rlbsite.Endpoint) {
-	if e == d.entry {
+	if e == d.entry || !d.sameLife(e) {
 		return
 	}
 	d.entry = e
-	if !d.endpoint.SameLife(e) || !d.busy() && !d.agrees(e) {
+	if !d.busy() && !d.agrees(e) {
 		d.known = false
 	}
 	endpoint := *e
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbplace"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbview"
@@ -57,14 +58,18 @@
 	keeper  *keeper
 	rate    *loadRate
 
-	mu       sync.Mutex
-	desks    map[string]*desk
-	turns    map[string]chan struct{} // by adapter
-	cache    map[string]found
-	heldFrom time.Time // since when the lease is held; zero: it is not
+	described map[string]rlbplace.Engine // endpoints as planned with last; of the planning goroutine only
 
-	leaving atomic.Bool
-	backOff atomic.Int64 // unix nanoseconds until which the lease is not wanted
+	// mu is taken after a desk's mutex by nobody: an order under way must not hold
+	// up those who look for an adapter.
+	mu    sync.Mutex
+	desks map[string]*desk
+	turns map[string]chan struct{} // by adapter
+	cache map[string]found
+
+	leaving  atomic.Bool
+	heldFrom atomic.Int64 // unix nanoseconds since when the lease is held; 0: it is not
+	backOff  atomic.Int64 // unix nanoseconds until which the lease is not wanted
 }
 
 type found struct {
@@ -76,9 +81,9 @@
 func New(opts Opts) *Duty {
 	return &Duty{
 		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
-		keeper: newKeeper(opts.Log, opts.API, opts.Life, opts.LeaseTTL, opts.Now),
-		rate:   newLoadRate(opts.LoadWindow),
-		desks:  map[string]*desk{}, turns: map[string]chan struct{}{}, cache: map[string]found{},
+		keeper:    newKeeper(opts.Log, opts.API, opts.Life, opts.LeaseTTL, opts.Now),
+		rate:      newLoadRate(opts.LoadWindow),
+		described: map[string]rlbplace.Engine{}, desks: map[string]*desk{}, turns: map[string]chan struct{}{}, cache: map[string]found{},
 	}
 }
 
@@ -181,11 +186,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !held {
-		d.heldFrom = time.Time{}
+		d.heldFrom.Store(0)
 		return false
 	}
-	if d.heldFrom.IsZero() {
-		d.heldFrom = d.now()
+	if d.heldFrom.Load() == 0 {
+		d.heldFrom.Store(d.now().UnixNano())
 		clear(d.desks) // others gave orders in the meantime
 		heard, begun := d.Fleet.Begun(d.now())
 		d.rate.takeOver(d.now(), heard, begun)
@@ -205,6 +210,7 @@
 	for id := range d.desks {
 		if snapshot.ByID[id] == nil {
 			delete(d.desks, id)
+			delete(d.described, id)
 		}
 	}
 	return true
@@ -229,7 +235,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b *desk) int {
-		if a.endpoint.ID < b.endpoint.ID {
+		if a.life.ID < b.life.ID {
 			return -1
 		}
 		return 1
--- a/rlb-node/pkg/rlbduty/duty_test.go
+++ b/rlb-node/pkg/rlbduty/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,8 +24,9 @@
 	mu    sync.Mutex
 	t     *testing.T
 	state map[string]*engineState
-	given []string // "endpoint order model/adapter verdict"
-	mute  int      // orders that get no answer and no effect
+	given []string      // "endpoint order model/adapter verdict"
+	takes time.Duration // of each order's answer
+	mute  int           // orders that get no answer and no effect
 }
 
 type engineState struct {
@@ -42,6 +44,7 @@
 }
 
 func (e *engines) Order(_ context.Context, to *rlbsite.Endpoint, o rlbsite.Order) (rlbsite.Verdict, error) {
+	time.Sleep(e.takes)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.state[to.ID]
@@ -110,6 +113,20 @@
 	return r, nil
 }
 
+// all returns the orders given so far.
+func (e *engines) all() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.given)
+}
+
+// silence makes so many orders get no answer and no effect.
+func (e *engines) silence(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mute = n
+}
+
 func (e *engines) count(line string) (n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -179,7 +196,21 @@
 			f.start(t.Context(), "b")
 			time.Sleep(time.Minute)
 			if f.engines.count("e1 load n/ accepted")+f.engines.count("e2 load n/ accepted")+f.engines.count("e3 load n/ accepted") == 0 {
-				t.Errorf("n is held nowhere: %v", f.engines.given)
+				t.Errorf("n is held nowhere: %v", f.engines.all())
+			}
+		})
+	})
+	t.Run("orders whose answers take long hold up no plan", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "e1", "e2", "e3")
+			f.engines.takes = 5 * tick
+			d := f.start(t.Context(), "a")
+			time.Sleep(20 * time.Second)
+			if f.engines.count("e1 load n/ accepted")+f.engines.count("e2 load n/ accepted")+f.engines.count("e3 load n/ accepted") == 0 {
+				t.Errorf("n is held nowhere: %v", f.engines.all())
+			}
+			if _, held := d.keeper.held(); !held {
+				t.Error("the lease was not renewed")
 			}
 		})
 	})
@@ -195,7 +226,7 @@
 			loads := f.engines.count("e1 load n/ accepted") + f.engines.count("e1 load o/ accepted")
 			again := f.engines.count("e1 load n/ conflict") + f.engines.count("e1 load o/ conflict")
 			if loads == 0 || again > 0 {
-				t.Errorf("%d loads, %d ordered on a busy endpoint: %v", loads, again, f.engines.given)
+				t.Errorf("%d loads, %d ordered on a busy endpoint: %v", loads, again, f.engines.all())
 			}
 		})
 	})
@@ -207,11 +238,11 @@
 		f.settle = 3 * time.Second
 		f.start(t.Context(), "a")
 		time.Sleep(f.settle)
-		if len(f.engines.given) > 0 {
-			t.Errorf("orders right after the lease was taken: %v", f.engines.given)
+		if len(f.engines.all()) > 0 {
+			t.Errorf("orders right after the lease was taken: %v", f.engines.all())
 		}
 		time.Sleep(f.settle)
-		if len(f.engines.given) == 0 {
+		if len(f.engines.all()) == 0 {
 			t.Error("no orders")
 		}
 	})
@@ -238,14 +269,14 @@
 			}
 			all.Wait()
 			if n := f.engines.count("e1 load m/a1 accepted"); n != 1 {
-				t.Errorf("a1 was loaded %d times: %v", n, f.engines.given)
+				t.Errorf("a1 was loaded %d times: %v", n, f.engines.all())
 			}
 			time.Sleep(inUseFor)
 			find(t, d, "a2")
 			time.Sleep(inUseFor)
 			find(t, d, "a3")
 			if f.engines.count("e1 unload m/a1 holds already") != 1 {
-				t.Errorf("a1 did not give way: %v", f.engines.given)
+				t.Errorf("a1 did not give way: %v", f.engines.all())
 			}
 		})
 	})
@@ -254,7 +285,7 @@
 			f := newFleet(t, "e1")
 			d := f.start(t.Context(), "a")
 			time.Sleep(20 * time.Second)
-			f.engines.mute = 1
+			f.engines.silence(1)
 			ids, _ := d.Find(t.Context(), "s", "m", "a1", nil)
 			if len(ids) != 0 {
 				t.Errorf("an order without an answer counts as done")
--- a/rlb-node/pkg/rlbduty/orders.go
+++ b/rlb-node/pkg/rlbduty/orders.go
@@ -68,9 +68,8 @@
 
 // settling reports whether orders of an earlier holder may still arrive.
 func (d *Duty) settling() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.heldFrom.IsZero() || d.now().Before(d.heldFrom.Add(d.Settle))
+	from := d.heldFrom.Load()
+	return from == 0 || d.now().Before(time.Unix(0, from).Add(d.Settle))
 }
 
 // settle notes what became of an order; it reports whether it takes effect.
--- a/rlb-node/pkg/rlbduty/plan.go
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -72,13 +72,19 @@
 	return input
 }
 
+// describe describes an endpoint. One with an order under way is described as it
+// was last, and gets no other.
 func (d *Duty) describe(ctx context.Context, snapshot *rlbview.Snapshot, engine *rlbsite.Engine, at *desk) (rlbplace.Engine, bool) {
-	at.mu.Lock()
-	defer at.mu.Unlock()
-	entry := snapshot.ByID[at.endpoint.ID]
+	entry := snapshot.ByID[at.life.ID]
 	if entry == nil {
 		return rlbplace.Engine{}, false
 	}
+	if !at.mu.TryLock() {
+		last, known := d.described[at.life.ID]
+		last.Frozen = true
+		return last, known
+	}
+	defer at.mu.Unlock()
 	at.take(entry)
 	if at.overdue(d.now()) {
 		at.known = false
@@ -101,6 +107,7 @@
 		}
 		return 1
 	})
+	d.described[at.life.ID] = e
 	return e, true
 }
 
@@ -117,7 +124,7 @@
 
 // carryOut orders a proposal if it still may be.
 func (d *Duty) carryOut(ctx context.Context, desks []*desk, engine *rlbsite.Engine, p rlbplace.Proposal) {
-	at := slices.IndexFunc(desks, func(x *desk) bool { return x.endpoint.ID == p.Endpoint })
+	at := slices.IndexFunc(desks, func(x *desk) bool { return x.life.ID == p.Endpoint })
 	if at < 0 {
 		return
 	}
@@ -126,7 +133,9 @@
 	}
 	go func() {
 		x := desks[at]
-		x.mu.Lock()
+		if !x.mu.TryLock() {
+			return // an order is under way; the next plan sees what became of it
+		}
 		defer x.mu.Unlock()
 		now := d.now()
 		if !x.known || x.busy() || now.Before(x.pause) || now.Before(x.blocked) {
@@ -154,7 +163,9 @@
 func (d *Duty) ready(desks []*desk, name string) int {
 	n := 0
 	for _, at := range desks {
-		at.mu.Lock()
+		if !at.mu.TryLock() {
+			continue // an order is under way: it does not count as ready
+		}
 		if at.known && at.holds(name) && !at.endpoint.Leaving {
 			n++
 		}
