--- a/lib/pkg/rlbplace/demand.go
+++ b/lib/pkg/rlbplace/demand.go
@@ -65,6 +65,9 @@
 	return p.comes(m) >= max(p.opts.Growth, 1)
 }
 
+// busy returns what an unload on an engine costs for the requests it waits for.
+func (p *planner) busy(e Engine) float64 { return p.opts.BusyWeight * float64(e.InFlight) }
+
 // far returns what the load of a model on an engine costs beyond one from a copy
 // that the engine has itself.
 func (p *planner) far(i int, m rlbnote.Model) float64 {
@@ -87,7 +90,7 @@
 		if !enough || len(chosen) != 1 || chosen[0].Name == m.Name {
 			continue
 		}
-		if loss := p.lossOf(chosen[0].Name) + p.far(i, m); loss < cost {
+		if loss := p.lossOf(chosen[0].Name) + p.far(i, m) + p.busy(e); loss < cost {
 			best, cost = i, loss
 		}
 	}
--- a/lib/pkg/rlbplace/input.go
+++ b/lib/pkg/rlbplace/input.go
@@ -21,6 +21,7 @@
 	Reserved  rlbunit.Bytes // used, or may come to be used
 	Residents []rlbengine.Resident
 	Leaving   bool     // gets no loads, and its replicas do not count
+	InFlight  int      // requests in progress: an unload waits for those of its model
 	Frozen    bool     // gets no orders now; its replicas count
 	Near      []string // models of which it has copies of its own: they need no load from the weight store
 }
@@ -43,6 +44,7 @@
 	LoadsAtOnce int     // that the weight store serves at full speed
 	Growth      int     // loads of one model that may be under way while its demand asks for more; 0: 1
 	Spares      int     // loads under way at which no replica is loaded that is only a spare; 0: LoadsAtOnce
+	BusyWeight  float64 // loss that each request in progress at an engine adds to an unload there
 	Searches    int     // for replicas to give way, in one plan; 0: few
 	FarWeight   float64 // relief that a load from the weight store must bring beyond one from a copy nearby
 	Replicas    int     // that each model keeps where memory is free, in different failure domains
--- a/lib/pkg/rlbplace/room.go
+++ b/lib/pkg/rlbplace/room.go
@@ -22,6 +22,7 @@
 			continue
 		}
 		chosen, loss, enough := p.victims(e, m.Memory, p.ready)
+		loss += p.busy(e)
 		if enough && (best < 0 || loss < cost) {
 			best, cost, victims = i, loss, chosen
 		}
--- a/rlb-node/pkg/rlbduty/plan.go
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -15,6 +15,7 @@
 // Weights of a plan.
 const (
 	moveWeight  = 0.2
+	busyWeight  = 0.05
 	farWeight   = 1.0 // of a load from the weight store beyond one from a copy nearby
 	replicas    = 2
 	goodLoad    = 12  // requests in progress that a replica answers well
@@ -38,7 +39,7 @@
 		desks := d.all(snapshot, name)
 		input := d.input(ctx, snapshot, service.Engine, desks, demand)
 		opts := rlbplace.Opts{
-			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, Searches: searches, Spares: spares, FarWeight: farWeight,
+			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, Searches: searches, Spares: spares, BusyWeight: busyWeight, FarWeight: farWeight,
 			LoadsAtOnce: int(math.Ceil(service.Engine.LoadsPerSecond * secondsFull)),
 		}
 		for _, proposal := range rlbplace.Plan(input, opts) {
@@ -96,7 +97,8 @@
 	e := rlbplace.Engine{
 		Frozen: !known || at.busy() || d.now().Before(at.pause) || d.now().Before(at.blocked),
 		ID:     at.endpoint.ID, Domain: at.endpoint.Domain, Memory: memory(engine), Reserved: at.used(engine), Leaving: entry.Leaving,
-		Near: slices.Concat(at.endpoint.InMemory, at.endpoint.OnDisk),
+		InFlight: d.Load(at.life.ID).InFlight,
+		Near:     slices.Concat(at.endpoint.InMemory, at.endpoint.OnDisk),
 	}
 	for name, m := range at.models {
 		e.Residents = append(e.Residents, rlbengine.Resident{Name: name, Phase: phase(m), Memory: engine.Models[name].Memory})
