--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial capacity faults cost replace outage bench moves
+.PHONY: build test race lint trial trial-platform capacity faults cost replace outage bench moves
 
 build:
 	@mkdir -p bin
@@ -24,6 +24,9 @@
 trial: build
 	scripts/trial.sh
 
+trial-platform: build
+	scripts/trial_platform.sh
+
 capacity: build
 	scripts/capacity.sh docs/capacity.jsonl "3 30 1 3" "6 60 1 3" "12 120 1 3" "24 240 1 3" "6 240 1 3" "12 400 1 3" "3 30 4 3" "3 30 8 3" "4 100 4 3" "33 550 1 3" "18 300 1 3" "3 30 6 3"
 	bin/rlb-load capacity page docs/capacity.jsonl
--- a/rlb-standin/pkg/rlbapp/app.go
+++ b/rlb-standin/pkg/rlbapp/app.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"os"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeengine"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeplatform"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakeservice"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakesite"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbrecord"
 )
 
@@ -31,6 +33,12 @@
 	fetchConns   = 64
 )
 
+// siteBeat is the time between two entries of a site's replicas.
+const siteBeat = time.Second
+
+// siteDomains are the failure domains of a site.
+var siteDomains = []string{"seeb", "bawshar", "muttrah"}
+
 // Kind is a stand-in of its own process.
 type Kind struct {
 	Name, Short string
@@ -42,6 +50,7 @@
 	{"platform", "Object API, instance list and weight store", runPlatform},
 	{"engine", "A model engine", runEngine},
 	{"service", "A plain service", runService},
+	{"site", "The users' platform in small: store, engines and plain services", runSite},
 }
 
 func runPlatform(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
@@ -107,6 +116,33 @@
 	return serve(stop, common, out, service.Handler(), func() {})
 }
 
+// runSite serves the users' platform in small. The stand-in's address is the
+// store's; the replicas use the ports after it.
+func runSite(stop context.Context, common *rlbcommon.Common, out io.Writer) error {
+	s := common.Settings
+	address, err := netip.ParseAddrPort(s.Text(rlbsettings.StandinListen))
+	if err != nil {
+		return fmt.Errorf("[standin] listen: %w", err)
+	}
+	site, cleanUp, err := rlbfakesite.NewSite(rlbfakesite.SiteOpts{
+		Host: address.Addr().String(), Port: int(address.Port()), Zones: siteDomains, Step: s.Duration(rlbsettings.StandinStep),
+	})
+	defer cleanUp()
+	if err != nil {
+		return err
+	}
+	ready := rlbcommon.Ready{Program: "rlb-standin", Instance: s.Text(rlbsettings.InstanceID), Listen: map[string]string{
+		"store": address.String(), "example": site.Example,
+	}}
+	if err := rlbcommon.PrintReady(out, ready); err != nil {
+		return err
+	}
+	for rlbcommon.Sleep(stop, siteBeat) {
+		site.Refresh()
+	}
+	return nil
+}
+
 // serve serves until stop ends, calls leave, and lets the requests in progress
 // end.
 func serve(stop context.Context, common *rlbcommon.Common, out io.Writer, handler http.Handler, leave func()) error {
--- /dev/null
+++ b/rlb-standin/pkg/rlbfakesite/site.go
@@ -0,0 +1,124 @@
+package rlbfakesite
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Site is a deployment in small: a store with a config, replicas of one model
+// service and of one plain service, all on loopback.
+type Site struct {
+	Store    *Store
+	Replicas []*Replica
+	Example  string // a curl command that streams an answer, but for the address
+}
+
+// SiteOpts describe a site.
+type SiteOpts struct {
+	Host  string   // IP
+	Port  int      // of the store; the replicas use those after it
+	Zones []string // each has an engine and a plain replica
+	Step  time.Duration
+}
+
+// Names of the site's services, routes and models.
+const (
+	siteHost  = "fleet.example"
+	llm       = "planner"
+	plain     = "dispatch"
+	draftPath = "/draft/"
+)
+
+var models = []Spec{
+	{Name: "draft-8g", WeightsMb: 72000, LoadS: 4, WarmS: 1, DiskS: 2, Adapters: 4, AdapterMb: 66},
+	{Name: "plan-8g", WeightsMb: 72000, LoadS: 4, WarmS: 1, DiskS: 2, Adapters: 2, AdapterMb: 66},
+	{Name: "ask-4g", WeightsMb: 42000, LoadS: 3, WarmS: 1, DiskS: 2, Adapters: 4, AdapterMb: 12},
+}
+
+// engineMb and adapterSlots are what a replica has.
+const (
+	engineMb     = 200000
+	adapterSlots = 8
+	engineSlots  = 16
+	plainSlots   = 6
+)
+
+// NewSite starts a site, and returns it with its clean-up function.
+func NewSite(opts SiteOpts) (*Site, func(), error) {
+	s := &Site{Store: NewStore()}
+	var servers []*http.Server
+	cleanUp := func() {
+		for _, server := range servers {
+			_ = server.Close() // the site ends with its process
+		}
+	}
+	serve := func(port int, handler http.Handler) (string, error) {
+		listener, err := net.Listen("tcp", net.JoinHostPort(opts.Host, strconv.Itoa(port)))
+		if err != nil {
+			return "", err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: longest}
+		servers = append(servers, server)
+		go func() { _ = server.Serve(listener) }()
+		return listener.Addr().String(), nil
+	}
+	if _, err := serve(opts.Port, s.Store); err != nil {
+		return nil, cleanUp, err
+	}
+	s.Store.Set("config", "main", siteConfig())
+	specs := map[string]Spec{}
+	for _, m := range models {
+		specs[m.Name] = m
+	}
+	for n, zone := range opts.Zones {
+		for k, service := range []string{llm, plain} {
+			r := NewReplica(ReplicaOpts{
+				ID: fmt.Sprintf("%s-%d", service, n+1), Service: service, Zone: zone, Slots: []int{engineSlots, plainSlots}[k],
+				MemoryMb: engineMb, Adapters: adapterSlots, Models: specs, Fencing: true, Step: opts.Step,
+				Address: net.JoinHostPort(opts.Host, strconv.Itoa(opts.Port+1+2*n+k)),
+			})
+			if _, err := serve(opts.Port+1+2*n+k, r); err != nil {
+				return nil, cleanUp, err
+			}
+			s.Store.Set("servers", r.opts.ID, r.Entry("ready"))
+			s.Replicas = append(s.Replicas, r)
+		}
+	}
+	s.Example = "-H 'Host: " + siteHost + "' -H 'X-Request-Id: 9c41d07be2a35f68' -H 'X-Model: " + models[0].Name +
+		"' -H 'X-Token-Count: 10,8' -H 'X-Request-Deadline: 15000' -d prompt"
+	return s, cleanUp, nil
+}
+
+// Refresh writes the replicas' entries as they are now.
+func (s *Site) Refresh() {
+	for _, r := range s.Replicas {
+		r.mu.Lock()
+		r.settle()
+		r.mu.Unlock()
+		s.Store.Set("servers", r.opts.ID, r.Entry("ready"))
+	}
+}
+
+func siteConfig() map[string]any {
+	return map[string]any{
+		"Version": 1,
+		"Routes": []map[string]any{
+			{"Name": "draft", "Host": siteHost, "PathPrefix": draftPath, "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 600,
+				"Priority": 0, "Service": llm, "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300},
+			{"Name": "assign", "Host": siteHost, "PathPrefix": "/assign/", "Kind": "unsafe", "TimeoutMs": 800, "TargetLatencyMs": 150,
+				"Priority": 1, "Service": plain, "MaxAttempts": 1},
+			{"Name": "lookup", "Host": siteHost, "PathPrefix": "/lookup/", "Kind": "safe", "TimeoutMs": 800, "TargetLatencyMs": 150,
+				"Priority": 1, "Service": plain, "MaxAttempts": 2},
+		},
+		"Services": []map[string]any{
+			{"Name": llm, "HealthPath": "/health", "MaxConns": 360, "Engine": map[string]any{
+				"Slots": engineSlots, "KvTokens": 100000, "Stride": 1, "WeightsMb": engineMb, "AdapterSlots": adapterSlots, "LoadsPerS": 1, "Models": models,
+			}},
+			{"Name": plain, "HealthPath": "/health", "MaxConns": 96},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	}
+}
