Orders go on while the object API answers no instance at all

Ruled out: a longer lease (a dead holder would be replaced later). Change: the last holder goes on where endpoints check fences, while the firsts of all known domains say that the store does not answer them, for 30 s at most; one answer to anybody ends it. Fences and expected sequences keep an unheard-of holder safe. Tests: TestOutage, TestOutageRecord (no order was given before).

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -125,7 +125,8 @@
 		Log: a.Log, Name: a.name, Domain: a.domain, Life: a.name + "/" + strconv.FormatInt(a.life, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Ask: link.Ask,
 		Demand: a.demand, Load: a.load, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
-		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Settle: settle(settings), Now: rlbclock.Now,
+		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Settle: settle(settings),
+		StoreAway: func() bool { return a.catcher.away() }, Now: rlbclock.Now,
 	})
 	a.front = rlbfront.New(rlbfront.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Loads: a.loads, Others: a.others,
--- a/rlb-node/pkg/rlbapp/behind.go
+++ b/rlb-node/pkg/rlbapp/behind.go
@@ -46,6 +46,17 @@
 // lost reports whether the object API does not answer this instance.
 func (c *catcher) lost() bool { return c.config.Lost() || c.endpoints.Lost() }
 
+// away reports whether the object API answers no instance that is known: neither
+// the one of this domain that watches, nor those of the others.
+func (c *catcher) away() bool {
+	now := rlbclock.Now()
+	lost := c.lost()
+	for _, d := range c.app.fleet.Live(now) {
+		lost = lost || d.Lost
+	}
+	return lost && c.app.fleet.AllLost(now)
+}
+
 // scout reports whether this instance watches the object API for its domain: the
 // first one that it answers, of a few that try.
 func (a *app) scout() bool {
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -42,6 +42,8 @@
 	Load       func(endpoint string) rlbpick.Load // of all instances
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration
+	// StoreAway reports whether the object API answers no instance that is known.
+	StoreAway func() bool
 	// Settle is how long a new holder of the lease gives no orders: where
 	// endpoints do not check fences, those of the earlier one must have ended.
 	Settle time.Duration
@@ -57,6 +59,7 @@
 	engines rlbsite.Engines
 	keeper  *keeper
 	rate    *loadRate
+	outage  outage
 
 	described map[string]rlbplace.Engine // endpoints as planned with last; of the planning goroutine only
 
@@ -120,6 +123,7 @@
 		}
 		heard = hears
 		d.keeper.step(ctx, d.contends())
+		d.followOutage()
 	}
 }
 
@@ -128,15 +132,43 @@
 
 func (d *Duty) stopped() bool { return d.leaving.Load() }
 
-// Fence returns the fence of the lease if it is held, or 0.
+// Fence returns the fence under which orders may be given, or 0.
 func (d *Duty) Fence() uint64 {
-	fence, held := d.keeper.held()
+	fence, held := d.held()
 	if !held || d.stopped() {
 		return 0
 	}
 	return fence
 }
 
+// held returns the fence if orders may be given now: under the lease, or on while
+// nobody can take it over.
+func (d *Duty) held() (uint64, bool) {
+	if fence, held := d.keeper.held(); held {
+		return fence, true
+	}
+	return d.outage.held()
+}
+
+// followOutage notes whether orders may go on without the lease.
+func (d *Duty) followOutage() {
+	now := d.now()
+	fence, held := d.keeper.held()
+	away := d.Settle == 0 && d.StoreAway()
+	if holder, heard := d.Fleet.Holder(now); heard && holder.Fence > fence && holder.Name != d.name {
+		away = false
+	}
+	_, before := d.outage.held()
+	d.outage.follow(now, fence, held, away)
+	fence, on := d.outage.held()
+	switch {
+	case on && !before:
+		d.log.WithField("fence", fence).Warn("object API answers nobody; orders go on without the lease")
+	case before && !on:
+		d.log.WithField("held", held).Info("object API answers again; the lease decides about orders")
+	}
+}
+
 // Begun returns when the loads from the weight store that this holder ordered in
 // the latest window began.
 func (d *Duty) Begun() []time.Time {
@@ -149,6 +181,7 @@
 // fenced steps back after an endpoint has seen a higher fence.
 func (d *Duty) fenced(fence uint64) {
 	d.log.WithField("fence", fence).Warn("an endpoint has seen a higher fence; the lease is given up")
+	d.outage.end()
 	d.backOff.Store(d.now().Add(fencedBackoff).UnixNano())
 }
 
@@ -160,7 +193,7 @@
 	if d.stopped() || d.View.Snapshot().Config == nil || now.UnixNano() < d.backOff.Load() {
 		return false
 	}
-	if _, held := d.keeper.held(); held {
+	if _, held := d.held(); held {
 		return true
 	}
 	if !d.Fleet.First(now, func(peer rlbpeer.Digest) bool { return !peer.Leaving && !peer.Lost }) {
--- a/rlb-node/pkg/rlbduty/duty_test.go
+++ b/rlb-node/pkg/rlbduty/duty_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +157,7 @@
 	engines *engines
 	demand  map[string]float32
 	settle  time.Duration
+	away    atomic.Bool // the object API answers nobody
 }
 
 func newFleet(t *testing.T, endpoints ...string) *fleet {
@@ -182,7 +184,7 @@
 			return rlbpeer.Answer{}, errors.New("nobody")
 		},
 		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbpick.Load { return rlbpick.Load{} },
-		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, Settle: f.settle, Now: time.Now,
+		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, Settle: f.settle, StoreAway: f.away.Load, Now: time.Now,
 	})
 	go d.Run(ctx)
 	return d
@@ -232,6 +234,59 @@
 	})
 }
 
+func TestOutage(t *testing.T) {
+	find := func(d *Duty, adapter string) bool {
+		ids, _ := d.Find(context.Background(), "s", "m", adapter, nil)
+		return len(ids) > 0
+	}
+	run := func(t *testing.T, everybody bool) (during, after bool) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "e1")
+			d := f.start(t.Context(), "a")
+			time.Sleep(20 * time.Second)
+			f.api.SetDown(true)
+			f.away.Store(everybody)
+			time.Sleep(6 * time.Second)
+			during = find(d, "a1")
+			f.api.SetDown(false)
+			f.away.Store(false)
+			time.Sleep(2 * time.Second)
+			after = find(d, "a2")
+		})
+		return during, after
+	}
+	t.Run("orders go on while the object API answers nobody, and under the lease after it", func(t *testing.T) {
+		if during, after := run(t, true); !during || !after {
+			t.Errorf("orders during and after: %t, %t", during, after)
+		}
+	})
+	t.Run("a holder that it does not answer stops while it answers others", func(t *testing.T) {
+		if during, _ := run(t, false); during {
+			t.Error("an order was given without the lease")
+		}
+	})
+}
+
+func TestOutageRecord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var o outage
+	at := func(after time.Duration, held, away, want bool) {
+		t.Helper()
+		o.follow(now.Add(after), 7, held, away)
+		if _, on := o.held(); on != want {
+			t.Errorf("after %v: on is %t", after, on)
+		}
+	}
+	at(0, false, true, false) // never held
+	at(time.Second, true, true, false)
+	at(2*time.Second, false, false, false) // not noticed yet
+	at(3*time.Second, false, true, true)
+	at(4*time.Second, false, false, false) // it answers somebody
+	at(5*time.Second, false, true, false)  // and so it stays
+	at(6*time.Second, true, true, false)
+	at(6*time.Second+longOutage, false, true, false)
+}
+
 func TestSettle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "e1")
--- a/rlb-node/pkg/rlbduty/orders.go
+++ b/rlb-node/pkg/rlbduty/orders.go
@@ -51,7 +51,7 @@
 
 // order gives an order under the lease. The desk is locked and its state known.
 func (d *Duty) order(ctx context.Context, at *desk, engine *rlbsite.Engine, o rlbsite.Order, reason string) bool {
-	fence, held := d.keeper.held()
+	fence, held := d.held()
 	if !held || d.stopped() || d.settling() {
 		return false
 	}
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -66,6 +66,7 @@
 	Number  uint64             `msgpack:"s"`
 	Relayed bool               `msgpack:"r,omitempty"` // by an instance of the receiver's domain
 	Members int                `msgpack:"p"`
+	Lost    bool               `msgpack:"o,omitempty"` // the object API answers none of those that call it
 	Config  uint64             `msgpack:"c,omitempty"` // newest version in force
 	Entries uint64             `msgpack:"e,omitempty"`
 	Holder  *Holder            `msgpack:"h,omitempty"`
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -180,6 +180,19 @@
 	return len(f.domains) == 0 && len(f.live(now)) == 0
 }
 
+// AllLost reports whether the object API answers no instance in any domain that is
+// known: every domain is heard of and says so.
+func (f *Fleet) AllLost(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.domains {
+		if now.Sub(d.heard) > SilentAfter || !d.summary.Lost {
+			return false
+		}
+	}
+	return true
+}
+
 // First reports whether this instance is the first live one of its domain among
 // those that fit.
 func (f *Fleet) First(now time.Time, fits func(Digest) bool) bool {
@@ -289,6 +302,7 @@
 	defer f.mu.Unlock()
 	for _, d := range append(f.live(now), own) {
 		s.Members++
+		s.Lost = s.Lost || d.Lost
 		s.Config, s.Entries = max(s.Config, d.Config), max(s.Entries, d.Entries)
 		if d.Holder != nil && (s.Holder == nil || d.Holder.Fence > s.Holder.Fence) {
 			s.Holder = d.Holder
