Crashes of endpoints by one request are told to all instances

Cause: each instance counted its own, so that a request that crashes what runs it could meet three endpoints at each of them. Ruled out: nothing.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -130,6 +130,7 @@
 	})
 	a.front = rlbfront.New(rlbfront.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Loads: a.loads, Others: a.others,
+		Crashes:   func(print uint64) int { return a.fleet.Crashes(rlbclock.Now(), print) },
 		Instances: func() int { return a.fleet.Known(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.duty,
 		Budget:  budgetTerms(settings),
 		Metrics: a.registry, Now: rlbclock.Now,
@@ -202,7 +203,7 @@
 	d := rlbpeer.Digest{
 		Name: a.name, Domain: a.domain, Address: a.address, Life: a.life, Number: a.number,
 		Leaving: a.front.Leaving(), Lost: a.catcher.lost(), Config: a.configVersion(), Entries: uint64(a.view.Revision()),
-		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(),
+		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: a.front.Crashes(),
 	}
 	if fence := a.duty.Fence(); fence > 0 {
 		d.Holder = &rlbpeer.Holder{Name: a.name, Address: a.address, Fence: fence}
--- a/rlb-node/pkg/rlbfront/front_test.go
+++ b/rlb-node/pkg/rlbfront/front_test.go
@@ -240,6 +240,14 @@
 			So(r.talk("/plan/x").status, ShouldEqual, http.StatusServiceUnavailable)
 			shouldRun(first, 3)
 		})
+		Convey("crashes at other instances count, and its own are told", func() {
+			first.Answer = cut
+			r.elsewhere = 2
+			So(r.talk("/plan/x").status, ShouldEqual, http.StatusBadGateway)
+			So(r.talk("/plan/x").status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.server.Crashes(), ShouldHaveLength, 1)
+			shouldRun(first, 1)
+		})
 		Convey("a stopping instance serves, ends connections, and refuses once it is closed", func() {
 			r.server.Leave()
 			So(r.server.Ready(), ShouldBeFalse)
--- a/rlb-node/pkg/rlbfront/rig_test.go
+++ b/rlb-node/pkg/rlbfront/rig_test.go
@@ -54,11 +54,12 @@
 
 // rig is a server between a caller and replicas on loopback.
 type rig struct {
-	server   *Server
-	front    *httptest.Server
-	view     *rlbview.View
-	replicas map[string]*rlbfakesite.Replica
-	entries  []rlbobject.Object
+	server    *Server
+	front     *httptest.Server
+	view      *rlbview.View
+	replicas  map[string]*rlbfakesite.Replica
+	entries   []rlbobject.Object
+	elsewhere int // crashes that other instances saw
 }
 
 func newRig(t *testing.T) *rig {
@@ -71,6 +72,7 @@
 	t.Cleanup(closeDispatcher)
 	r.server = New(Opts{
 		Log: quiet, Domain: "a", View: r.view, Loads: rlbpick.NewTable(), Others: func(string) rlbpick.Load { return rlbpick.Load{} },
+		Crashes:   func(uint64) int { return r.elsewhere },
 		Instances: func() int { return 1 }, Dispatcher: dispatcher, Adapters: adapters{"llm/m/a1": {"e1"}},
 		Budget:  rlbbudget.Terms{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
 		Metrics: metrics.NewRegistry(), Now: time.Now,
--- a/rlb-node/pkg/rlbfront/server.go
+++ b/rlb-node/pkg/rlbfront/server.go
@@ -30,6 +30,7 @@
 	View       *rlbview.View
 	Loads      *rlbpick.Table
 	Others     func(endpoint string) rlbpick.Load // other instances' work at an endpoint
+	Crashes    func(print uint64) int             // endpoints that the other instances lost while they ran a request
 	Instances  func() int                         // that share the budget for repeats
 	Dispatcher *rlbdispatch.Dispatcher
 	Adapters   Adapters
@@ -56,7 +57,7 @@
 		Opts:     opts,
 		budgets:  newBudgets(opts.Budget),
 		demand:   newDemand(opts.Now),
-		suspects: newSuspects(opts.Now),
+		suspects: newSuspects(opts.Now, opts.Crashes),
 		meters:   newMeters(opts.Metrics),
 	}
 }
@@ -64,6 +65,9 @@
 // Demand returns what callers want of each model.
 func (s *Server) Demand() *Demand { return s.demand }
 
+// Crashes returns the requests that endpoints were lost with lately.
+func (s *Server) Crashes() map[uint64]uint8 { return s.suspects.tell() }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/rlb-node/pkg/rlbfront/suspects.go
+++ b/rlb-node/pkg/rlbfront/suspects.go
@@ -1,6 +1,7 @@
 package rlbfront
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -19,13 +20,14 @@
 
 // suspects counts the endpoints that were lost while they ran a request.
 type suspects struct {
-	mu  sync.Mutex
-	now func() time.Time
-	all map[uint64]suspect
+	mu     sync.Mutex
+	now    func() time.Time
+	others func(print uint64) int // crashes that the other instances saw
+	all    map[uint64]suspect
 }
 
-func newSuspects(now func() time.Time) *suspects {
-	return &suspects{now: now, all: map[uint64]suspect{}}
+func newSuspects(now func() time.Time, others func(print uint64) int) *suspects {
+	return &suspects{now: now, others: others, all: map[uint64]suspect{}}
 }
 
 // crashed notes that an endpoint was lost while it ran a request.
@@ -55,6 +57,25 @@
 func (s *suspects) guilty(print uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	entry, found := s.all[print]
-	return found && entry.crashes > mostCrashes && s.now().Before(entry.until)
+	entry := s.all[print]
+	if !s.now().Before(entry.until) {
+		entry.crashes = 0
+	}
+	return entry.crashes+s.others(print) > mostCrashes
+}
+
+// tell returns some of the crashes that are remembered, by fingerprint.
+func (s *suspects) tell() map[uint64]uint8 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, told := s.now(), map[uint64]uint8{}
+	for print, entry := range s.all {
+		if now.Before(entry.until) {
+			told[print] = uint8(min(entry.crashes, math.MaxUint8))
+		}
+		if len(told) >= mostTold {
+			break
+		}
+	}
+	return told
 }
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -26,6 +26,7 @@
 	Holder  *Holder            `msgpack:"h,omitempty"` // set by the holder of the lease for orders
 	Loads   map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see Key
 	Demand  map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
+	Crashes map[uint64]uint8   `msgpack:"k,omitempty"` // endpoints lost while they ran a request, by its fingerprint
 }
 
 // Holder is what the holder of the lease for orders tells of itself.
@@ -72,6 +73,7 @@
 	Holder  *Holder            `msgpack:"h,omitempty"`
 	Loads   map[uint32]Load    `msgpack:"i,omitempty"`
 	Demand  map[string]float32 `msgpack:"m,omitempty"`
+	Crashes map[uint64]uint8   `msgpack:"k,omitempty"`
 }
 
 // packet is a datagram. One field is set.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -296,7 +296,7 @@
 func (f *Fleet) Summarize(now time.Time, own Digest) Summary {
 	s := Summary{
 		Domain: own.Domain, From: own.Name, Address: own.Address, Life: own.Life, Number: own.Number,
-		Loads: map[uint32]Load{}, Demand: map[string]float32{},
+		Loads: map[uint32]Load{}, Demand: map[string]float32{}, Crashes: map[uint64]uint8{},
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -313,6 +313,28 @@
 		for model, n := range d.Demand {
 			s.Demand[model] += n
 		}
+		for print, n := range d.Crashes {
+			s.Crashes[print] += n
+		}
 	}
 	return s
 }
+
+// Crashes returns how many endpoints the other instances lost while these ran the
+// request of a fingerprint.
+func (f *Fleet) Crashes(now time.Time, print uint64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.members {
+		if now.Sub(m.heard) <= forgetAfter {
+			n += int(m.digest.Crashes[print])
+		}
+	}
+	for _, d := range f.domains {
+		if now.Sub(d.heard) <= forgetAfter {
+			n += int(d.summary.Crashes[print])
+		}
+	}
+	return n
+}
