--- a/rlb-node/pkg/rlbfront/suspects.go
+++ b/rlb-node/pkg/rlbfront/suspects.go
@@ -11,6 +11,7 @@
 	suspectFor   = 30 * time.Second // since the latest crash
 	mostCrashes  = 2                // after which a request is not sent any more
 	mostSuspects = 10000
+	mostTold     = 64 // suspects in one digest
 )
 
 type suspect struct {
