Registrations are renewed and collected; a start with an earlier time of day is heard

Cause, by reading: nothing deleted the objects of instances that are gone; a start after the time of day stepped back was ignored by the others for a minute; questions could be answered before the parts that answer them were there. Ruled out: deleting at shutdown (rolling restarts would pay two calls each). Tests: TestRegister, and 'a start whose time of day is earlier' (ignored before).

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -52,7 +52,10 @@
 	loads    *rlbpick.Table
 	front    *rlbfront.Server
 	duty     *rlbduty.Duty
+	holds    func() bool // whether this instance holds the lease for orders
 	catcher  *catcher
+	// registrations are those that were there at the latest look of the holder.
+	registrations map[string]seen
 }
 
 // decoder decodes what operators and endpoints write on the platform.
@@ -136,6 +139,7 @@
 		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	a.catcher = a.newCatcher()
+	a.holds = func() bool { return a.duty.Fence() > 0 }
 	return a, func() {
 		closeLink()
 		closeDispatcher()
--- /dev/null
+++ b/rlb-node/pkg/rlbapp/register_test.go
@@ -0,0 +1,66 @@
+package rlbapp
+
+import (
+	"context"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// newTestApp returns the part of an app that registers.
+func newTestApp(name string, api rlbobject.API, holder bool) *app {
+	a := &app{
+		Common: &rlbcommon.Common{Log: log.NewEntry(&log.Logger{Handler: discard.New(), Level: log.InfoLevel})},
+		name:   name, domain: "x", address: name + ":1", api: api, fleet: rlbpeer.NewFleet(name, "x"),
+	}
+	a.holds = func() bool { return holder }
+	return a
+}
+
+func TestRegister(t *testing.T) {
+	ctx := context.Background()
+	names := func(api rlbobject.API) (all []string) {
+		changes, err := api.List(ctx, kindInstances)
+		So(err, ShouldBeNil)
+		for _, o := range changes.Objects {
+			all = append(all, o.Name)
+		}
+		return all
+	}
+	Convey("Given a holder and another instance that registered", t, func() {
+		api := rlbfake.NewObjects()
+		holder, other := newTestApp("a", api, true), newTestApp("b", api, false)
+		So(holder.registered(ctx, 0), ShouldBeTrue)
+		So(other.registered(ctx, 0), ShouldBeTrue)
+		Convey("they find each other, also after a restart under the same name", func() {
+			So(newTestApp("b", api, false).registered(ctx, 0), ShouldBeTrue)
+			So(holder.found(ctx), ShouldBeTrue)
+			own, _ := holder.fleet.Targets(rlbclock.Now())
+			So(own, ShouldResemble, []string{"b:1"})
+		})
+		Convey("one that renews stays, one that is gone is deleted after some looks", func() {
+			for n := uint64(1); n <= looksUntilGone+1; n++ {
+				So(names(api), ShouldHaveLength, 2)
+				So(holder.registered(ctx, n), ShouldBeTrue)
+				other.collectGone(ctx)
+				holder.collectGone(ctx)
+			}
+			So(names(api), ShouldResemble, []string{"a"})
+		})
+		Convey("nothing is deleted while the list cannot be read", func() {
+			api.SetDown(true)
+			for range looksUntilGone + 1 {
+				holder.collectGone(ctx)
+			}
+			api.SetDown(false)
+			So(names(api), ShouldHaveLength, 2)
+		})
+	})
+}
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -101,10 +101,19 @@
 	return all
 }
 
-// newer reports whether a message replaces an older one of the same sender.
-func newer(life, oldLife int64, number, oldNumber uint64) bool {
-	if life != oldLife {
-		return life > oldLife
+// mark says which message of a sender something was.
+type mark struct {
+	life   int64
+	number uint64
+	heard  time.Time
+}
+
+// replacedBy reports whether a message replaces an older one of the same sender.
+// The time of day, which lives are numbered by, may step back between two starts:
+// of a sender that was silent a lower life counts too.
+func (m mark) replacedBy(life int64, number uint64, now time.Time) bool {
+	if life == m.life {
+		return number > m.number
 	}
-	return number > oldNumber
+	return life > m.life || now.Sub(m.heard) > SilentAfter
 }
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -30,12 +30,16 @@
 	heard  time.Time
 }
 
+func (m *member) mark() mark { return mark{m.digest.Life, m.digest.Number, m.heard} }
+
 // domain is another failure domain as its first instance last told.
 type domain struct {
 	summary Summary
 	heard   time.Time
 }
 
+func (d *domain) mark() mark { return mark{d.summary.Life, d.summary.Number, d.heard} }
+
 // registered is an address under which an instance registered.
 type registered struct {
 	domain string
@@ -71,7 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old, known := f.members[d.Name]
-	if known && !newer(d.Life, old.digest.Life, d.Number, old.digest.Number) {
+	if known && !old.mark().replacedBy(d.Life, d.Number, now) {
 		return false
 	}
 	f.members[d.Name] = &member{d, now}
@@ -89,7 +93,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old, known := f.domains[s.Domain]
-	if known && old.summary.From == s.From && !newer(s.Life, old.summary.Life, s.Number, old.summary.Number) {
+	if known && old.summary.From == s.From && !old.mark().replacedBy(s.Life, s.Number, now) {
 		return false
 	}
 	f.domains[s.Domain] = &domain{s, now}
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -37,6 +37,13 @@
 			So(heard, ShouldBeTrue)
 			So(holder.Fence, ShouldEqual, 3)
 		})
+		Convey("a start whose time of day is earlier replaces one that fell silent", func() {
+			f.Take(now, Digest{Name: "b", Domain: "x", Life: 0, Number: 1, Config: 9})
+			So(f.Live(now)[0].Config, ShouldEqual, 0)
+			now = now.Add(2 * SilentAfter)
+			f.Take(now, Digest{Name: "b", Domain: "x", Life: 0, Number: 1, Config: 9})
+			So(f.Live(now)[0].Config, ShouldEqual, 9)
+		})
 		Convey("a holder that is silent is not heard of, one with a lower fence does not replace it", func() {
 			now = now.Add(2 * SilentAfter)
 			f.Take(now, Digest{Name: "d", Domain: "x", Life: 1, Number: 1, Holder: &Holder{Fence: 2}})
@@ -93,6 +100,9 @@
 		})
 		So(err, ShouldBeNil)
 		defer closeB()
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go b.Run(ctx, func() Digest { return Digest{Name: "b", Domain: "x"} })
 		got, err := a.Ask(t.Context(), b.calls.Addr().String(), Question{Adapter: &AdapterQuestion{Model: "m"}})
 		So(err, ShouldBeNil)
 		So(got.Endpoints, ShouldResemble, []string{"e1"})
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -95,16 +95,16 @@
 	}
 	l := &Link{log: logger, address: address, fleet: fleet, now: now, packets: packets, calls: calls, handler: handler}
 	go l.receive()
-	go l.serve()
 	return l, func() {
 		_ = packets.Close()
 		_ = calls.Close()
 	}, nil
 }
 
-// Run tells the digest to the domain, and the domain's summary to the others if
+// Run answers questions, and tells the digest to the domain, and the domain's summary to the others if
 // this instance is its first, until ctx ends.
 func (l *Link) Run(ctx context.Context, digest func() Digest) {
+	go l.serve()
 	ticker := time.NewTicker(digestPeriod)
 	defer ticker.Stop()
 	for {
