Models and adapters that are not listed are refused before anything keeps them

Cause, by reading: a caller's X-Model went into the demand that digests carry and into the holder's table of adapters, so that made-up names could fill both until digests are too long to send. Ruled out: nothing.

--- a/lib/pkg/rlbsite/config.go
+++ b/lib/pkg/rlbsite/config.go
@@ -73,7 +73,7 @@
 type Model struct {
 	Name          string
 	Memory        rlbunit.Bytes
-	Adapters      int
+	Adapters      []string
 	AdapterMemory rlbunit.Bytes
 	FromStore     time.Duration // load from the weight store
 	FromDisk      time.Duration // load from the endpoint's disk
@@ -107,6 +107,16 @@
 	IdleWait    time.Duration
 }
 
+// Lists reports whether the service lists a model and, unless it is empty, an
+// adapter of it.
+func (s *Service) Lists(model, adapter string) bool {
+	if s.Engine == nil {
+		return false
+	}
+	m, listed := s.Engine.Models[model]
+	return listed && (adapter == "" || slices.Contains(m.Adapters, adapter))
+}
+
 // Config is one version of what an operator has published. It is never changed.
 type Config struct {
 	Version  uint64
--- a/rlb-node/pkg/rlbduty/desk_test.go
+++ b/rlb-node/pkg/rlbduty/desk_test.go
@@ -15,7 +15,7 @@
 	e := &rlbsite.Engine{Slots: 4, Memory: 200 * gigabyte, AdapterSlots: 2, LoadsPerSecond: 1, Models: map[string]rlbsite.Model{}}
 	for _, name := range []string{"m", "n", "o"} {
 		e.Models[name] = rlbsite.Model{
-			Name: name, Memory: 72 * gigabyte, Adapters: 4, AdapterMemory: gigabyte / 10,
+			Name: name, Memory: 72 * gigabyte, Adapters: []string{"a1", "a2", "a3", "a4"}, AdapterMemory: gigabyte / 10,
 			FromStore: 8 * time.Second, FromDisk: 2 * time.Second, FromMemory: time.Second,
 		}
 	}
--- a/rlb-node/pkg/rlbfront/front_test.go
+++ b/rlb-node/pkg/rlbfront/front_test.go
@@ -227,6 +227,13 @@
 			So(r.send(http.MethodPost, "/talk/x", "b", map[string]string{"X-Model": "absent"}).status, ShouldEqual, http.StatusServiceUnavailable)
 			shouldRun(first, 0)
 		})
+		Convey("models and adapters that are not listed are refused, and leave no trace in what others are told", func() {
+			for _, name := range []string{"absent", "m/a9"} {
+				got := r.send(http.MethodPost, "/talk/x", "b", map[string]string{"X-Model": name})
+				So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			}
+			So(r.server.Demand().Read(), ShouldBeEmpty)
+		})
 		Convey("an adapter that nobody can provide is refused as not run", func() {
 			got := r.send(http.MethodPost, "/talk/x", "b", map[string]string{"X-Model": "m/a2"})
 			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
--- a/rlb-node/pkg/rlbfront/refusal.go
+++ b/rlb-node/pkg/rlbfront/refusal.go
@@ -37,6 +37,7 @@
 	refuseNoRoute    = &refusal{http.StatusNotFound, 0, "no route for this host and path"}
 	refuseLongBody   = &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
 	refuseBrokenBody = &refusal{http.StatusBadRequest, 0, "body ended before its length"}
+	refuseNotListed  = &refusal{http.StatusServiceUnavailable, later, "the model or adapter is not listed"}
 	refuseNoEndpoint = &refusal{http.StatusServiceUnavailable, later, "no endpoint can run it now"}
 	refuseBusy       = &refusal{http.StatusServiceUnavailable, later, "all endpoints of the model are busy"}
 	refuseRetries    = &refusal{http.StatusServiceUnavailable, later, "endpoints are full"}
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -66,6 +66,9 @@
 		x.deadline = x.arrived.Add(left)
 	}
 	x.model, x.adapter, _ = strings.Cut(r.Header.Get(rlbplatform.HeaderModel), "/")
+	if service := x.snapshot.Config.Services[x.service]; x.model != "" && !service.Lists(x.model, x.adapter) {
+		return x, refuseNotListed
+	}
 	x.tokens = rlbplatform.PromptTokens(r.Header)
 	x.lastID = r.Header.Get(rlbplatform.HeaderLastEvent)
 	x.print = fingerprint(r, x.body)
