Configs are told compressed, by any instance that has them, or read after a second

Ruled out: the store (the scout had each version within 0.4 s). Change: the config goes compressed; who is behind asks any of those ahead; one that stays at a version for 1 s reads it from the store. Test: TestView, 'is told'.

--- a/rlb-node/pkg/rlbapp/behind.go
+++ b/rlb-node/pkg/rlbapp/behind.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -17,7 +19,8 @@
 	gatherPeriod = 250 * time.Millisecond // of changes of entries
 	nudgeSweeps  = 3                      // in a row in which another domain must know more before a list is read
 	triers       = 3                      // instances of a domain that call an object API that does not answer
-	askTimeout   = 500 * time.Millisecond
+	askTimeout   = time.Second
+	fetchAfter   = time.Second // of a config being behind, after which the object API is asked
 	peerConfig   = "another instance"
 )
 
@@ -26,7 +29,9 @@
 	app       *app
 	config    *rlbview.Watcher
 	endpoints *rlbview.Watcher
-	sweeps    int // in a row in which others knew more than this scout
+	sweeps    int       // in a row in which others knew more than this scout
+	behind    time.Time // since when others have a newer config and this one has stuckAt; zero: they have not
+	stuckAt   uint64
 	asking    chan struct{}
 }
 
@@ -90,12 +95,11 @@
 			all = append(all, source{s.From, s.Address, s.Config, s.Entries})
 		}
 	}
-	for _, s := range all {
-		if s.config > config || s.entries > entries {
-			return s, true
-		}
+	all = slices.DeleteFunc(all, func(s source) bool { return s.config <= config && s.entries <= entries })
+	if len(all) == 0 {
+		return source{}, false
 	}
-	return source{}, false
+	return all[rand.IntN(len(all))], true // not all of a domain ask the same one
 }
 
 // sweep learns from others what they know more. A scout that the object API
@@ -105,8 +109,12 @@
 	from, found := c.ahead(scout)
 	if !found {
 		c.sweeps = 0
+		c.behind = time.Time{}
 		return
 	}
+	if !scout && c.overdue(from) {
+		go c.fetch(ctx)
+	}
 	if scout && !c.lost() && c.app.configVersion() > 0 {
 		if c.sweeps++; c.sweeps%nudgeSweeps == 0 {
 			c.config.Nudge()
@@ -124,6 +132,21 @@
 	}
 }
 
+// overdue reports whether the config has been behind for so long that it is read
+// from the object API, once each such span.
+func (c *catcher) overdue(from source) bool {
+	now, version := rlbclock.Now(), c.app.configVersion()
+	if from.config <= version || version != c.stuckAt || c.behind.IsZero() {
+		c.behind, c.stuckAt = now, version
+		return false
+	}
+	if now.Sub(c.behind) < fetchAfter {
+		return false
+	}
+	c.behind = now
+	return true
+}
+
 // learn asks another instance for what it knows more.
 func (c *catcher) learn(ctx context.Context, from source) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -136,7 +159,7 @@
 		return
 	}
 	if len(answer.Config) > 0 {
-		a.view.TakeConfig(answer.Config, peerConfig)
+		c.takeConfig(answer.Config, from)
 	}
 	var objects, lapsed []rlbobject.Object
 	for _, e := range answer.Entries {
@@ -152,6 +175,27 @@
 	a.Log.WithFields(log.Fields{"peer": from.name, "entries": len(answer.Entries), "revision": uint64(a.view.Revision())}).Debug("learnt from another instance")
 }
 
+func (c *catcher) takeConfig(compressed []byte, from source) {
+	value, err := rlbview.Expand(compressed)
+	if err != nil {
+		c.app.Log.WithError(err).WithField("peer", from.name).Warn("config of another instance cannot be read")
+		return
+	}
+	c.app.view.TakeConfig(value, peerConfig)
+}
+
+// fetch reads the config from the object API: the others do not tell it in time.
+func (c *catcher) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	got, err := c.app.api.Get(ctx, rlbobject.Key{Kind: rlbplatform.KindConfig, Name: rlbplatform.ConfigName})
+	if err != nil {
+		c.app.Log.WithError(err).Warn("config cannot be read")
+		return
+	}
+	c.app.view.TakeConfig(got.Value, "object API")
+}
+
 // known answers another instance's question for what it does not know.
 func (a *app) known(q rlbpeer.KnownQuestion) rlbpeer.Answer {
 	known := a.view.Known(q.Config, rlbobject.Version(q.Entries))
--- a/rlb-node/pkg/rlbview/view.go
+++ b/rlb-node/pkg/rlbview/view.go
@@ -40,7 +40,7 @@
 
 	mu        sync.Mutex
 	config    *rlbsite.Config
-	rawConfig []byte
+	rawConfig []byte // compressed, as other instances get it
 	entries   map[string]*entry
 	revision  rlbobject.Version // newest of the entries and of removals
 	removed   []removal         // the latest ones
@@ -94,7 +94,7 @@
 	if v.config != nil && decoded.Version <= v.config.Version {
 		return
 	}
-	v.config, v.rawConfig = decoded, value
+	v.config, v.rawConfig = decoded, compress(value)
 	v.publish()
 	v.log.WithFields(log.Fields{"version": decoded.Version, "routes": decoded.Routes(), "source": source}).Info("config in force")
 }
@@ -222,7 +222,7 @@
 
 // Known is what a view was made from, as it stands in the object API.
 type Known struct {
-	Config  []byte // empty: not newer
+	Config  []byte // compressed, see Expand; empty: not newer
 	Entries []rlbobject.Object
 	Lapsed  []rlbobject.Object // removed in an outage: they may come back
 }
--- a/rlb-node/pkg/rlbview/view_test.go
+++ b/rlb-node/pkg/rlbview/view_test.go
@@ -64,6 +64,16 @@
 			v.TakeConfig([]byte("12"), "test")
 			So(known(), ShouldEqual, "12 true true")
 		})
+		Convey("another instance is told what it does not know, the config compressed", func() {
+			known := v.Known(6, 1)
+			value, err := Expand(known.Config)
+			So(err, ShouldBeNil)
+			So(string(value), ShouldEqual, "7")
+			So(known.Entries, ShouldHaveLength, 1)
+			So(v.Known(7, 2).Config, ShouldBeEmpty)
+			_, err = Expand([]byte("no stream"))
+			So(err, ShouldNotBeNil)
+		})
 		Convey("an older entry changes nothing", func() {
 			v.Change([]rlbobject.Object{{Name: "a", Version: 5, Value: []byte(`"leaving"`)}, ready("a", 4)}, false)
 			So(v.Snapshot().ByID["a"].Leaving, ShouldBeTrue)
