One cost of an endpoint for both who choose; plan options by name; stand-in in the project's words

Cause, by reading: the weights of distance and of requests in progress stood twice; a line of nine options could not be read; a busy engine's models could be moved away. After: tests and lint green.

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -198,6 +198,16 @@
 	}
 }
 
+// Cost returns what speaks against an endpoint with this load, as a wait: the
+// expected wait itself, what one more request costs those that run, and distance.
+func (l Load) Cost(slots int, engine, near bool) time.Duration {
+	cost := l.Wait(slots, engine) + l.crowding() + time.Duration(l.InFlight)*perRequest
+	if !near {
+		cost += otherDomain
+	}
+	return cost
+}
+
 // Wanted describes the endpoint that a request needs.
 type Wanted struct {
 	Domain string                       // of this instance
@@ -227,18 +237,10 @@
 		r := t.row(e)
 		load := r.load().Plus(w.Others(e.ID))
 		c := Choice{Endpoint: e, Wait: load.Wait(e.Slots, w.Model != ""), Paused: now.Before(r.paused) || now.Before(r.closed[w.Model])}
-		cost := w.cost(c, load)
+		cost := load.Cost(e.Slots, w.Model != "", e.Domain == w.Domain) + rand.N(tie)
 		if best.Endpoint == nil || best.Paused && !c.Paused || best.Paused == c.Paused && cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
 	return best
 }
-
-func (w Wanted) cost(c Choice, load Load) time.Duration {
-	cost := c.Wait + load.crowding() + time.Duration(load.InFlight)*perRequest + rand.N(tie)
-	if c.Endpoint.Domain != w.Domain {
-		cost += otherDomain
-	}
-	return cost
-}
--- a/lib/pkg/rlbplace/room.go
+++ b/lib/pkg/rlbplace/room.go
@@ -113,7 +113,7 @@
 // can be unloaded later to make room.
 func (p *planner) moveAway(m rlbnote.Model) {
 	for _, e := range p.engines {
-		if !couldHold(e, m) {
+		if e.Frozen || !couldHold(e, m) {
 			continue
 		}
 		for _, r := range e.Residents {
--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -116,10 +116,8 @@
 
 // Weights of an option, as waits for the answer to begin.
 const (
-	otherDomain = 100 * time.Millisecond
-	noSlot      = 50 * time.Millisecond // another adapter must go first
-	slotInUse   = 2 * time.Second       // one that may be in use
-	perRequest  = 4 * time.Millisecond  // by which each request in progress slows the others
+	noSlot    = 50 * time.Millisecond // another adapter must go first
+	slotInUse = 2 * time.Second       // one that may be in use
 )
 
 // options returns the endpoints that hold the model, the best first.
@@ -131,11 +129,7 @@
 		if entry == nil || entry.Leaving || slices.Contains(q.Avoid, entry.ID) {
 			continue
 		}
-		load := d.Load(entry.ID)
-		o := option{desk: at, cost: load.Wait(entry.Slots, true) + time.Duration(load.InFlight)*perRequest}
-		if entry.Domain != q.Domain {
-			o.cost += otherDomain
-		}
+		o := option{desk: at, cost: d.Load(entry.ID).Cost(entry.Slots, true, entry.Domain == q.Domain)}
 		at.mu.Lock()
 		known := d.refresh(ctx, at) && at.holds(q.Model) && !at.busy()
 		if known {
--- a/rlb-node/pkg/rlbduty/plan.go
+++ b/rlb-node/pkg/rlbduty/plan.go
@@ -38,16 +38,26 @@
 		}
 		desks := d.all(snapshot, name)
 		input := d.input(ctx, snapshot, service.Engine, desks, demand)
-		opts := rlbplace.Opts{
-			MoveWeight: moveWeight, Slots: min(goodLoad, float64(service.Engine.Slots)), Replicas: replicas, Growth: growth, Searches: searches, Spares: spares, BusyWeight: busyWeight, FarWeight: farWeight,
-			LoadsAtOnce: int(math.Ceil(service.Engine.LoadsPerSecond * secondsFull)),
-		}
-		for _, proposal := range rlbplace.Plan(input, opts) {
+		for _, proposal := range rlbplace.Plan(input, planOpts(service.Engine)) {
 			d.carryOut(ctx, desks, service.Engine, proposal)
 		}
 	}
 }
 
+func planOpts(engine *rlbsite.Engine) rlbplace.Opts {
+	return rlbplace.Opts{
+		MoveWeight:  moveWeight,
+		BusyWeight:  busyWeight,
+		FarWeight:   farWeight,
+		Slots:       min(goodLoad, float64(engine.Slots)),
+		Replicas:    replicas,
+		Growth:      growth,
+		Searches:    searches,
+		Spares:      spares,
+		LoadsAtOnce: int(math.Ceil(engine.LoadsPerSecond * secondsFull)),
+	}
+}
+
 // demand sums what all instances' callers want.
 func (d *Duty) demand() map[string]float64 {
 	sum := d.Fleet.Demand(d.now())
--- a/rlb-node/pkg/rlbfront/rig_test.go
+++ b/rlb-node/pkg/rlbfront/rig_test.go
@@ -89,7 +89,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { replica.ServeHTTP(w, q) }))
 	t.Cleanup(server.Close)
 	replica = rlbfakesite.NewReplica(rlbfakesite.ReplicaOpts{
-		ID: id, Service: service, Zone: domain, Slots: 4, Adapters: 2, Holds: []string{"m"},
+		ID: id, Service: service, Domain: domain, Slots: 4, Adapters: 2, Holds: []string{"m"},
 		Address: strings.TrimPrefix(server.URL, "http://"),
 	})
 	r.replicas[id] = replica
--- a/rlb-standin/pkg/rlbapp/app.go
+++ b/rlb-standin/pkg/rlbapp/app.go
@@ -125,7 +125,7 @@
 		return fmt.Errorf("[standin] listen: %w", err)
 	}
 	site, cleanUp, err := rlbfakesite.NewSite(rlbfakesite.SiteOpts{
-		Host: address.Addr().String(), Port: int(address.Port()), Zones: siteDomains, Step: s.Duration(rlbsettings.StandinStep),
+		Host: address.Addr().String(), Port: int(address.Port()), Domains: siteDomains, Step: s.Duration(rlbsettings.StandinStep),
 	})
 	defer cleanUp()
 	if err != nil {
--- a/rlb-standin/pkg/rlbfakesite/replica.go
+++ b/rlb-standin/pkg/rlbfakesite/replica.go
@@ -28,7 +28,7 @@
 	ID       string
 	Service  string
 	Address  string
-	Zone     string
+	Domain   string
 	Slots    int
 	MemoryMb float64
 	Adapters int // slots
@@ -70,7 +70,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return map[string]any{
-		"Service": r.opts.Service, "Address": r.opts.Address, "Zone": r.opts.Zone, "Version": "v1", "Slots": r.opts.Slots,
+		"Service": r.opts.Service, "Address": r.opts.Address, "Zone": r.opts.Domain, "Version": "v1", "Slots": r.opts.Slots,
 		"State": state, "ColdLeftMs": 0, "Seq": 1, "born": r.born, "Stage": "both", "Models": r.models(),
 	}
 }
--- a/rlb-standin/pkg/rlbfakesite/site.go
+++ b/rlb-standin/pkg/rlbfakesite/site.go
@@ -18,10 +18,10 @@
 
 // SiteOpts describe a site.
 type SiteOpts struct {
-	Host  string   // IP
-	Port  int      // of the store; the replicas use those after it
-	Zones []string // each has an engine and a plain replica
-	Step  time.Duration
+	Host    string   // IP
+	Port    int      // of the store; the replicas use those after it
+	Domains []string // failure domains; each has an engine and a plain replica
+	Step    time.Duration
 }
 
 // Names of the site's services, routes and models.
@@ -73,10 +73,10 @@
 	for _, m := range models {
 		specs[m.Name] = m
 	}
-	for n, zone := range opts.Zones {
+	for n, domain := range opts.Domains {
 		for k, service := range []string{llm, plain} {
 			r := NewReplica(ReplicaOpts{
-				ID: fmt.Sprintf("%s-%d", service, n+1), Service: service, Zone: zone, Slots: []int{engineSlots, plainSlots}[k],
+				ID: fmt.Sprintf("%s-%d", service, n+1), Service: service, Domain: domain, Slots: []int{engineSlots, plainSlots}[k],
 				MemoryMb: engineMb, Adapters: adapterSlots, Models: specs, Fencing: true, Step: opts.Step,
 				Address: net.JoinHostPort(opts.Host, strconv.Itoa(opts.Port+1+2*n+k)),
 			})
