A holder that shuts down during an outage goes on until somebody can take over

Ruled out: the rate of loads (four of eight used). Waiting for the requests of a model to end before its unload takes up to 4 s more and stays. Change: 'stopped' waits for the end of the outage.

--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -130,7 +130,12 @@
 // Leave gives the lease up: the instance is shutting down.
 func (d *Duty) Leave() { d.leaving.Store(true) }
 
-func (d *Duty) stopped() bool { return d.leaving.Load() }
+// stopped reports whether this instance gives no orders any more because it shuts
+// down. While nobody can take the lease over it goes on.
+func (d *Duty) stopped() bool {
+	_, alone := d.outage.held()
+	return d.leaving.Load() && !alone
+}
 
 // Fence returns the fence under which orders may be given, or 0.
 func (d *Duty) Fence() uint64 {
@@ -190,7 +195,7 @@
 // the first ones.
 func (d *Duty) contends() bool {
 	now := d.now()
-	if d.stopped() || d.View.Snapshot().Config == nil || now.UnixNano() < d.backOff.Load() {
+	if d.leaving.Load() || d.View.Snapshot().Config == nil || now.UnixNano() < d.backOff.Load() {
 		return false
 	}
 	if _, held := d.held(); held {
--- a/rlb-node/pkg/rlbduty/duty_test.go
+++ b/rlb-node/pkg/rlbduty/duty_test.go
@@ -239,7 +239,7 @@
 		ids, _ := d.Find(context.Background(), "s", "m", adapter, nil)
 		return len(ids) > 0
 	}
-	run := func(t *testing.T, everybody bool) (during, after bool) {
+	run := func(t *testing.T, everybody, leaves bool) (during, after bool) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, "e1")
 			d := f.start(t.Context(), "a")
@@ -247,6 +247,9 @@
 			f.api.SetDown(true)
 			f.away.Store(everybody)
 			time.Sleep(6 * time.Second)
+			if leaves {
+				d.Leave()
+			}
 			during = find(d, "a1")
 			f.api.SetDown(false)
 			f.away.Store(false)
@@ -256,12 +259,17 @@
 		return during, after
 	}
 	t.Run("orders go on while the object API answers nobody, and under the lease after it", func(t *testing.T) {
-		if during, after := run(t, true); !during || !after {
+		if during, after := run(t, true, false); !during || !after {
+			t.Errorf("orders during and after: %t, %t", during, after)
+		}
+	})
+	t.Run("a holder that shuts down goes on until somebody can take over", func(t *testing.T) {
+		if during, after := run(t, true, true); !during || after {
 			t.Errorf("orders during and after: %t, %t", during, after)
 		}
 	})
 	t.Run("a holder that it does not answer stops while it answers others", func(t *testing.T) {
-		if during, _ := run(t, false); during {
+		if during, _ := run(t, false, false); during {
 			t.Error("an order was given without the lease")
 		}
 	})
