A failure domain counts as lost only if the object API answers none of it

Cause, by reading: a domain's summary said lost if any member was refused, also while another member there was answered. With one refused instance in each domain a holder would have gone on without the lease although others could take it over, until it heard of the next holder. Change: instances tell whether the store answers them; one that it answers speaks for its domain. Test: TestFleet, 'a domain is lost only if', red before (false expected, true got).

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -206,7 +206,7 @@
 	a.number++
 	d := rlbpeer.Digest{
 		Name: a.name, Domain: a.domain, Address: a.address, Life: a.life, Number: a.number,
-		Leaving: a.front.Leaving(), Lost: a.catcher.lost(), Config: a.configVersion(), Entries: uint64(a.view.Revision()),
+		Leaving: a.front.Leaving(), Lost: a.catcher.lost(), Answered: a.catcher.answered(), Config: a.configVersion(), Entries: uint64(a.view.Revision()),
 		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: a.front.Crashes(),
 	}
 	if fence := a.duty.Fence(); fence > 0 {
--- a/rlb-node/pkg/rlbapp/behind.go
+++ b/rlb-node/pkg/rlbapp/behind.go
@@ -51,14 +51,17 @@
 // lost reports whether the object API does not answer this instance.
 func (c *catcher) lost() bool { return c.config.Lost() || c.endpoints.Lost() }
 
-// away reports whether the object API answers no instance that is known: neither
-// the one of this domain that watches, nor those of the others.
+// answered reports whether the object API answers this instance.
+func (c *catcher) answered() bool { return c.config.Answers() || c.endpoints.Answers() }
+
+// away reports whether the object API answers no instance that is known: some call
+// it in each domain, and it answers none of them.
 func (c *catcher) away() bool {
 	now := rlbclock.Now()
-	lost := c.lost()
-	for _, d := range c.app.fleet.Live(now) {
-		lost = lost || d.Lost
+	if c.answered() || c.app.fleet.Answered(now) {
+		return false
 	}
+	lost := c.lost() || slices.ContainsFunc(c.app.fleet.Live(now), func(d rlbpeer.Digest) bool { return d.Lost })
 	return lost && c.app.fleet.AllLost(now)
 }
 
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -14,19 +14,20 @@
 
 // Digest is what an instance tells of itself.
 type Digest struct {
-	Name    string             `msgpack:"n"`
-	Domain  string             `msgpack:"d"`
-	Address string             `msgpack:"a"` // IP:port, for digests and for questions
-	Life    int64              `msgpack:"l"` // rises with each start of the instance
-	Number  uint64             `msgpack:"s"` // rises within a life
-	Leaving bool               `msgpack:"x,omitempty"`
-	Lost    bool               `msgpack:"o,omitempty"` // the object API does not answer this instance
-	Config  uint64             `msgpack:"c,omitempty"` // version in force
-	Entries uint64             `msgpack:"e,omitempty"` // newest revision of an endpoint's entry
-	Holder  *Holder            `msgpack:"h,omitempty"` // set by the holder of the lease for orders
-	Loads   map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see Key
-	Demand  map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
-	Crashes map[uint64]uint8   `msgpack:"k,omitempty"` // endpoints lost while they ran a request, by its fingerprint
+	Name     string             `msgpack:"n"`
+	Domain   string             `msgpack:"d"`
+	Address  string             `msgpack:"a"` // IP:port, for digests and for questions
+	Life     int64              `msgpack:"l"` // rises with each start of the instance
+	Number   uint64             `msgpack:"s"` // rises within a life
+	Leaving  bool               `msgpack:"x,omitempty"`
+	Lost     bool               `msgpack:"o,omitempty"` // the object API does not answer this instance
+	Answered bool               `msgpack:"w,omitempty"` // the object API answered its latest call
+	Config   uint64             `msgpack:"c,omitempty"` // version in force
+	Entries  uint64             `msgpack:"e,omitempty"` // newest revision of an endpoint's entry
+	Holder   *Holder            `msgpack:"h,omitempty"` // set by the holder of the lease for orders
+	Loads    map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see Key
+	Demand   map[string]float32 `msgpack:"m,omitempty"` // requests in progress or refused, by model
+	Crashes  map[uint64]uint8   `msgpack:"k,omitempty"` // endpoints lost while they ran a request, by its fingerprint
 }
 
 // Holder is what the holder of the lease for orders tells of itself.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -197,6 +197,11 @@
 	return true
 }
 
+// Answered reports whether the object API answers another instance of the domain.
+func (f *Fleet) Answered(now time.Time) bool {
+	return slices.ContainsFunc(f.Live(now), func(d Digest) bool { return d.Answered })
+}
+
 // First reports whether this instance is the first live one of its domain among
 // those that fit.
 func (f *Fleet) First(now time.Time, fits func(Digest) bool) bool {
@@ -304,9 +309,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	answered := false
 	for _, d := range append(f.live(now), own) {
 		s.Members++
-		s.Lost = s.Lost || d.Lost
+		s.Lost, answered = s.Lost || d.Lost, answered || d.Answered
 		s.Config, s.Entries = max(s.Config, d.Config), max(s.Entries, d.Entries)
 		if d.Holder != nil && (s.Holder == nil || d.Holder.Fence > s.Holder.Fence) {
 			s.Holder = d.Holder
@@ -321,6 +327,7 @@
 			s.Crashes[print] += n
 		}
 	}
+	s.Lost = s.Lost && !answered
 	return s
 }
 
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -75,6 +75,14 @@
 			So(s.Loads[Key("e")], ShouldResemble, Load{InFlight: 3, Unread: 100})
 			So(s.Demand["m"], ShouldEqual, 5)
 		})
+		Convey("a domain is lost only if the object API answers none of it", func() {
+			own := Digest{Name: "a", Domain: "x", Lost: true}
+			So(f.Summarize(now, own).Lost, ShouldBeTrue)
+			So(f.Answered(now), ShouldBeFalse)
+			f.Take(now, Digest{Name: "b", Domain: "x", Life: 1, Number: 6, Answered: true})
+			So(f.Summarize(now, own).Lost, ShouldBeFalse)
+			So(f.Answered(now), ShouldBeTrue)
+		})
 		Convey("the loads that the latest holder told of are remembered", func() {
 			h := &Holder{Name: "b", Fence: 3}
 			h.SetBegun(now, []time.Time{now.Add(-time.Second)})
--- a/rlb-node/pkg/rlbview/watcher.go
+++ b/rlb-node/pkg/rlbview/watcher.go
@@ -51,6 +51,7 @@
 	answered time.Time                          // latest answer
 	regained time.Time                          // end of the latest outage
 	lost     atomic.Bool                        // the latest call failed
+	answers  atomic.Bool                        // it was answered
 }
 
 // Run follows the kind until ctx ends.
@@ -73,6 +74,7 @@
 func (w *Watcher) rest(ctx context.Context) {
 	w.revision = 0
 	w.lost.Store(false)
+	w.answers.Store(false)
 	rlbcommon.Sleep(ctx, idlePause)
 	w.answered = w.Now()
 }
@@ -136,15 +138,20 @@
 		w.Log.WithField("kind", w.Kind).Info("object API answers again")
 	}
 	w.answered, w.failures = now, 0
+	w.answers.Store(true)
 	return !w.regained.IsZero() && now.Sub(w.regained) < catchUp
 }
 
 func (w *Watcher) failed(err error) {
+	w.answers.Store(false)
 	if !w.lost.Swap(true) {
 		w.Log.WithError(err).WithField("kind", w.Kind).Warn("object API lost")
 	}
 }
 
+// Answers reports whether the latest call was answered.
+func (w *Watcher) Answers() bool { return w.answers.Load() }
+
 // Lost reports whether the latest call failed.
 func (w *Watcher) Lost() bool { return w.lost.Load() }
 
