Fault soak: nodes as processes, harmed from outside, judged by callers and endpoints

Change: rlb-load soak runs rlb-node as processes on loopback behind proxies (links to the store, to endpoints and between instances can be delayed, cut one way, reset, silenced), sends signals, restarts, publishes configs, and judges 14 promises by what callers got and endpoints ran. The site's stand-in records runs and orders and can restart; nodes can advertise another address than they listen on, which the proxies need. Ruled out: a finding on the first play (memory) was the soak's own: its config listed 8 adapter slots for endpoints of 3.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -54,6 +54,7 @@
 	NodeCallers   = &Key{"node", "callers", TypeAddress, "127.0.0.1:7000", "", "", "Address for callers.", ForNode}
 	NodeReady     = &Key{"node", "readiness", TypeAddress, "127.0.0.1:7001", "", "", "Address on which the balancer asks whether the instance takes requests.", ForNode}
 	NodeInternal  = &Key{"node", "internal", TypeText, "127.0.0.1", "", "", "IP address for the other instances.", ForNode}
+	NodeAdvertise = &Key{"node", "advertise", TypeText, "", "", "", "Address at which the other instances reach this one; empty: internal and the first of internal_ports.", ForNode}
 	NodePorts     = &Key{"node", "internal_ports", TypeList, "7380,7395", "", "", "First and last port for the other instances and for metrics.", ForNode}
 	NodeRatio     = &Key{"node", "retry_ratio", TypeRatio, "0.2", "0", "10", "Repeats that all instances together may send, for each request.", ForNode}
 	NodeAllowance = &Key{"node", "retry_allowance", TypeRatio, "50", "0", "1000000", "Repeats besides, in each retry_window.", ForNode}
@@ -97,7 +98,7 @@
 	GatewayMaxInFlight, GatewayEndpointLoad, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerMargin,
 	ControllerLoadRate, ControllerLoadSlots, ControllerMoves, ControllerReplicas, ControllerWatchers, ControllerRetention, ControllerCommit, ControllerShards,
-	NodeCallers, NodeReady, NodeInternal, NodePorts, NodeRatio, NodeAllowance, NodeWindow, NodeGrace, NodeLease, NodeLoadOver, NodeFencing,
+	NodeCallers, NodeReady, NodeInternal, NodeAdvertise, NodePorts, NodeRatio, NodeAllowance, NodeWindow, NodeGrace, NodeLease, NodeLoadOver, NodeFencing,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefill, StandinStep, StandinStepSlot,
 	StandinPrefixes, StandinInstances, StandinLag, StandinLoadRate, StandinLoadTime, StandinLoadSlots, StandinModelBytes, StandinRecord,
--- a/rlb-load/pkg/rlbcommand/command.go
+++ b/rlb-load/pkg/rlbcommand/command.go
@@ -12,7 +12,7 @@
 // New returns the command line.
 func New() *cobra.Command {
 	root := &cobra.Command{Use: "rlb-load", Short: "Drives gateways with load and measures what control costs", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(capacityCommand(), faultsCommand(), costCommand(), watchCommand(), runCommand(), compareCommand())
+	root.AddCommand(capacityCommand(), faultsCommand(), costCommand(), watchCommand(), runCommand(), compareCommand(), soakCommand())
 	return root
 }
 
--- /dev/null
+++ b/rlb-load/pkg/rlbsoak/proxy_test.go
@@ -0,0 +1,96 @@
+package rlbsoak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// newEcho returns a proxy before a server that sends back what it gets.
+func newEcho(t *testing.T) *proxy {
+	server, err := net.Listen("tcp4", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	p, closeProxy, err := newProxy("127.0.0.1:0", server.Addr().String(), false)
+	So(err, ShouldBeNil)
+	t.Cleanup(closeProxy)
+	return p
+}
+
+func dial(p *proxy) net.Conn {
+	conn, err := net.Dial("tcp4", p.listener.Addr().String())
+	So(err, ShouldBeNil)
+	return conn
+}
+
+// echo sends a byte; it returns what becomes of the answer within wait.
+func echo(conn net.Conn, wait time.Duration) error {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(wait))
+	_, err := conn.Read(make([]byte, 1))
+	return err
+}
+
+func shouldBeSilent(err error) { So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue) }
+
+// long is a wait that only a fault makes a test use up.
+const (
+	long  = 10 * time.Second
+	brief = 50 * time.Millisecond
+)
+
+func TestProxy(t *testing.T) {
+	Convey("Given a connection through a proxy", t, func() {
+		p := newEcho(t)
+		conn := dial(p)
+		defer func() { _ = conn.Close() }()
+		So(echo(conn, long), ShouldBeNil)
+		for name, h := range map[string]harm{"to": {noTo: true}, "from": {noFrom: true}, "both": {noTo: true, noFrom: true}} {
+			Convey("a cut, "+name+", holds bytes until it heals", func() {
+				p.harm(h)
+				shouldBeSilent(echo(conn, brief))
+				p.harm(harm{})
+				So(echo(conn, long), ShouldBeNil)
+			})
+		}
+		Convey("one that goes silent stays so, and new ones work", func() {
+			p.silence(1)
+			shouldBeSilent(echo(conn, brief))
+			other := dial(p)
+			defer func() { _ = other.Close() }()
+			So(echo(other, long), ShouldBeNil)
+		})
+		Convey("a reset is seen", func() {
+			p.reset(1)
+			_ = conn.SetReadDeadline(time.Now().Add(long))
+			_, err := conn.Read(make([]byte, 1))
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+		})
+		Convey("new connections are refused when told", func() {
+			p.harm(harm{refuse: true})
+			other, err := net.Dial("tcp4", p.listener.Addr().String())
+			if err == nil { // the reset may come while it connects
+				err = echo(other, long)
+			}
+			So(err, ShouldNotBeNil)
+			So(echo(conn, long), ShouldBeNil)
+		})
+	})
+}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -2,6 +2,7 @@
 package rlbapp
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -101,13 +102,13 @@
 
 func newApp(common *rlbcommon.Common) (*app, func(), error) {
 	settings := common.Settings
-	address, err := internalAddress(settings, 0)
+	listen, err := internalAddress(settings, 0)
 	if err != nil {
 		return nil, nil, err
 	}
 	a := &app{
 		Common: common, name: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
-		address: address, life: time.Now().UnixNano(),
+		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), life: time.Now().UnixNano(),
 		registry: metrics.NewRegistry(), loads: rlbpick.NewTable(),
 	}
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
@@ -119,7 +120,7 @@
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByte: endpointWait, Reused: endpointWait, NextByte: endpointWait, SweepEvery: sweepPeriod,
 	})
-	link, closeLink, err := rlbpeer.NewLink(a.Log, a.address, a.fleet, rlbclock.Now, a.answer)
+	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Now: rlbclock.Now, Handler: a.answer})
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
 	}
--- a/rlb-node/pkg/rlbapp/settings.go
+++ b/rlb-node/pkg/rlbapp/settings.go
@@ -76,7 +76,7 @@
 	var names []string
 	for _, key := range []*rlbsettings.Key{
 		rlbsettings.InstanceID, rlbsettings.InstanceDomain, rlbsettings.PlatformObjects, rlbsettings.NodeCallers,
-		rlbsettings.NodeReady, rlbsettings.NodeInternal, rlbsettings.NodePorts, rlbsettings.NodeLease, rlbsettings.NodeLoadOver,
+		rlbsettings.NodeReady, rlbsettings.NodeInternal, rlbsettings.NodeAdvertise, rlbsettings.NodePorts, rlbsettings.NodeLease, rlbsettings.NodeLoadOver,
 	} {
 		if settings.Text(key) != a.Settings.Text(key) {
 			names = append(names, key.Section+"."+key.Name)
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -99,13 +99,15 @@
 		quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 		heard := make(chan Question, 1)
 		here, there := NewFleet("a", "x"), NewFleet("b", "x")
-		a, closeA, err := NewLink(quiet, "127.0.0.1:0", here, time.Now, func(context.Context, Question) Answer { return Answer{} })
+		a, closeA, err := NewLink(LinkOpts{
+			Log: quiet, Listen: "127.0.0.1:0", Fleet: here, Now: time.Now, Handler: func(context.Context, Question) Answer { return Answer{} },
+		})
 		So(err, ShouldBeNil)
 		defer closeA()
-		b, closeB, err := NewLink(quiet, "127.0.0.1:0", there, time.Now, func(_ context.Context, q Question) Answer {
+		b, closeB, err := NewLink(LinkOpts{Log: quiet, Listen: "127.0.0.1:0", Fleet: there, Now: time.Now, Handler: func(_ context.Context, q Question) Answer {
 			heard <- q
 			return Answer{Endpoints: []string{"e1"}}
-		})
+		}})
 		So(err, ShouldBeNil)
 		defer closeB()
 		ctx, stop := context.WithCancel(t.Context())
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -67,6 +67,16 @@
 // Handler answers the questions of other instances.
 type Handler func(ctx context.Context, q Question) Answer
 
+// LinkOpts are what a link is made of.
+type LinkOpts struct {
+	Log     log.Interface
+	Listen  string // IP:port for datagrams and for connections
+	Address string // at which the others reach this instance
+	Fleet   *Fleet
+	Now     func() time.Time
+	Handler Handler
+}
+
 // Link carries digests and questions.
 type Link struct {
 	log     log.Interface
@@ -78,10 +88,10 @@
 	handler Handler
 }
 
-// NewLink listens on address (IP:port) for datagrams and for connections, and
-// returns the link with its clean-up function.
-func NewLink(logger log.Interface, address string, fleet *Fleet, now func() time.Time, handler Handler) (*Link, func(), error) {
-	at, err := net.ResolveUDPAddr("udp4", address)
+// NewLink listens for datagrams and for connections, and returns the link with
+// its clean-up function.
+func NewLink(opts LinkOpts) (*Link, func(), error) {
+	at, err := net.ResolveUDPAddr("udp4", opts.Listen)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -89,11 +99,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	calls, err := net.Listen("tcp4", address)
+	calls, err := net.Listen("tcp4", opts.Listen)
 	if err != nil {
 		return nil, nil, errors.Join(err, packets.Close())
 	}
-	l := &Link{log: logger, address: address, fleet: fleet, now: now, packets: packets, calls: calls, handler: handler}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, now: opts.Now, packets: packets, calls: calls, handler: opts.Handler}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -101,8 +111,8 @@
 	}, nil
 }
 
-// Run answers questions, and tells the digest to the domain, and the domain's summary to the others if
-// this instance is its first, until ctx ends.
+// Run answers questions, and tells the digest to the domain, and the domain's
+// summary to the others if this instance is its first, until ctx ends.
 func (l *Link) Run(ctx context.Context, digest func() Digest) {
 	go l.serve()
 	ticker := time.NewTicker(digestPeriod)
--- a/rlb-standin/pkg/rlbfakesite/replica.go
+++ b/rlb-standin/pkg/rlbfakesite/replica.go
@@ -36,6 +36,23 @@
 	Fencing  bool
 	Step     time.Duration // between two events of a stream
 	Holds    []string      // models at the start
+	Work     time.Duration // of a request that names no model
+}
+
+// Run is one run of a request.
+type Run struct {
+	ID      string
+	Began   time.Time
+	Ended   time.Time // zero: it goes on
+	Life    int       // of the replica
+	Dropped bool      // its replica crashed, or its sender left, before the end
+}
+
+// Command is an order that the replica accepted.
+type Command struct {
+	Holder string
+	Fence  uint64
+	Life   int
 }
 
 // Replica is one replica. Fault hooks are set before requests come.
@@ -52,13 +69,16 @@
 	busy     time.Time // until when an order is carried out
 	holds    map[string][]string
 	pending  func()
-	runs     []string // ids of requests that ran, in order
-	over     bool     // it was ordered to hold more than it can
+	runs     []Run     // in the order in which they began
+	commands []Command // likewise
+	over     bool      // it was ordered to hold more than it can
+	life     int
+	ended    chan struct{} // closed at the end of the life
 }
 
 // NewReplica returns a replica.
 func NewReplica(opts ReplicaOpts) *Replica {
-	r := &Replica{opts: opts, born: time.Now().UnixMilli(), holds: map[string][]string{}}
+	r := &Replica{opts: opts, born: time.Now().UnixMilli(), holds: map[string][]string{}, ended: make(chan struct{})}
 	for _, name := range opts.Holds {
 		r.holds[name] = []string{}
 	}
@@ -75,13 +95,50 @@
 	}
 }
 
+// Restart ends the replica's life and begins the next one: it holds nothing, and
+// what it ran is cut.
+func (r *Replica) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.ended)
+	r.ended = make(chan struct{})
+	r.life++
+	r.born = max(time.Now().UnixMilli(), r.born+1)
+	r.sequence, r.fence, r.pending, r.holds = 0, 0, nil, map[string][]string{}
+}
+
 // Runs returns the ids of the requests that ran.
 func (r *Replica) Runs() []string {
+	var ids []string
+	for _, run := range r.History() {
+		ids = append(ids, run.ID)
+	}
+	return ids
+}
+
+// History returns the runs so far.
+func (r *Replica) History() []Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.runs)
 }
 
+// Commands returns the orders that were accepted so far.
+func (r *Replica) Commands() []Command {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.commands)
+}
+
+// Holds reports whether the replica holds a model now.
+func (r *Replica) Holds(model string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	_, held := r.holds[model]
+	return held
+}
+
 // Overcommitted reports whether the replica was ordered to hold more than it can.
 func (r *Replica) Overcommitted() bool {
 	r.mu.Lock()
@@ -159,6 +216,7 @@
 		return
 	}
 	r.fence = max(r.fence, o.Fence)
+	r.commands = append(r.commands, Command{o.Holder, o.Fence, r.life})
 	w.WriteHeader(r.carryOut(o))
 }
 
@@ -219,19 +277,41 @@
 		w.WriteHeader(status)
 		return
 	}
-	r.mu.Lock()
-	r.runs = append(r.runs, id)
-	run := len(r.runs)
-	r.mu.Unlock()
+	run, ended := r.beginRun(id)
+	whole := false
+	defer func() { r.endRun(run, whole) }()
 	if r.Answer != nil && r.Answer(w, req, run) {
 		return
 	}
-	if req.Header.Get("X-Model") == "" {
-		w.Header().Set("X-Server-Stamp", r.opts.ID+".1")
-		_, _ = fmt.Fprintf(w, "%s %s %d", req.Method, req.URL.RequestURI(), len(body))
+	if req.Header.Get("X-Model") != "" {
+		whole = r.stream(w, req, 0, ended)
+		return
+	}
+	select {
+	case <-time.After(r.opts.Work):
+	case <-ended:
+		panic(http.ErrAbortHandler)
+	case <-req.Context().Done():
 		return
 	}
-	r.Stream(w, req, 0)
+	w.Header().Set("X-Server-Stamp", r.opts.ID+".1")
+	_, err = fmt.Fprintf(w, "%s %s %d", req.Method, req.URL.RequestURI(), len(body))
+	whole = err == nil
+}
+
+// beginRun records that a request begins to run; it returns the run's number,
+// from 1, and what ends with the replica's life.
+func (r *Replica) beginRun(id string) (int, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs = append(r.runs, Run{ID: id, Began: time.Now(), Life: r.life})
+	return len(r.runs), r.ended
+}
+
+func (r *Replica) endRun(run int, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[run-1].Ended, r.runs[run-1].Dropped = time.Now(), !whole
 }
 
 func (r *Replica) admit(req *http.Request) int {
@@ -252,6 +332,12 @@
 // Stream sends the events of a request, from the one after Last-Event-Id; it
 // stops before the event stop (0: none), without ending the stream.
 func (r *Replica) Stream(w http.ResponseWriter, req *http.Request, stop int) {
+	r.stream(w, req, stop, nil)
+}
+
+// stream is Stream until the replica's life has ended; it reports whether the last
+// event was sent.
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, stop int, ended <-chan struct{}) bool {
 	_, out, _ := strings.Cut(req.Header.Get("X-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(out)
 	first := 0
@@ -266,10 +352,13 @@
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s token %d\n\n", n, req.Header.Get("X-Request-Id"), n); err != nil || control.Flush() != nil {
-			return
+			return false
 		}
-		if r.opts.Step > 0 {
-			time.Sleep(r.opts.Step)
+		select {
+		case <-ended:
+			panic(http.ErrAbortHandler)
+		case <-time.After(r.opts.Step):
 		}
 	}
+	return true
 }
--- a/rlb-standin/pkg/rlbfakesite/site.go
+++ b/rlb-standin/pkg/rlbfakesite/site.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -68,7 +69,7 @@
 	if _, err := serve(opts.Port, s.Store); err != nil {
 		return nil, cleanUp, err
 	}
-	s.Store.Set("config", "main", siteConfig())
+	s.Store.Set("config", "main", Config(ConfigOpts{Version: 1, MemoryMb: engineMb, AdapterSlots: adapterSlots}))
 	specs := map[string]Spec{}
 	for _, m := range models {
 		specs[m.Name] = m
@@ -102,20 +103,32 @@
 	}
 }
 
-func siteConfig() map[string]any {
+// ConfigOpts describe a version of the site's config.
+type ConfigOpts struct {
+	Version      uint64
+	MemoryMb     float64 // of an engine
+	AdapterSlots int
+	More         []string // path prefixes of further routes of the plain service, which may be repeated
+}
+
+// Config returns a version of the site's config.
+func Config(opts ConfigOpts) map[string]any {
+	routes := []map[string]any{
+		{"Name": "draft", "Host": siteHost, "PathPrefix": draftPath, "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 600,
+			"Priority": 0, "Service": llm, "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300},
+		{"Name": "assign", "Host": siteHost, "PathPrefix": "/assign/", "Kind": "unsafe", "TimeoutMs": 800, "TargetLatencyMs": 150,
+			"Priority": 1, "Service": plain, "MaxAttempts": 1},
+	}
+	for _, path := range append([]string{"/lookup/"}, opts.More...) {
+		routes = append(routes, map[string]any{"Name": strings.Trim(path, "/"), "Host": siteHost, "PathPrefix": path, "Kind": "safe", "TimeoutMs": 800,
+			"TargetLatencyMs": 150, "Priority": 1, "Service": plain, "MaxAttempts": 2})
+	}
 	return map[string]any{
-		"Version": 1,
-		"Routes": []map[string]any{
-			{"Name": "draft", "Host": siteHost, "PathPrefix": draftPath, "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 600,
-				"Priority": 0, "Service": llm, "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300},
-			{"Name": "assign", "Host": siteHost, "PathPrefix": "/assign/", "Kind": "unsafe", "TimeoutMs": 800, "TargetLatencyMs": 150,
-				"Priority": 1, "Service": plain, "MaxAttempts": 1},
-			{"Name": "lookup", "Host": siteHost, "PathPrefix": "/lookup/", "Kind": "safe", "TimeoutMs": 800, "TargetLatencyMs": 150,
-				"Priority": 1, "Service": plain, "MaxAttempts": 2},
-		},
+		"Version": opts.Version,
+		"Routes":  routes,
 		"Services": []map[string]any{
 			{"Name": llm, "HealthPath": "/health", "MaxConns": 360, "Engine": map[string]any{
-				"Slots": engineSlots, "KvTokens": 100000, "Stride": 1, "WeightsMb": engineMb, "AdapterSlots": adapterSlots, "LoadsPerS": 1, "Models": models,
+				"Slots": engineSlots, "KvTokens": 100000, "Stride": 1, "WeightsMb": opts.MemoryMb, "AdapterSlots": opts.AdapterSlots, "LoadsPerS": 1, "Models": models,
 			}},
 			{"Name": plain, "HealthPath": "/health", "MaxConns": 96},
 		},
