Soak finds what it should: leaving, lost and twice were blind

Cause: trials with a wrong program (once-only requests tried twice, a shutdown that does not wait, endpoints that leave still chosen) passed: requests were excused once their instance had been started again later, an endpoint's leaving was forgotten when it came back, and once-only requests had one attempt. Change: disturbances are judged by their spans only; leavings are spans; the site's once-only route allows two attempts; models are asked for at all instances at a time. TestJudge has the two cases.

--- a/rlb-load/pkg/rlbsoak/caller.go
+++ b/rlb-load/pkg/rlbsoak/caller.go
@@ -48,7 +48,6 @@
 	id       string
 	kind     kind
 	to       *instance
-	life     int
 	began    time.Time
 	ended    time.Time
 	status   int    // 0: none came
@@ -94,7 +93,7 @@
 // request sends one request.
 func (c *caller) request(ctx context.Context, to *instance) send {
 	c.n++
-	s := send{id: fmt.Sprintf("%s-%d", c.name, c.n), kind: kind(c.draw.IntN(3)), to: to, life: to.number()}
+	s := send{id: fmt.Sprintf("%s-%d", c.name, c.n), kind: kind(c.draw.IntN(3)), to: to}
 	longest := s.kind.timeout() + patience
 	if c.draw.Float64() < giveUpShare {
 		s.gaveUp = true
--- a/rlb-load/pkg/rlbsoak/check.go
+++ b/rlb-load/pkg/rlbsoak/check.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakesite"
@@ -130,17 +131,22 @@
 
 // checkReach asks each instance for each model and adapter.
 func (s *soak) checkReach(ctx context.Context) {
-	c := newCaller(s, s.opts.Callers)
-	for _, x := range s.instances {
-		for _, spec := range modelSpecs {
-			for adapter := range spec.Adapters + 1 {
-				name := spec.Name
-				if adapter > 0 {
-					name += fmt.Sprintf("/a%d", adapter)
-				}
-				if last := s.reach(ctx, c, x, name); last != http.StatusOK {
-					s.find("unreachable", fmt.Sprintf("%s by %s: last answer %d", name, x.name, last))
-				}
+	var all sync.WaitGroup
+	for n, x := range s.instances {
+		all.Go(func() { s.reachAll(ctx, newCaller(s, s.opts.Callers+n), x) })
+	}
+	all.Wait()
+}
+
+func (s *soak) reachAll(ctx context.Context, c *caller, x *instance) {
+	for _, spec := range modelSpecs {
+		names := []string{spec.Name}
+		for n := range spec.Adapters {
+			names = append(names, fmt.Sprintf("%s/a%d", spec.Name, n+1))
+		}
+		for _, name := range names {
+			if last := s.reach(ctx, c, x, name); last != http.StatusOK {
+				s.find("unreachable", fmt.Sprintf("%s by %s: last answer %d", name, x.name, last))
 			}
 		}
 	}
@@ -224,7 +230,7 @@
 		s.judgeOneRun(where, x, runs)
 	}
 	for _, run := range runs {
-		if left := run.at.left(); !left.IsZero() && run.Began.Sub(left) > drainTime && s.calm(x, run.Began) && s.site.storeCalm(left, run.Began) {
+		if left := run.at.left(run.Began); !left.IsZero() && run.Began.Sub(left) > drainTime && s.calm(x, run.Began) && s.site.storeCalm(left, run.Began) {
 			s.find("leaving", fmt.Sprintf("%s: ran at %s, %s after its leaving", where, run.at.id, run.Began.Sub(left)))
 		}
 	}
@@ -234,7 +240,7 @@
 // calm reports whether a request's instance was undisturbed from the request's
 // beginning until a moment.
 func (s *soak) calm(x send, until time.Time) bool {
-	return x.to.number() == x.life && x.to.calm(x.began, until) && !s.stalled(x.began) && !s.stalled(until)
+	return x.to.calm(x.began, until) && !s.stalled(x.began) && !s.stalled(until)
 }
 
 // judgeOneRun checks that a stream runs at one endpoint at a time.
@@ -263,7 +269,7 @@
 	if !x.cut || len(runs) == 0 || !s.calm(x, x.ended) {
 		return
 	}
-	undisturbed := !slices.ContainsFunc(runs, func(r ran) bool { return !r.at.calm(r.Began, x.ended) || !r.at.left().IsZero() })
+	undisturbed := !slices.ContainsFunc(runs, func(r ran) bool { return !r.at.calm(r.Began, x.ended) || !r.at.left(x.ended).IsZero() })
 	if undisturbed {
 		s.find("lost", where+": cut without a whole answer, though it ran")
 	}
--- a/rlb-load/pkg/rlbsoak/judge_test.go
+++ b/rlb-load/pkg/rlbsoak/judge_test.go
@@ -31,7 +31,7 @@
 }
 
 func (r *rig) send(k kind, status int) send {
-	return send{id: "x", kind: k, to: r.node, life: 1, began: r.at(10), ended: r.at(10.2), status: status}
+	return send{id: "x", kind: k, to: r.node, began: r.at(10), ended: r.at(10.2), status: status}
 }
 
 func (r *rig) run(from, to float64) ran {
@@ -88,6 +88,7 @@
 			shouldFind(r)
 			r.end.hurt = nil
 			r.node.leaves = spans{{from: r.at(9)}}
+			r.node.life++ // it has been started again since
 			r.judgeSend(x, []ran{r.run(10, 10.1)})
 			shouldFind(r, "lost")
 		})
@@ -108,7 +109,7 @@
 			shouldFind(r, "two-runs")
 		})
 		Convey("work for an endpoint that left is found after its time", func() {
-			r.end.leaving = r.at(7)
+			r.end.leaves = spans{{r.at(7), r.at(12)}} // it is back since
 			r.judgeSend(r.send(kindOnce, http.StatusOK), []ran{r.run(8.9, 9)})
 			shouldFind(r)
 			r.judgeSend(r.send(kindOnce, http.StatusOK), []ran{r.run(10, 10.1)})
--- a/rlb-load/pkg/rlbsoak/site.go
+++ b/rlb-load/pkg/rlbsoak/site.go
@@ -42,7 +42,7 @@
 
 	mu      sync.Mutex
 	state   string // as its entry says; empty: it has none
-	leaving time.Time
+	leaves  spans // from the acknowledged word that it leaves until it is back
 	hurt    spans
 	lose    float64 // share of answers that are lost after the run
 	fail    float64 // share of requests that fail
@@ -99,11 +99,16 @@
 	return !e.hurt.touch(from.Add(-contact), to)
 }
 
-// left returns when the endpoint's leaving stood in the store; zero: it did not.
-func (e *endpoint) left() time.Time {
+// left returns since when the endpoint was leaving at a moment; zero: it was not.
+func (e *endpoint) left(at time.Time) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.leaving
+	for _, one := range e.leaves {
+		if one.touches(at, at.Add(1)) {
+			return one.from
+		}
+	}
+	return time.Time{}
 }
 
 // set changes the entry's state; empty: the entry is removed.
@@ -115,11 +120,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state == stateReady && state == stateLeaving {
-		e.leaving = time.Now()
-	}
-	if state == stateReady {
-		e.leaving = time.Time{}
+	switch last := len(e.leaves) - 1; {
+	case e.state == stateReady && state == stateLeaving:
+		e.leaves = append(e.leaves, span{from: time.Now()})
+	case state == stateReady && last >= 0 && e.leaves[last].to.IsZero():
+		e.leaves[last].to = time.Now()
 	}
 	e.state = state
 }
--- a/rlb-standin/pkg/rlbfakesite/site.go
+++ b/rlb-standin/pkg/rlbfakesite/site.go
@@ -117,7 +117,7 @@
 		{"Name": "draft", "Host": siteHost, "PathPrefix": draftPath, "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 600,
 			"Priority": 0, "Service": llm, "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300},
 		{"Name": "assign", "Host": siteHost, "PathPrefix": "/assign/", "Kind": "unsafe", "TimeoutMs": 800, "TargetLatencyMs": 150,
-			"Priority": 1, "Service": plain, "MaxAttempts": 1},
+			"Priority": 1, "Service": plain, "MaxAttempts": 2},
 	}
 	for _, path := range append([]string{"/lookup/"}, opts.More...) {
 		routes = append(routes, map[string]any{"Name": strings.Trim(path, "/"), "Host": siteHost, "PathPrefix": path, "Kind": "safe", "TimeoutMs": 800,
