A connection that cannot be made uses up no attempt and no budget

Ruled out: longer connect time-outs (most fail at once). Change: Exchange gives up to four such attempts back; nothing has arrived anywhere that could run or be counted.

--- a/lib/pkg/rlbroute/exchange.go
+++ b/lib/pkg/rlbroute/exchange.go
@@ -23,8 +23,13 @@
 	exposed  bool // an earlier attempt may have run
 	failed   bool // an earlier attempt ran and failed
 	attempts int
+	unsent   int // attempts that did not reach their endpoints
 }
 
+// maxUnsent is how many endpoints a request may fail to reach beyond its attempts:
+// nothing arrives there that could be counted or run.
+const maxUnsent = 4
+
 // NewExchange returns the exchange of a request that was not sent yet.
 func NewExchange(opts ExchangeOpts) *Exchange { return &Exchange{opts: opts} }
 
@@ -79,6 +84,11 @@
 	if fault == FaultPreempted {
 		return true
 	}
+	if fault == FaultNotSent && x.unsent < maxUnsent {
+		x.unsent++
+		x.attempts--
+		return true
+	}
 	return x.attempts < x.opts.MaxAttempts && x.opts.Budget.Take()
 }
 
--- a/rlb-load/pkg/rlbsoak/site.go
+++ b/rlb-load/pkg/rlbsoak/site.go
@@ -42,7 +42,7 @@
 
 	mu      sync.Mutex
 	state   string // as its entry says; empty: it has none
-	leaves  spans // from the acknowledged word that it leaves until it is back
+	leaves  spans  // from the acknowledged word that it leaves until it is back
 	hurt    spans
 	lose    float64 // share of answers that are lost after the run
 	fail    float64 // share of requests that fail
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -33,6 +33,7 @@
 	deadline time.Time
 	exchange *rlbroute.Exchange
 	tried    []string      // endpoints that it was sent to
+	unsent   int           // of these, those that could not be reached
 	lastID   string        // last whole event that the caller has
 	busy     bool          // no endpoint can begin its answer in time
 	expected time.Duration // wait for the answer to begin, of the latest choice
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -70,6 +70,7 @@
 		s.Loads.Refused(s.Now(), e, x.model)
 	case fault == rlbroute.FaultNotSent:
 		x.exchange.Unsent()
+		x.unsent++
 	case fault == rlbroute.FaultCut:
 		s.suspects.crashed(x.print)
 	case fault == rlbroute.FaultSilent && !s.Now().Before(x.deadline):
@@ -140,7 +141,7 @@
 
 // mayMove reports whether a request whose endpoint is silent can go to another.
 func (s *Server) mayMove(x *request) bool {
-	if !x.route.Repeatable() || len(x.tried) >= x.route.Attempts {
+	if !x.route.Repeatable() || len(x.tried)-x.unsent >= x.route.Attempts {
 		return false
 	}
 	if x.started && !s.suspected(x) {
