Waits by learnt stays; lost and misplaced endpoints are told to the others

Cause: on the grown site 1,685 of 8,553 drafts began late and 1,077 sends were refused as full: a slot was taken to come free each 90 ms, which fits batches of 64, not of 12. 1,267 sends met another endpoint at the address of one that had crashed (status 421), and 1,549 an address where nobody listened: each of 87 instances found out by itself. Ruled out: wrong orders (only 102 of 1,531 refusals with 421 follow an unload). Change: the wait at an endpoint follows from the mean stay of requests there, learnt by service, over its slots. An endpoint that does not hold what its entry says is passed over until the entry changes. Digests tell endpoints that were lost or misplaced; two instances that say so count here too.

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -14,8 +14,9 @@
 // Terms of an expected wait.
 const (
 	readPerMS   = 19                     // prompt tokens that an engine reads in a millisecond
-	slotFreed   = 90 * time.Millisecond  // between two requests that end at an engine with a full batch
-	plainFreed  = 10 * time.Millisecond  // the same at a plain service
+	engineStay  = 4 * time.Second        // of a request at an engine, until one has ended
+	plainStay   = 60 * time.Millisecond  // the same at a plain service
+	stayWeight  = 0.05                   // of the latest request in the mean stay
 	otherDomain = 100 * time.Millisecond // that an endpoint in the own failure domain may be slower
 	perRequest  = 4 * time.Millisecond   // by which each request in progress slows the others
 	crowding    = 300 * time.Millisecond // that prompts being read delay the streams of an endpoint that pauses
@@ -28,8 +29,13 @@
 	firstPause = 300 * time.Millisecond
 	longPause  = 5 * time.Second
 	closedFor  = 300 * time.Millisecond // a model whose request the endpoint refused
+	wrongFor   = 2 * time.Second        // an endpoint that is not what its entry says, until the entry changes
 )
 
+// enoughDoubts is how many other instances must have met an endpoint's failures
+// for it to be passed over here: one alone may have met its own link's.
+const enoughDoubts = 2
+
 // Outcome is how an endpoint dealt with a request.
 type Outcome int
 
@@ -37,14 +43,16 @@
 const (
 	OutcomeNeutral Outcome = iota // says nothing of the endpoint
 	OutcomeGood
-	OutcomeBad
+	OutcomeBad  // it answered, and failed
+	OutcomeLost // it was not reached, or its answer broke off or did not come
 )
 
 // Table knows the load and the latest outcomes of endpoints. Its methods may be
 // called from any goroutine.
 type Table struct {
-	mu   sync.Mutex
-	rows map[string]*row
+	mu    sync.Mutex
+	rows  map[string]*row
+	stays map[string]time.Duration // mean time that a request takes at an endpoint, by service
 }
 
 type row struct {
@@ -54,11 +62,14 @@
 	slow     float64              // part of its latest streams with a pause that was too long
 	failures int                  // in a row
 	paused   time.Time            // until when others are preferred
-	closed   map[string]time.Time // models that it refused requests for, until when
+	lost     time.Time            // until when other instances are told that it was lost
+	closed   map[string]time.Time // models and adapters that it refused requests for, until when
+	wrong    *rlbsite.Endpoint    // entry that the endpoint does not match
+	wrongTo  time.Time            // until when that counts
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]*row{}} }
+func NewTable() *Table { return &Table{rows: map[string]*row{}, stays: map[string]time.Duration{}} }
 
 func (t *Table) row(e *rlbsite.Endpoint) *row {
 	r := t.rows[e.ID]
@@ -67,11 +78,21 @@
 		t.rows[e.ID] = r
 	}
 	if e.Born.After(r.born) {
-		r.born, r.slow, r.failures, r.paused, r.closed = e.Born, 0, 0, time.Time{}, nil
+		r.born, r.slow, r.failures, r.paused, r.lost, r.closed = e.Born, 0, 0, time.Time{}, time.Time{}, nil
+	}
+	if r.wrong != nil && r.wrong != e {
+		r.wrong = nil // it has another entry since
 	}
 	return r
 }
 
+// misplaced reports whether the endpoint does not match its entry.
+func (r *row) misplaced(now time.Time) bool { return r.wrong != nil && now.Before(r.wrongTo) }
+
+// doubtful reports whether the endpoint's latest answers were bad, or it does not
+// match its entry.
+func (r *row) doubtful(now time.Time) bool { return now.Before(r.paused) || r.misplaced(now) }
+
 // Begin notes that a request with a prompt of so many tokens is sent to an
 // endpoint. Answered notes, once, that its answer has begun.
 func (t *Table) Begin(e *rlbsite.Endpoint, tokens int) (answered func()) {
@@ -87,42 +108,69 @@
 	})
 }
 
-// End notes how a request that was sent to an endpoint ended.
-func (t *Table) End(now time.Time, e *rlbsite.Endpoint, outcome Outcome) {
+// End notes how a request that was sent to an endpoint ended, and how long it was
+// there.
+func (t *Table) End(now time.Time, e *rlbsite.Endpoint, outcome Outcome, stayed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.row(e)
 	r.inFlight--
 	switch outcome {
 	case OutcomeGood:
-		r.failures, r.paused = 0, time.Time{}
-	case OutcomeBad:
+		r.failures, r.paused, r.lost = 0, time.Time{}, time.Time{}
+		t.noteStay(e.Service, stayed)
+	case OutcomeBad, OutcomeLost:
 		pause := min(firstPause<<min(r.failures, 8), longPause)
 		r.failures++
 		r.paused = now.Add(pause)
+		if outcome == OutcomeLost {
+			r.lost = r.paused
+		}
 	case OutcomeNeutral:
 	}
 }
 
-// Refused notes that an endpoint did not run a request for a model: it may be
-// about to unload it, or be full.
-func (t *Table) Refused(now time.Time, e *rlbsite.Endpoint, model string) {
+func (t *Table) noteStay(service string, stayed time.Duration) {
+	mean, known := t.stays[service]
+	if !known {
+		t.stays[service] = stayed
+		return
+	}
+	t.stays[service] = mean + time.Duration(stayWeight*float64(stayed-mean))
+}
+
+// Refused notes that an endpoint did not run a request for a model, or for an
+// adapter as MODEL/ADAPTER: it may be about to unload it, or be full.
+func (t *Table) Refused(now time.Time, e *rlbsite.Endpoint, what string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.row(e)
 	if r.closed == nil {
 		r.closed = map[string]time.Time{}
 	}
-	r.closed[model] = now.Add(closedFor)
+	r.closed[what] = now.Add(closedFor)
 }
 
-// Loads calls yield for each endpoint with requests in progress.
-func (t *Table) Loads(yield func(id string, load Load)) {
+// Wrong notes that an endpoint is not what its entry says: another one has its
+// address, or it does not hold what it should.
+func (t *Table) Wrong(now time.Time, e *rlbsite.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.row(e)
+	r.wrong, r.wrongTo = e, now.Add(wrongFor)
+}
+
+// Loads calls yield for each endpoint with requests in progress, or in doubt.
+func (t *Table) Loads(now time.Time, yield func(id string, load Load)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.rows {
-		if r.inFlight > 0 {
-			yield(id, r.load())
+		load := r.load()
+		if now.Before(r.lost) || r.misplaced(now) {
+			load.Doubts = 1
+		}
+		if load.InFlight > 0 || load.Doubts > 0 {
+			yield(id, load)
 		}
 	}
 }
@@ -145,11 +193,38 @@
 	InFlight int     // requests in progress
 	Unread   int     // prompt tokens of those that have no answer yet
 	Slow     float64 // part of the latest streams with a pause that was too long
+	Doubts   int     // instances to which it was lost, or not what its entry says
+}
+
+// Place is what an endpoint has for requests.
+type Place struct {
+	Slots  int
+	Stay   time.Duration // mean time that a request takes there
+	Engine bool          // prompts are read before an answer begins
+}
+
+// Place returns what an endpoint has for requests, as far as is known.
+func (t *Table) Place(e *rlbsite.Endpoint, engine bool) Place {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.place(e, engine)
+}
+
+func (t *Table) place(e *rlbsite.Endpoint, engine bool) Place {
+	stay, known := t.stays[e.Service]
+	switch {
+	case known:
+	case engine:
+		stay = engineStay
+	default:
+		stay = plainStay
+	}
+	return Place{Slots: e.Slots, Stay: stay, Engine: engine}
 }
 
 // Plus returns the sum of two loads.
 func (l Load) Plus(other Load) Load {
-	return Load{InFlight: l.InFlight + other.InFlight, Unread: l.Unread + other.Unread, Slow: max(l.Slow, other.Slow)}
+	return Load{InFlight: l.InFlight + other.InFlight, Unread: l.Unread + other.Unread, Slow: max(l.Slow, other.Slow), Doubts: l.Doubts + other.Doubts}
 }
 
 // crowding returns what a prompt more costs the streams that run.
@@ -160,14 +235,15 @@
 	return time.Duration(l.Slow * float64(crowding))
 }
 
-// Wait returns how long a request is expected to wait for its answer to begin,
-// at an endpoint with so many places.
-func (l Load) Wait(slots int, engine bool) time.Duration {
-	queued := max(l.InFlight-slots+1, 0)
-	if !engine {
-		return time.Duration(queued) * plainFreed
+// Wait returns how long a request is expected to wait for its answer to begin at
+// a place.
+func (l Load) Wait(p Place) time.Duration {
+	queued := max(l.InFlight-p.Slots+1, 0)
+	wait := time.Duration(queued) * p.Stay / time.Duration(max(p.Slots, 1))
+	if p.Engine {
+		wait += time.Duration(l.Unread) * time.Millisecond / readPerMS
 	}
-	return time.Duration(l.Unread)*time.Millisecond/readPerMS + time.Duration(queued)*slotFreed
+	return wait
 }
 
 // Own returns this instance's load on an endpoint.
@@ -184,7 +260,7 @@
 func (t *Table) Paused(now time.Time, e *rlbsite.Endpoint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Before(t.row(e).paused)
+	return t.row(e).doubtful(now)
 }
 
 // Forget drops the rows of endpoints that are not known any more.
@@ -200,8 +276,8 @@
 
 // Cost returns what speaks against an endpoint with this load, as a wait: the
 // expected wait itself, what one more request costs those that run, and distance.
-func (l Load) Cost(slots int, engine, near bool) time.Duration {
-	cost := l.Wait(slots, engine) + l.crowding() + time.Duration(l.InFlight)*perRequest
+func (l Load) Cost(p Place, near bool) time.Duration {
+	cost := l.Wait(p) + l.crowding() + time.Duration(l.InFlight)*perRequest
 	if !near {
 		cost += otherDomain
 	}
@@ -211,7 +287,7 @@
 // Wanted describes the endpoint that a request needs.
 type Wanted struct {
 	Domain string                       // of this instance
-	Model  string                       // empty: of a plain service
+	Model  string                       // with its adapter, as MODEL/ADAPTER; empty: of a plain service
 	Fits   func(*rlbsite.Endpoint) bool // whether the endpoint can run it
 	Others func(id string) Load         // the other instances' load on an endpoint
 }
@@ -236,8 +312,9 @@
 		}
 		r := t.row(e)
 		load := r.load().Plus(w.Others(e.ID))
-		c := Choice{Endpoint: e, Wait: load.Wait(e.Slots, w.Model != ""), Paused: now.Before(r.paused) || now.Before(r.closed[w.Model])}
-		cost := load.Cost(e.Slots, w.Model != "", e.Domain == w.Domain) + rand.N(tie)
+		place := t.place(e, w.Model != "")
+		c := Choice{Endpoint: e, Wait: load.Wait(place), Paused: r.doubtful(now) || load.Doubts >= enoughDoubts || now.Before(r.closed[w.Model])}
+		cost := load.Cost(place, e.Domain == w.Domain) + rand.N(tie)
 		if best.Endpoint == nil || best.Paused && !c.Paused || best.Paused == c.Paused && cost < bestCost {
 			best, bestCost = c, cost
 		}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -128,7 +128,7 @@
 	a.duty = rlbduty.New(rlbduty.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Life: a.name + "/" + strconv.FormatInt(a.life, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Ask: link.Ask,
-		Demand: a.demand, Load: a.load, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
+		Demand: a.demand, Load: a.load, Cost: a.cost, LeaseTTL: settings.Duration(rlbsettings.NodeLease),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadOver), Settle: settle(settings),
 		StoreAway: func() bool { return a.catcher.away() }, Now: rlbclock.Now,
 	})
@@ -202,6 +202,12 @@
 	return a.others(endpoint).Plus(a.loads.Own(endpoint))
 }
 
+// cost returns what speaks against an engine for a request of an instance of the
+// domain.
+func (a *app) cost(e *rlbsite.Endpoint, domain string) time.Duration {
+	return a.load(e.ID).Cost(a.loads.Place(e, true), e.Domain == domain)
+}
+
 // digest returns what the others are told next.
 func (a *app) digest() rlbpeer.Digest {
 	a.number++
@@ -214,7 +220,7 @@
 		d.Holder = &rlbpeer.Holder{Name: a.name, Address: a.address, Fence: fence}
 		d.Holder.SetBegun(rlbclock.Now(), a.duty.Begun())
 	}
-	a.loads.Loads(func(id string, load rlbpick.Load) { d.Loads[rlbpeer.Key(id)] = rlbpeer.NewLoad(load) })
+	a.loads.Loads(rlbclock.Now(), func(id string, load rlbpick.Load) { d.Loads[rlbpeer.Key(id)] = rlbpeer.NewLoad(load) })
 	return d
 }
 
--- a/rlb-node/pkg/rlbduty/adapters.go
+++ b/rlb-node/pkg/rlbduty/adapters.go
@@ -129,7 +129,7 @@
 		if entry == nil || entry.Leaving || slices.Contains(q.Avoid, entry.ID) {
 			continue
 		}
-		o := option{desk: at, cost: d.Load(entry.ID).Cost(entry.Slots, true, entry.Domain == q.Domain)}
+		o := option{desk: at, cost: d.Cost(entry, q.Domain)}
 		at.mu.Lock()
 		known := d.refresh(ctx, at) && at.holds(q.Model) && !at.busy()
 		if known {
--- a/rlb-node/pkg/rlbduty/duty.go
+++ b/rlb-node/pkg/rlbduty/duty.go
@@ -29,17 +29,19 @@
 
 // Opts are what a duty is made of.
 type Opts struct {
-	Log        log.Interface
-	Name       string // of this instance
-	Domain     string
-	Life       string // of this process, unique
-	API        rlbobject.API
-	Engines    rlbsite.Engines
-	View       *rlbview.View
-	Fleet      *rlbpeer.Fleet
-	Ask        func(ctx context.Context, address string, q rlbpeer.Question) (rlbpeer.Answer, error)
-	Demand     func() map[string]float32          // of this instance's callers
-	Load       func(endpoint string) rlbpick.Load // of all instances
+	Log     log.Interface
+	Name    string // of this instance
+	Domain  string
+	Life    string // of this process, unique
+	API     rlbobject.API
+	Engines rlbsite.Engines
+	View    *rlbview.View
+	Fleet   *rlbpeer.Fleet
+	Ask     func(ctx context.Context, address string, q rlbpeer.Question) (rlbpeer.Answer, error)
+	Demand  func() map[string]float32          // of this instance's callers
+	Load    func(endpoint string) rlbpick.Load // of all instances
+	// Cost returns what speaks against an engine for a request of a domain.
+	Cost       func(e *rlbsite.Endpoint, domain string) time.Duration
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration
 	// StoreAway reports whether the object API answers no instance that is known.
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -44,7 +44,18 @@
 	started  bool          // a part of the answer was sent
 	answered func()        // tells that the endpoint's answer has begun
 	reason   string        // of the latest fault
-	failure  *answer       // latest answer of an endpoint that failed
+	// misdirected reports that the latest endpoint is not the one that was meant,
+	// or does not hold what it should.
+	misdirected bool
+	failure     *answer // latest answer of an endpoint that failed
+}
+
+// wants returns the model that the request names, with its adapter; empty: none.
+func (x *request) wants() string {
+	if x.adapter == "" {
+		return x.model
+	}
+	return x.model + "/" + x.adapter
 }
 
 // read reads a request and finds its route.
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -45,9 +45,10 @@
 	ctx := x.caller.Context()
 	outcome := rlbpick.OutcomeNeutral
 	x.answered = s.Loads.Begin(e, x.tokens)
+	begun := s.Now()
 	defer func() {
 		x.answered()
-		s.Loads.End(s.Now(), e, outcome)
+		s.Loads.End(s.Now(), e, outcome, s.Now().Sub(begun))
 	}()
 	in, err := s.Dispatcher.Send(ctx, e.Address, s.outgoing(x, e), x.exchange.Sent)
 	if err == nil {
@@ -67,7 +68,10 @@
 	}
 	switch {
 	case fault == rlbroute.FaultRefused:
-		s.Loads.Refused(s.Now(), e, x.model)
+		s.Loads.Refused(s.Now(), e, x.wants())
+		if x.misdirected && x.adapter == "" {
+			s.Loads.Wrong(s.Now(), e)
+		}
 	case fault == rlbroute.FaultNotSent:
 		x.exchange.Unsent()
 		x.unsent++
@@ -85,6 +89,8 @@
 		return rlbpick.OutcomeGood
 	case fault == rlbroute.FaultRefused, fault == rlbroute.FaultCallerGone:
 		return rlbpick.OutcomeNeutral
+	case fault == rlbroute.FaultNotSent, fault == rlbroute.FaultCut, fault == rlbroute.FaultSilent:
+		return rlbpick.OutcomeLost
 	default:
 		return rlbpick.OutcomeBad
 	}
@@ -196,6 +202,7 @@
 // refused notes that the endpoint did not run the request.
 func (s *Server) refused(x *request, in *rlbdispatch.Incoming) (rlbroute.Fault, bool, error) {
 	x.reason = "endpoint did not run it, status " + strconv.Itoa(in.StatusCode)
+	x.misdirected = in.StatusCode == http.StatusMisdirectedRequest
 	if _, err := in.ReadAll(maxAnswer); err != nil {
 		in.Abort()
 		return rlbroute.FaultRefused, false, nil
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -43,6 +43,7 @@
 	InFlight uint16 `msgpack:"i"`           // requests in progress
 	Unread   uint32 `msgpack:"u,omitempty"` // prompt tokens of those that have no answer yet
 	Slow     uint8  `msgpack:"s,omitempty"` // hundredths of the latest streams that paused too long
+	Doubts   uint8  `msgpack:"d,omitempty"` // instances to which it was lost, or not what its entry says
 }
 
 // NewLoad returns a load as digests have it.
@@ -51,12 +52,13 @@
 		InFlight: uint16(min(max(l.InFlight, 0), math.MaxUint16)),
 		Unread:   uint32(min(max(l.Unread, 0), math.MaxUint32)),
 		Slow:     uint8(100 * min(max(l.Slow, 0), 1)),
+		Doubts:   uint8(min(max(l.Doubts, 0), math.MaxUint8)),
 	}
 }
 
 // product returns the load as the product has it.
 func (l Load) product() rlbpick.Load {
-	return rlbpick.Load{InFlight: int(l.InFlight), Unread: int(l.Unread), Slow: float64(l.Slow) / 100}
+	return rlbpick.Load{InFlight: int(l.InFlight), Unread: int(l.Unread), Slow: float64(l.Slow) / 100, Doubts: int(l.Doubts)}
 }
 
 // Summary is what the first instance of a failure domain tells of the domain.
