News of load is told at once; another failure domain counts less

Change: a digest goes out within 50 ms of a change of load, as far as 128 KB/s an instance allow, else each 250 ms as before; summaries each 150 ms (250 before); an endpoint in the own failure domain may be 30 ms slower (100 before).

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -17,7 +17,7 @@
 	engineStay  = 4 * time.Second        // of a request at an engine, until one has ended
 	plainStay   = 60 * time.Millisecond  // the same at a plain service
 	stayWeight  = 0.05                   // of the latest request in the mean stay
-	otherDomain = 100 * time.Millisecond // that an endpoint in the own failure domain may be slower
+	otherDomain = 30 * time.Millisecond  // that an endpoint in the own failure domain may be slower
 	perRequest  = 4 * time.Millisecond   // by which each request in progress slows the others
 	crowding    = 300 * time.Millisecond // that prompts being read delay the streams of an endpoint that pauses
 	slowWeight  = 0.2                    // of the latest stream in an endpoint's share of slow ones
@@ -51,6 +51,7 @@
 // called from any goroutine.
 type Table struct {
 	mu    sync.Mutex
+	news  uint64 // counts changes of load
 	rows  map[string]*row
 	stays map[string]time.Duration // mean time that a request takes at an endpoint, by service
 }
@@ -100,11 +101,13 @@
 	defer t.mu.Unlock()
 	r := t.row(e)
 	r.inFlight++
+	t.news++
 	r.unread += tokens
 	return sync.OnceFunc(func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		r.unread -= tokens
+		t.news++
 	})
 }
 
@@ -115,6 +118,7 @@
 	defer t.mu.Unlock()
 	r := t.row(e)
 	r.inFlight--
+	t.news++
 	switch outcome {
 	case OutcomeGood:
 		r.failures, r.paused, r.lost = 0, time.Time{}, time.Time{}
@@ -246,6 +250,13 @@
 	return wait
 }
 
+// News counts up with each change of this instance's load.
+func (t *Table) News() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.news
+}
+
 // Own returns this instance's load on an endpoint.
 func (t *Table) Own(id string) Load {
 	t.mu.Lock()
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -120,7 +120,7 @@
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByte: endpointWait, Reused: endpointWait, NextByte: endpointWait, SweepEvery: sweepPeriod,
 	})
-	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Now: rlbclock.Now, Handler: a.answer})
+	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Now: rlbclock.Now, Handler: a.answer, Digest: a.digest, News: a.loads.News})
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
 	}
@@ -176,7 +176,7 @@
 	go a.catcher.config.Run(ctx)
 	go a.catcher.endpoints.Run(ctx)
 	go a.register(ctx)
-	go a.link.Run(ctx, a.digest)
+	go a.link.Run(ctx)
 	go a.duty.Run(ctx)
 	go a.sweep(ctx)
 }
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -107,12 +107,12 @@
 		b, closeB, err := NewLink(LinkOpts{Log: quiet, Listen: "127.0.0.1:0", Fleet: there, Now: time.Now, Handler: func(_ context.Context, q Question) Answer {
 			heard <- q
 			return Answer{Endpoints: []string{"e1"}}
-		}})
+		}, Digest: func() Digest { return Digest{Name: "b", Domain: "x"} }, News: func() uint64 { return 0 }})
 		So(err, ShouldBeNil)
 		defer closeB()
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		go b.Run(ctx, func() Digest { return Digest{Name: "b", Domain: "x"} })
+		go b.Run(ctx)
 		got, err := a.Ask(t.Context(), b.calls.Addr().String(), Question{Adapter: &AdapterQuestion{Model: "m"}})
 		So(err, ShouldBeNil)
 		So(got.Endpoints, ShouldResemble, []string{"e1"})
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -14,9 +14,8 @@
 
 // Terms of a link.
 const (
-	maxDatagram  = 60 << 10 // bytes
-	digestPeriod = 250 * time.Millisecond
-	callSilence  = 2 * time.Second // of either end of a question
+	maxDatagram = 60 << 10        // bytes
+	callSilence = 2 * time.Second // of either end of a question
 )
 
 // Types of frames.
@@ -75,6 +74,10 @@
 	Fleet   *Fleet
 	Now     func() time.Time
 	Handler Handler
+	// Digest returns what is told; it is asked each time.
+	Digest func() Digest
+	// News counts up with each change of the instance's load.
+	News func() uint64
 }
 
 // Link carries digests and questions.
@@ -86,6 +89,9 @@
 	packets *net.UDPConn
 	calls   net.Listener
 	handler Handler
+	digest  func() Digest
+	news    func() uint64
+	pace    pace
 }
 
 // NewLink listens for datagrams and for connections, and returns the link with
@@ -103,7 +109,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, packets.Close())
 	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, now: opts.Now, packets: packets, calls: calls, handler: opts.Handler}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, now: opts.Now, packets: packets, calls: calls, handler: opts.Handler, digest: opts.Digest, news: opts.News}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -113,36 +119,40 @@
 
 // Run answers questions, and tells the digest to the domain, and the domain's
 // summary to the others if this instance is its first, until ctx ends.
-func (l *Link) Run(ctx context.Context, digest func() Digest) {
+func (l *Link) Run(ctx context.Context) {
 	go l.serve()
-	ticker := time.NewTicker(digestPeriod)
+	ticker := time.NewTicker(paceTick)
 	defer ticker.Stop()
 	for {
-		l.tell(digest())
+		if l.pace.digestDue(l.now(), l.news()) {
+			l.tell()
+		}
 		select {
 		case <-ctx.Done():
-			l.tell(digest())
+			l.tell()
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func (l *Link) tell(d Digest) {
-	now := l.now()
+func (l *Link) tell() {
+	d, now := l.digest(), l.now()
 	own, others := l.fleet.Targets(now)
-	l.send(packet{Digest: &d}, own, d.Address)
-	if l.fleet.First(now, func(other Digest) bool { return !other.Leaving }) {
+	l.pace.told(now, l.send(packet{Digest: &d}, own, d.Address))
+	if l.fleet.First(now, func(other Digest) bool { return !other.Leaving }) && l.pace.summaryDue(now) {
 		summary := l.fleet.Summarize(now, d)
 		l.send(packet{Summary: &summary}, others, d.Address)
 	}
 }
 
-func (l *Link) send(p packet, targets []string, except string) {
+// send sends a datagram to all targets but one; it returns how many bytes that
+// takes.
+func (l *Link) send(p packet, targets []string, except string) int {
 	encoded, err := msgpack.Marshal(&p)
 	if err != nil || len(encoded) > maxDatagram {
 		l.log.WithFields(log.Fields{"bytes": len(encoded), "error": err}).Error("digest cannot be sent")
-		return
+		return 0
 	}
 	for _, target := range targets {
 		if target == except {
@@ -156,6 +166,7 @@
 		// A datagram that cannot leave now is replaced by the next one.
 		_, _ = l.packets.WriteToUDPAddrPort(encoded, at)
 	}
+	return len(encoded) * len(targets)
 }
 
 func (l *Link) receive() {
