An urgent request waits for its like only

Change: loads count the urgent requests apart; the wait of an urgent one at an engine counts these only. The choice of an endpoint still counts all, so that others are not preempted where a slot is free elsewhere. Tests: TestWait (three rows red before).

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -59,6 +59,7 @@
 type row struct {
 	born     time.Time // of the life that the row is about
 	inFlight int
+	urgent   int                  // of those in flight, the urgent ones
 	unread   int                  // prompt tokens of requests that have no answer yet
 	slow     float64              // part of its latest streams with a pause that was too long
 	failures int                  // in a row
@@ -94,30 +95,42 @@
 // match its entry.
 func (r *row) doubtful(now time.Time) bool { return now.Before(r.paused) || r.misplaced(now) }
 
-// Begin notes that a request with a prompt of so many tokens is sent to an
-// endpoint. Answered notes, once, that its answer has begun.
-func (t *Table) Begin(e *rlbsite.Endpoint, tokens int) (answered func()) {
+// Work is what a request asks of an endpoint.
+type Work struct {
+	Tokens int  // of its prompt
+	Urgent bool // of the most urgent rank: engines run it before others, and in their place
+}
+
+// Begin notes that a request is sent to an endpoint. Answered notes, once, that its
+// answer has begun.
+func (t *Table) Begin(e *rlbsite.Endpoint, work Work) (answered func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.row(e)
 	r.inFlight++
 	t.news++
-	r.unread += tokens
+	r.unread += work.Tokens
+	if work.Urgent {
+		r.urgent++
+	}
 	return sync.OnceFunc(func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		r.unread -= tokens
+		r.unread -= work.Tokens
 		t.news++
 	})
 }
 
-// End notes how a request that was sent to an endpoint ended, and how long it was
+// End notes how a request that began at an endpoint ended, and how long it was
 // there.
-func (t *Table) End(now time.Time, e *rlbsite.Endpoint, outcome Outcome, stayed time.Duration) {
+func (t *Table) End(now time.Time, e *rlbsite.Endpoint, work Work, outcome Outcome, stayed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.row(e)
 	r.inFlight--
+	if work.Urgent {
+		r.urgent--
+	}
 	t.news++
 	switch outcome {
 	case OutcomeGood:
@@ -190,11 +203,14 @@
 	}
 }
 
-func (r *row) load() Load { return Load{InFlight: r.inFlight, Unread: r.unread, Slow: r.slow} }
+func (r *row) load() Load {
+	return Load{InFlight: r.inFlight, Urgent: r.urgent, Unread: r.unread, Slow: r.slow}
+}
 
 // Load is the work at an endpoint.
 type Load struct {
 	InFlight int     // requests in progress
+	Urgent   int     // of these, those of the most urgent rank
 	Unread   int     // prompt tokens of those that have no answer yet
 	Slow     float64 // part of the latest streams with a pause that was too long
 	Doubts   int     // instances to which it was lost, or not what its entry says
@@ -228,7 +244,10 @@
 
 // Plus returns the sum of two loads.
 func (l Load) Plus(other Load) Load {
-	return Load{InFlight: l.InFlight + other.InFlight, Unread: l.Unread + other.Unread, Slow: max(l.Slow, other.Slow), Doubts: l.Doubts + other.Doubts}
+	return Load{
+		InFlight: l.InFlight + other.InFlight, Urgent: l.Urgent + other.Urgent, Unread: l.Unread + other.Unread,
+		Slow: max(l.Slow, other.Slow), Doubts: l.Doubts + other.Doubts,
+	}
 }
 
 // crowding returns what a prompt more costs the streams that run.
@@ -240,9 +259,13 @@
 }
 
 // Wait returns how long a request is expected to wait for its answer to begin at
-// a place.
-func (l Load) Wait(p Place) time.Duration {
-	queued := max(l.InFlight-p.Slots+1, 0)
+// a place. An urgent one waits for its like only.
+func (l Load) Wait(p Place, urgent bool) time.Duration {
+	before := l.InFlight
+	if urgent && p.Engine {
+		before = l.Urgent
+	}
+	queued := max(before-p.Slots+1, 0)
 	wait := time.Duration(queued) * p.Stay / time.Duration(max(p.Slots, 1))
 	if p.Engine {
 		wait += time.Duration(l.Unread) * time.Millisecond / readPerMS
@@ -286,9 +309,10 @@
 }
 
 // Cost returns what speaks against an endpoint with this load, as a wait: the
-// expected wait itself, what one more request costs those that run, and distance.
+// wait of a request that is not urgent, since one that is would make another wait
+// in its place; what one more request costs those that run; and distance.
 func (l Load) Cost(p Place, near bool) time.Duration {
-	cost := l.Wait(p) + l.crowding() + time.Duration(l.InFlight)*perRequest
+	cost := l.Wait(p, false) + l.crowding() + time.Duration(l.InFlight)*perRequest
 	if !near {
 		cost += otherDomain
 	}
@@ -299,6 +323,7 @@
 type Wanted struct {
 	Domain string                       // of this instance
 	Model  string                       // with its adapter, as MODEL/ADAPTER; empty: of a plain service
+	Urgent bool                         // of the most urgent rank
 	Fits   func(*rlbsite.Endpoint) bool // whether the endpoint can run it
 	Others func(id string) Load         // the other instances' load on an endpoint
 }
@@ -324,7 +349,7 @@
 		r := t.row(e)
 		load := r.load().Plus(w.Others(e.ID))
 		place := t.place(e, w.Model != "")
-		c := Choice{Endpoint: e, Wait: load.Wait(place), Paused: r.doubtful(now) || load.Doubts >= enoughDoubts || now.Before(r.closed[w.Model])}
+		c := Choice{Endpoint: e, Wait: load.Wait(place, w.Urgent), Paused: r.doubtful(now) || load.Doubts >= enoughDoubts || now.Before(r.closed[w.Model])}
 		cost := load.Cost(place, e.Domain == w.Domain) + rand.N(tie)
 		if best.Endpoint == nil || best.Paused && !c.Paused || best.Paused == c.Paused && cost < bestCost {
 			best, bestCost = c, cost
--- a/lib/pkg/rlbpick/table_test.go
+++ b/lib/pkg/rlbpick/table_test.go
@@ -30,7 +30,7 @@
 			So(pick("m"), ShouldEqual, "near")
 		})
 		Convey("prompts not read yet count, of other instances too, until the answer begins", func() {
-			answered := table.Begin(near, 4000)
+			answered := table.Begin(near, Work{Tokens: 4000})
 			So(pick("m"), ShouldEqual, "far")
 			others["far"] = Load{Unread: 8000}
 			So(pick("m"), ShouldEqual, "near")
@@ -42,16 +42,16 @@
 		})
 		Convey("one that fails is passed over for longer each time, and taken if alone", func() {
 			for range 3 {
-				table.Begin(near, 0)
-				table.End(now, near, OutcomeBad, 0)
+				table.Begin(near, Work{})
+				table.End(now, near, Work{}, OutcomeBad, 0)
 			}
 			So(pick("m"), ShouldEqual, "far")
 			now := now.Add(firstPause)
 			So(now.Before(table.rows["near"].paused), ShouldBeTrue)
 			all = []*rlbsite.Endpoint{near}
 			So(pick("m"), ShouldEqual, "near")
-			table.Begin(near, 0)
-			table.End(now, near, OutcomeGood, 0)
+			table.Begin(near, Work{})
+			table.End(now, near, Work{}, OutcomeGood, 0)
 			all = []*rlbsite.Endpoint{far, near}
 			So(pick("m"), ShouldEqual, "near")
 		})
@@ -79,16 +79,16 @@
 				table.Loads(now, func(_ string, load Load) { doubts += load.Doubts })
 				return doubts
 			}
-			table.Begin(near, 0)
-			table.End(now, near, OutcomeBad, 0)
+			table.Begin(near, Work{})
+			table.End(now, near, Work{}, OutcomeBad, 0)
 			So(told(now), ShouldEqual, 0) // an answer that failed says little
-			table.End(now, near, OutcomeLost, 0)
+			table.End(now, near, Work{}, OutcomeLost, 0)
 			So(told(now), ShouldEqual, 1)
 			So(told(now.Add(2*firstPause)), ShouldEqual, 0)
 		})
 		Convey("a new life of an endpoint begins anew", func() {
-			table.Begin(near, 0)
-			table.End(now, near, OutcomeBad, 0)
+			table.Begin(near, Work{})
+			table.End(now, near, Work{}, OutcomeBad, 0)
 			near.Born = now
 			So(pick("m"), ShouldEqual, "near")
 		})
@@ -97,7 +97,7 @@
 				table.Streamed(near, true)
 			}
 			So(pick("m"), ShouldEqual, "near")
-			table.Begin(near, 100)
+			table.Begin(near, Work{Tokens: 100})
 			So(pick("m"), ShouldEqual, "far")
 		})
 		Convey("leaving endpoints get nothing", func() {
@@ -110,17 +110,21 @@
 func TestWait(t *testing.T) {
 	engine, plain := Place{Slots: 4, Stay: 2 * time.Second, Engine: true}, Place{Slots: 4, Stay: 40 * time.Millisecond}
 	for _, c := range []struct {
-		load  Load
-		place Place
-		want  time.Duration
+		load   Load
+		place  Place
+		urgent bool
+		want   time.Duration
 	}{
-		{Load{}, engine, 0},
-		{Load{InFlight: 3}, engine, 0},
-		{Load{InFlight: 5}, engine, time.Second},
-		{Load{Unread: 1900}, engine, 100 * time.Millisecond},
-		{Load{InFlight: 5, Unread: 1900}, plain, 20 * time.Millisecond},
+		{Load{}, engine, false, 0},
+		{Load{InFlight: 3}, engine, false, 0},
+		{Load{InFlight: 5}, engine, false, time.Second},
+		{Load{InFlight: 5}, engine, true, 0},
+		{Load{InFlight: 9, Urgent: 4}, engine, true, 500 * time.Millisecond},
+		{Load{Unread: 1900}, engine, true, 100 * time.Millisecond},
+		{Load{InFlight: 5, Unread: 1900}, plain, false, 20 * time.Millisecond},
+		{Load{InFlight: 5, Urgent: 1}, plain, true, 20 * time.Millisecond},
 	} {
-		if got := c.load.Wait(c.place); got != c.want {
+		if got := c.load.Wait(c.place, c.urgent); got != c.want {
 			t.Errorf("wait of %+v is %v, want %v", c.load, got, c.want)
 		}
 	}
@@ -132,8 +136,8 @@
 		So(table.Place(e, true), ShouldResemble, Place{Slots: 12, Stay: engineStay, Engine: true})
 		So(table.Place(e, false).Stay, ShouldEqual, plainStay)
 		end := func(outcome Outcome, stayed time.Duration) {
-			table.Begin(e, 0)
-			table.End(time.Unix(0, 0), e, outcome, stayed)
+			table.Begin(e, Work{})
+			table.End(time.Unix(0, 0), e, Work{}, outcome, stayed)
 		}
 		end(OutcomeBad, time.Minute)
 		end(OutcomeGood, time.Second)
--- a/rlb-node/pkg/rlbfront/front_test.go
+++ b/rlb-node/pkg/rlbfront/front_test.go
@@ -200,8 +200,8 @@
 		})
 		Convey("one where other requests failed does not", func() {
 			e := r.view.Snapshot().ByID["e1"]
-			r.server.Loads.Begin(e, 0)
-			r.server.Loads.End(r.server.Now(), e, rlbpick.OutcomeBad, 0)
+			r.server.Loads.Begin(e, rlbpick.Work{})
+			r.server.Loads.End(r.server.Now(), e, rlbpick.Work{}, rlbpick.OutcomeBad, 0)
 			So(r.server.mayMove(x), ShouldBeTrue)
 		})
 		Convey("nor does one that is gone, unless there is no attempt left", func() {
--- a/rlb-node/pkg/rlbfront/request.go
+++ b/rlb-node/pkg/rlbfront/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpick"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsite"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
@@ -58,6 +59,11 @@
 	return x.model + "/" + x.adapter
 }
 
+// work returns what the request asks of an endpoint.
+func (x *request) work() rlbpick.Work {
+	return rlbpick.Work{Tokens: x.tokens, Urgent: x.route.Priority <= mostUrgent}
+}
+
 // read reads a request and finds its route.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
 	x := &request{id: r.Header.Get(rlbplatform.HeaderRequestID), caller: r, arrived: s.Now(), snapshot: s.View.Snapshot()}
--- a/rlb-node/pkg/rlbfront/run.go
+++ b/rlb-node/pkg/rlbfront/run.go
@@ -103,7 +103,7 @@
 		return x.model == "" || e.HoldsModel(x.model)
 	}
 	all := s.View.Snapshot().ByService[x.service]
-	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Model: x.wants(), Fits: fits, Others: s.Others})
+	return s.Loads.Pick(s.Now(), all, rlbpick.Wanted{Domain: s.Domain, Model: x.wants(), Urgent: x.work().Urgent, Fits: fits, Others: s.Others})
 }
 
 // holders returns the endpoints that hold the request's adapter, if it names one.
--- a/rlb-node/pkg/rlbfront/send.go
+++ b/rlb-node/pkg/rlbfront/send.go
@@ -44,11 +44,11 @@
 func (s *Server) send(w http.ResponseWriter, x *request, e *rlbsite.Endpoint) (fault rlbroute.Fault, passed bool) {
 	ctx := x.caller.Context()
 	outcome := rlbpick.OutcomeNeutral
-	x.answered = s.Loads.Begin(e, x.tokens)
+	x.answered = s.Loads.Begin(e, x.work())
 	begun := s.Now()
 	defer func() {
 		x.answered()
-		s.Loads.End(s.Now(), e, outcome, s.Now().Sub(begun))
+		s.Loads.End(s.Now(), e, x.work(), outcome, s.Now().Sub(begun))
 	}()
 	in, err := s.Dispatcher.Send(ctx, e.Address, s.outgoing(x, e), x.exchange.Sent)
 	if err == nil {
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -41,6 +41,7 @@
 // Load is work at an endpoint.
 type Load struct {
 	InFlight uint16 `msgpack:"i"`           // requests in progress
+	Urgent   uint16 `msgpack:"p,omitempty"` // of these, those of the most urgent rank
 	Unread   uint32 `msgpack:"u,omitempty"` // prompt tokens of those that have no answer yet
 	Slow     uint8  `msgpack:"s,omitempty"` // hundredths of the latest streams that paused too long
 	Doubts   uint8  `msgpack:"d,omitempty"` // instances to which it was lost, or not what its entry says
@@ -50,6 +51,7 @@
 func NewLoad(l rlbpick.Load) Load {
 	return Load{
 		InFlight: uint16(min(max(l.InFlight, 0), math.MaxUint16)),
+		Urgent:   uint16(min(max(l.Urgent, 0), math.MaxUint16)),
 		Unread:   uint32(min(max(l.Unread, 0), math.MaxUint32)),
 		Slow:     uint8(100 * min(max(l.Slow, 0), 1)),
 		Doubts:   uint8(min(max(l.Doubts, 0), math.MaxUint8)),
@@ -58,7 +60,7 @@
 
 // product returns the load as the product has it.
 func (l Load) product() rlbpick.Load {
-	return rlbpick.Load{InFlight: int(l.InFlight), Unread: int(l.Unread), Slow: float64(l.Slow) / 100, Doubts: int(l.Doubts)}
+	return rlbpick.Load{InFlight: int(l.InFlight), Urgent: int(l.Urgent), Unread: int(l.Unread), Slow: float64(l.Slow) / 100, Doubts: int(l.Doubts)}
 }
 
 // Summary is what the first instance of a failure domain tells of the domain.
