--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial trial-platform capacity faults cost replace outage bench moves
+.PHONY: build test race lint trial trial-platform capacity faults cost replace outage bench moves soak soak-fresh
 
 build:
 	@mkdir -p bin
@@ -43,6 +43,12 @@
 outage: build
 	TRIAL_PORT=13000 TRIAL_DIR=.trial/outage TRIAL_NOTE=examples/faults.yaml TRIAL_MODEL=draft-8g TRIAL_LOADS=4 TRIAL_THEN=scripts/outage_run.sh scripts/trial.sh
 
+soak: build
+	bin/rlb-load soak --seeds $(or $(SEEDS),1)
+
+soak-fresh: build
+	bin/rlb-load soak --fresh $(or $(FRESH),3)
+
 bench: build
 	scripts/bench.sh
 
