A sixth of an engine's slots is left to urgent requests

Urgent requests found batches full of others. Change: the wait of a request that is not urgent counts a sixth of the slots as taken. Tests: TestWait, two rows (red before).

--- a/lib/pkg/rlbpick/table.go
+++ b/lib/pkg/rlbpick/table.go
@@ -21,6 +21,7 @@
 	perRequest  = 4 * time.Millisecond   // by which each request in progress slows the others
 	crowding    = 300 * time.Millisecond // that prompts being read delay the streams of an endpoint that pauses
 	slowWeight  = 0.2                    // of the latest stream in an endpoint's share of slow ones
+	urgentPart  = 6                      // of an engine's slots, one in so many is left to urgent requests
 	tie         = 2 * time.Millisecond   // random, so that equal endpoints share the work
 )
 
@@ -259,11 +260,15 @@
 }
 
 // Wait returns how long a request is expected to wait for its answer to begin at
-// a place. An urgent one waits for its like only.
+// a place. An urgent one waits for its like only; others leave it some slots, so
+// that it need not take theirs.
 func (l Load) Wait(p Place, urgent bool) time.Duration {
 	before := l.InFlight
-	if urgent && p.Engine {
+	switch {
+	case p.Engine && urgent:
 		before = l.Urgent
+	case p.Engine:
+		before += p.Slots / urgentPart
 	}
 	queued := max(before-p.Slots+1, 0)
 	wait := time.Duration(queued) * p.Stay / time.Duration(max(p.Slots, 1))
--- a/lib/pkg/rlbpick/table_test.go
+++ b/lib/pkg/rlbpick/table_test.go
@@ -119,6 +119,8 @@
 		{Load{InFlight: 3}, engine, false, 0},
 		{Load{InFlight: 5}, engine, false, time.Second},
 		{Load{InFlight: 5}, engine, true, 0},
+		{Load{InFlight: 9}, Place{Slots: 12, Stay: 2400 * time.Millisecond, Engine: true}, false, 0},
+		{Load{InFlight: 10}, Place{Slots: 12, Stay: 2400 * time.Millisecond, Engine: true}, false, 200 * time.Millisecond},
 		{Load{InFlight: 9, Urgent: 4}, engine, true, 500 * time.Millisecond},
 		{Load{Unread: 1900}, engine, true, 100 * time.Millisecond},
 		{Load{InFlight: 5, Unread: 1900}, plain, false, 20 * time.Millisecond},
