--- a/lib/pkg/rlbsite/config.go
+++ b/lib/pkg/rlbsite/config.go
@@ -83,8 +83,6 @@
 // Engine describes the model engines of a service.
 type Engine struct {
 	Slots          int // requests in one batch
-	CacheTokens    int // tokens that running requests and kept prompts share
-	TokensAnEvent  int // tokens in one event of a stream
 	Memory         rlbunit.Bytes
 	AdapterSlots   int
 	LoadsPerSecond float64 // that the weight store allows over all endpoints
@@ -93,10 +91,8 @@
 
 // Service is a set of equal endpoints.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
-	Engine         *Engine // nil: a plain service
+	Name   string
+	Engine *Engine // nil: a plain service
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/lib/pkg/rlbsite/engines.go
+++ b/lib/pkg/rlbsite/engines.go
@@ -51,17 +51,13 @@
 
 // Report is an endpoint's state some hundred milliseconds ago.
 type Report struct {
-	Born        time.Time
-	Sequence    uint64
-	Busy        bool
-	Holds       []Held
-	InMemory    []string
-	OnDisk      []string
-	Coming      []string // adapters being fetched, as MODEL/ADAPTER
-	Waiting     int
-	Running     int
-	TokensUsed  int
-	TokensTotal int
+	Born     time.Time
+	Sequence uint64
+	Busy     bool
+	Holds    []Held
+	InMemory []string
+	OnDisk   []string
+	Coming   []string // adapters being fetched, as MODEL/ADAPTER
 }
 
 // Engines is the control side of the endpoints that hold models.
--- a/rlb-load/pkg/rlbsoak/check.go
+++ b/rlb-load/pkg/rlbsoak/check.go
@@ -87,7 +87,7 @@
 		return // the route may be dropped by now
 	}
 	key := fmt.Sprintf("%s/%d", x.name, life)
-	calm := x.calm(began, time.Now()) && s.site.storeCalm(began, time.Now()) && x.stays(began, time.Now()) && !s.stalled(began)
+	calm := x.calm(began, time.Now()) && s.site.storeWide.calm(began, time.Now()) && x.stays(began, time.Now()) && !s.stalled(began)
 	s.mu.Lock()
 	seen := s.seen[key]
 	if status != 0 && status != http.StatusNotFound && status != http.StatusServiceUnavailable {
@@ -230,7 +230,7 @@
 		s.judgeOneRun(where, x, runs)
 	}
 	for _, run := range runs {
-		if left := run.at.left(run.Began); !left.IsZero() && run.Began.Sub(left) > drainTime && s.calm(x, run.Began) && s.site.storeCalm(left, run.Began) {
+		if left := run.at.left(run.Began); !left.IsZero() && run.Began.Sub(left) > drainTime && s.calm(x, run.Began) && s.site.storeWide.calm(left, run.Began) {
 			s.find("leaving", fmt.Sprintf("%s: ran at %s, %s after its leaving", where, run.at.id, run.Began.Sub(left)))
 		}
 	}
--- a/rlb-load/pkg/rlbsoak/process.go
+++ b/rlb-load/pkg/rlbsoak/process.go
@@ -16,26 +16,6 @@
 	settleSlow = 700 * time.Millisecond
 )
 
-// span is a stretch of time; a zero end: it goes on.
-type span struct{ from, to time.Time }
-
-// touches reports whether the span has a part between two moments.
-func (s span) touches(from, to time.Time) bool {
-	return s.from.Before(to) && (s.to.IsZero() || s.to.After(from))
-}
-
-// spans are the disturbances of one thing.
-type spans []span
-
-func (s spans) touch(from, to time.Time) bool {
-	for _, one := range s {
-		if one.touches(from, to) {
-			return true
-		}
-	}
-	return false
-}
-
 // instance is a row of the table of instances: one process at a time.
 type instance struct {
 	name     string
@@ -47,13 +27,12 @@
 	store    *proxy
 	peers    *proxy
 
+	disturbances
 	mu       sync.Mutex
 	command  *exec.Cmd
 	life     int
 	handled  sync.Mutex // held by the trouble that stops and starts it
 	expected bool       // its end was caused by the soak
-	hurt     spans      // unplanned: kills, pauses, harmed links
-	starts   spans      // from a start until the instance has settled
 	leaves   spans      // from a SIGTERM until the next start
 	gone     chan struct{}
 }
@@ -85,7 +64,7 @@
 		x.leaves[n-1].to = now
 	}
 	x.life++
-	x.starts = append(x.starts, span{now, now.Add(settleSlow)})
+	x.hurts(now, now.Add(settleSlow))
 	go func() {
 		err := command.Wait()
 		_ = out.Close()
@@ -129,22 +108,6 @@
 	}
 }
 
-// hurts notes an unplanned disturbance.
-func (x *instance) hurts(from, to time.Time) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.hurt = append(x.hurt, span{from, to})
-}
-
-// calm reports whether the instance ran undisturbed between two moments and for
-// contact before.
-func (x *instance) calm(from, to time.Time) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	from = from.Add(-contact)
-	return !x.hurt.touch(from, to) && !x.starts.touch(from, to)
-}
-
 // stays reports whether the instance was not shutting down between two moments.
 func (x *instance) stays(from, to time.Time) bool {
 	x.mu.Lock()
--- a/rlb-load/pkg/rlbsoak/site.go
+++ b/rlb-load/pkg/rlbsoak/site.go
@@ -40,10 +40,10 @@
 	proxy   *proxy
 	handled sync.Mutex // held by the trouble that takes it away
 
+	disturbances
 	mu      sync.Mutex
-	state   string // as its entry says; empty: it has none
-	leaves  spans  // from the acknowledged word that it leaves until it is back
-	hurt    spans
+	state   string  // as its entry says; empty: it has none
+	leaves  spans   // from the acknowledged word that it leaves until it is back
 	lose    float64 // share of answers that are lost after the run
 	fail    float64 // share of requests that fail
 	crossed float64 // share of answers that bear another request's id
@@ -85,20 +85,6 @@
 	e.lose, e.fail, e.crossed = lose, fail, crossed
 }
 
-// hurts notes a disturbance.
-func (e *endpoint) hurts(from, to time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.hurt = append(e.hurt, span{from, to})
-}
-
-// calm reports whether the endpoint was undisturbed between two moments.
-func (e *endpoint) calm(from, to time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.hurt.touch(from.Add(-contact), to)
-}
-
 // left returns since when the endpoint was leaving at a moment; zero: it was not.
 func (e *endpoint) left(at time.Time) time.Time {
 	e.mu.Lock()
@@ -141,7 +127,7 @@
 	engines   []*endpoint
 	plain     []*endpoint
 	closers   []func()
-	storeHurt spans // disturbances of the store as a whole
+	storeWide disturbances // of the store as a whole
 
 	mu      sync.Mutex
 	version uint64
@@ -251,21 +237,6 @@
 	return s.version, s.acked[s.version]
 }
 
-// storeCalm reports whether the store was undisturbed between two moments and for
-// contact before.
-func (s *site) storeCalm(from, to time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.storeHurt.touch(from.Add(-contact), to)
-}
-
-// storeHurts notes a disturbance of the store.
-func (s *site) storeHurts(from, to time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeHurt = append(s.storeHurt, span{from, to})
-}
-
 // refresh writes the entries of all endpoints that have one: as they are now.
 func (s *site) refresh() {
 	for _, e := range s.endpoints() {
--- a/rlb-load/pkg/rlbsoak/trouble.go
+++ b/rlb-load/pkg/rlbsoak/trouble.go
@@ -234,7 +234,7 @@
 
 func (t *troubles) storeDown() error {
 	d := t.between(500*time.Millisecond, 8*time.Second)
-	t.site.storeHurts(time.Now(), time.Now().Add(d))
+	t.site.storeWide.hurts(time.Now(), time.Now().Add(d))
 	t.site.store.Refuse([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[t.draw.IntN(2)])
 	time.Sleep(d)
 	t.site.store.Refuse(0)
@@ -243,7 +243,7 @@
 
 func (t *troubles) storeSlow() error {
 	d, delay := t.between(time.Second, 5*time.Second), t.between(50*time.Millisecond, 300*time.Millisecond)
-	t.site.storeHurts(time.Now(), time.Now().Add(d))
+	t.site.storeWide.hurts(time.Now(), time.Now().Add(d))
 	for _, x := range t.instances {
 		x.store.harm(harm{delay: delay})
 	}
@@ -255,13 +255,13 @@
 }
 
 func (t *troubles) storeLost() error {
-	t.site.storeHurts(time.Now(), time.Now().Add(time.Second))
+	t.site.storeWide.hurts(time.Now(), time.Now().Add(time.Second))
 	t.site.store.LoseAnswers(1 + t.draw.IntN(4))
 	return nil
 }
 
 func (t *troubles) storeCompact() error {
-	t.site.storeHurts(time.Now(), time.Now())
+	t.site.storeWide.hurts(time.Now(), time.Now())
 	t.site.publish()
 	t.site.store.Compact()
 	return nil
