Soak names its kinds of trouble; a method nobody calls is gone

Change: the flag's help lists the kinds; Holds is removed. Only the soak's command and the stand-in change, nothing of rlb-node, lib or platform.

--- a/rlb-load/pkg/rlbcommand/soak.go
+++ b/rlb-load/pkg/rlbcommand/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/rlb-load/pkg/rlbsoak"
@@ -25,7 +26,7 @@
 	flags.IntVar(&opts.Plain, "plain", 3, "endpoints of the plain service")
 	flags.IntVar(&opts.Callers, "callers", 24, "callers")
 	flags.DurationVar(&opts.Length, "length", 20*time.Second, "time in which things are harmed")
-	flags.StringSliceVar(&opts.Only, "only", nil, "kinds of trouble; empty: all")
+	flags.StringSliceVar(&opts.Only, "only", nil, "kinds of trouble, of "+strings.Join(rlbsoak.Troubles(), ", ")+"; empty: all")
 	flags.UintSliceVar(&seeds, "seeds", nil, "seeds to play")
 	flags.IntVar(&fresh, "fresh", 0, "seeds to draw anew and play")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
--- a/rlb-standin/pkg/rlbfakesite/replica.go
+++ b/rlb-standin/pkg/rlbfakesite/replica.go
@@ -130,22 +130,6 @@
 	return slices.Clone(r.commands)
 }
 
-// Holds reports whether the replica holds a model now.
-func (r *Replica) Holds(model string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settle()
-	_, held := r.holds[model]
-	return held
-}
-
-// Overcommitted reports whether the replica was ordered to hold more than it can.
-func (r *Replica) Overcommitted() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.over
-}
-
 func (r *Replica) models() []map[string]any {
 	all := []map[string]any{}
 	for name, adapters := range r.holds {
