--- a/rlb-standin/pkg/rlbfakesite/replica.go
+++ b/rlb-standin/pkg/rlbfakesite/replica.go
@@ -130,6 +130,13 @@
 	return slices.Clone(r.commands)
 }
 
+// Overcommitted reports whether the replica was ordered to hold more than it can.
+func (r *Replica) Overcommitted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.over
+}
+
 func (r *Replica) models() []map[string]any {
 	all := []map[string]any{}
 	for name, adapters := range r.holds {
