rlb-node: log what a request shares with others when its endpoint breaks the connection

No decision changes. Ruled out: that single requests come again (no refusal for crashes, at most 4 cuts of one).

--- a/rlb-node/pkg/rlbproxy/crash_counts.go
+++ b/rlb-node/pkg/rlbproxy/crash_counts.go
@@ -59,13 +59,20 @@
 // tooManyCrashes reports whether the request crashed too many endpoints, here and at
 // other instances.
 func (c *crashCounts) tooManyCrashes(fingerprint uint64) bool {
+	here, peers := c.count(fingerprint)
+	return here+peers > maxCrashes
+}
+
+// count returns the crashes of endpoints during the request that were counted here and
+// at other instances.
+func (c *crashCounts) count(fingerprint uint64) (here, peers int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	count := c.byFingerprint[fingerprint]
 	if !c.now().Before(count.until) {
 		count.crashes = 0
 	}
-	return count.crashes+c.peerCrashes(fingerprint) > maxCrashes
+	return count.crashes, c.peerCrashes(fingerprint)
 }
 
 // recent returns up to maxPublishedCrashes unexpired crash counts by fingerprint.
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -29,7 +29,8 @@
 	model        string
 	adapter      string
 	promptTokens int
-	fingerprint  uint64 // equal when the caller sends the request again
+	sharedParts  []string // IDs of the prompt parts that other requests may share
+	fingerprint  uint64   // equal when the caller sends the request again
 	arrived      time.Time
 	deadline     time.Time
 	exchange     *rlbroute.Exchange
@@ -40,6 +41,7 @@
 	expectedWait time.Duration // expected wait for the answer to start at the endpoint chosen last
 	attemptStart time.Time     // of the latest attempt
 	timeToFirst  time.Duration // from attemptStart to the first event
+	firstEventAt time.Time     // time at which the first event of the latest attempt that brought one was relayed
 	lastEventAt  time.Time     // time at which the latest event was relayed
 	longestPause time.Duration // between two events
 	started      bool          // the caller has got a part of the answer
@@ -88,6 +90,7 @@
 		return req, refuseNotListed
 	}
 	req.promptTokens = rlbplatform.PromptTokens(r.Header)
+	req.sharedParts = rlbplatform.SharedPromptParts(r.Header)
 	req.lastEventID = r.Header.Get(rlbplatform.HeaderLastEventID)
 	req.fingerprint = requestFingerprint(r, req.body)
 	budget := s.budgets.forService(req.service)
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -77,6 +77,9 @@
 // recordPause updates the longest pause between two events of the stream.
 func (s *Server) recordPause(req *request) {
 	now := s.Now()
+	if req.firstEventAt.Before(req.attemptStart) {
+		req.firstEventAt = now
+	}
 	if !req.lastEventAt.IsZero() {
 		req.longestPause = max(req.longestPause, now.Sub(req.lastEventAt))
 	}
