--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,7 +60,8 @@
 	view        *rlbdiscovery.View
 	replicas    map[string]*rlbfakedeployment.Replica
 	entries     []rlbobject.Object
-	peerCrashes int // crashes recorded by other instances
+	peerCrashes int          // crashes recorded by other instances
+	clockAhead  atomic.Int64 // nanoseconds that the server's clock is ahead of the process clock
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -75,13 +77,18 @@
 		PeerCrashes: func(uint64) int { return f.peerCrashes },
 		Instances:   func() int { return 1 }, Dispatcher: dispatcher, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
 		RetryBudget: rlbretrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
-		Metrics:     metrics.NewRegistry(), Now: time.Now,
+		Metrics:     metrics.NewRegistry(), Now: f.now,
 	})
 	f.proxy = httptest.NewServer(f.server)
 	t.Cleanup(f.proxy.Close)
 	return f
 }
 
+func (f *fixture) now() time.Time { return time.Now().Add(time.Duration(f.clockAhead.Load())) }
+
+// advance sets the server's clock ahead.
+func (f *fixture) advance(d time.Duration) { f.clockAhead.Add(int64(d)) }
+
 // add starts a replica. A replica in the server's domain (a) is preferred.
 func (f *fixture) add(t *testing.T, id, service, domain string) *rlbfakedeployment.Replica {
 	t.Helper()
