Crashes are counted by prompt part as well as by request, and explained

Cause: a crash was counted against the hash of the whole request only. Requests that share the part of a prompt which crashes engines are all different, so no count ever reached its limit. Class of fault: a protection keyed by an identity that is narrower than the cause. On the way the same place had three more: counts were published in random order with a limit of 64, were lost with a restart of the instance that had made them, and were cleared by nothing but time.

Ruled out: resumes and repeats as the cause (at most a factor of two); counting by part alone (the other parts of these requests are in every crash as well, and are those of most sound requests).

Change: rlbcrash keeps evidence by property (whole request, shared prompt part): the set of endpoint incarnations that crashed. An answer refutes the evidence, a crash explained by one property is no evidence against another, crashes at one moment count once for a part, and a property that was answered before is refused only while other requests of the service are answered, so that a failing service is not taken for failing requests. From the third crash on requests with it are refused at once as not run, for one to two minutes (doubling), then one instance tries a single request. Instances merge their records (commutative and idempotent), so that a restarted one learns them from its peers. Records are bounded; those with the most evidence are published first. A retry is checked like a first attempt. Versions during a rolling update do not share crash counts (field k becomes q).

Why it works: a part that always crashes is never answered, every other part is.

TestRefusals: other instances' crashes are merged records instead of a count, as strict.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -15,6 +15,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
@@ -51,6 +52,7 @@
 	fleet        *rlbpeer.Fleet
 	link         *rlbpeer.Link
 	balancer     *rlbbalancer.Balancer
+	crashes      *rlbcrash.Evidence
 	proxy        *rlbproxy.Server
 	scheduler    *rlbscheduler.Scheduler
 	holdsLease   func() bool // reports whether this instance holds the lease for orders
@@ -116,6 +118,7 @@
 	}
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
+	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now)
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
@@ -123,7 +126,7 @@
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 	})
-	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest, LoadVersion: a.balancer.LoadVersion})
+	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest, LoadVersion: a.balancer.LoadVersion})
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
 	}
@@ -137,8 +140,7 @@
 	})
 	a.proxy = rlbproxy.New(rlbproxy.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
-		PeerCrashes: func(fingerprint uint64) int { return a.fleet.Crashes(rlbclock.Now(), fingerprint) },
-		Instances:   func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler,
+		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler,
 		RetryBudget: retryBudgetLimits(settings),
 		Metrics:     a.registry, Now: rlbclock.Now,
 	})
@@ -189,6 +191,7 @@
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
 		a.view.Sweep()
 		a.catchUp.step(ctx)
+		a.proxy.LogQuarantine()
 		snapshot := a.view.Snapshot()
 		a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
 	}
@@ -218,7 +221,7 @@
 	d := rlbpeer.Digest{
 		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
 		Draining: a.proxy.Draining(), APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
-		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: a.proxy.Crashes(),
+		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report()),
 	}
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -28,7 +28,7 @@
 	LeaseHolder    *LeaseHolder       `msgpack:"h,omitempty"` // set by the holder of the lease for orders
 	Loads          map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see EndpointKey
 	Demand         map[string]float32 `msgpack:"m,omitempty"` // requests in flight or refused, by model
-	Crashes        map[uint64]uint8   `msgpack:"k,omitempty"` // endpoint crashes during a request, by request fingerprint
+	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // "k" was used by earlier versions
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -79,7 +79,7 @@
 	LeaseHolder    *LeaseHolder       `msgpack:"h,omitempty"`
 	Loads          map[uint32]Load    `msgpack:"i,omitempty"`
 	Demand         map[string]float32 `msgpack:"m,omitempty"`
-	Crashes        map[uint64]uint8   `msgpack:"k,omitempty"`
+	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // of all instances of the domain; "k" was used by earlier versions
 }
 
 // packet is the content of a datagram. Exactly one field is set.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -15,8 +15,7 @@
 	// failure domain no longer counts as live.
 	LivenessTimeout = 1200 * time.Millisecond
 	// removalTimeout is the time without a message after which an instance or a
-	// failure domain is removed, and the crashes and model loads that it reported no
-	// longer count.
+	// failure domain is removed, and the model loads that it reported no longer count.
 	removalTimeout = time.Minute
 	// addressTTL is how long the address of an instance is used after its latest
 	// registration or message.
@@ -323,7 +322,7 @@
 func (f *Fleet) Summarize(now time.Time, own Digest) Summary {
 	s := Summary{
 		Domain: own.Domain, From: own.Name, Address: own.Address, Incarnation: own.Incarnation, Sequence: own.Sequence,
-		Loads: map[uint32]Load{}, Demand: map[string]float32{}, Crashes: map[uint64]uint8{},
+		Loads: map[uint32]Load{}, Demand: map[string]float32{}, Crashes: own.Crashes, // the own records contain those of the members
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -341,29 +340,7 @@
 		for model, n := range d.Demand {
 			s.Demand[model] += n
 		}
-		for fingerprint, n := range d.Crashes {
-			s.Crashes[fingerprint] += n
-		}
 	}
 	s.APIUnavailable = s.APIUnavailable && !available
 	return s
 }
-
-// Crashes returns the number of endpoint crashes that the other instances recorded for
-// the request with a fingerprint.
-func (f *Fleet) Crashes(now time.Time, fingerprint uint64) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, m := range f.members {
-		if now.Sub(m.lastSeen) <= removalTimeout {
-			n += int(m.digest.Crashes[fingerprint])
-		}
-	}
-	for _, d := range f.domains {
-		if now.Sub(d.lastSeen) <= removalTimeout {
-			n += int(d.summary.Crashes[fingerprint])
-		}
-	}
-	return n
-}
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -72,6 +73,7 @@
 	Listen  string // IP:port for datagrams and connections
 	Address string // address at which other instances reach this one
 	Fleet   *Fleet
+	Crashes *rlbcrash.Evidence // merges the records that other instances publish
 	Now     func() time.Time
 	Handler Handler
 	// Digest returns the digest to publish. It is called once for each publication.
@@ -85,6 +87,7 @@
 type Link struct {
 	log         log.Interface
 	fleet       *Fleet
+	crashes     *rlbcrash.Evidence
 	now         func() time.Time
 	address     string // address of this instance
 	packets     *net.UDPConn
@@ -110,7 +113,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, packets.Close())
 	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, loadVersion: opts.LoadVersion}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, loadVersion: opts.LoadVersion}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -197,6 +200,7 @@
 // domain unless it was relayed already.
 func (l *Link) apply(p packet) {
 	now := l.now()
+	l.mergeCrashes(now, p)
 	if d := p.Digest; d != nil && l.fleet.ApplyDigest(now, *d) {
 		l.log.WithFields(log.Fields{"peer": d.Name, "address": d.Address, "life": d.Incarnation}).Info("discovered a new or restarted instance")
 	}
@@ -207,6 +211,16 @@
 	}
 }
 
+// mergeCrashes merges the crash records of a message. Outdated messages do no harm.
+func (l *Link) mergeCrashes(now time.Time, p packet) {
+	if p.Digest != nil {
+		l.crashes.Merge(decodeCrashRecords(now, p.Digest.Crashes))
+	}
+	if p.Summary != nil {
+		l.crashes.Merge(decodeCrashRecords(now, p.Summary.Crashes))
+	}
+}
+
 // serve accepts connections until the listener is closed.
 func (l *Link) serve() {
 	for {
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -17,14 +17,14 @@
 
 // proxy sends a request to endpoints until it is answered, refused or failed.
 func (s *Server) proxy(w http.ResponseWriter, req *request) {
+	if s.quarantined(req) {
+		s.refuse(w, req, s.quarantineRefusal(req))
+		return
+	}
 	if req.model != "" {
 		s.demand.begin(req.model)
 		defer func() { s.demand.end(req.model, len(req.tried) == 0) }()
 	}
-	if s.crashes.tooManyCrashes(req.fingerprint) {
-		s.refuse(w, req, refuseQuarantined)
-		return
-	}
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(s.ioDeadline(req.deadline)) // in case the caller stops reading
 	for s.attempt(w, req) {
@@ -38,6 +38,7 @@
 	if endpoint := s.chooseEndpoint(req); endpoint != nil {
 		req.exchange.Begin()
 		req.tried = append(req.tried, endpoint.ID)
+		req.harmless = false
 		var passed bool
 		if fault, passed = s.send(w, req, endpoint); passed {
 			return false
@@ -64,6 +65,9 @@
 // chooseEndpoint returns the endpoint for the next attempt, or nil if there is
 // none that may get the request.
 func (s *Server) chooseEndpoint(req *request) *rlbdeployment.Endpoint {
+	if len(req.tried) > 0 && s.quarantined(req) {
+		return nil
+	}
 	withAdapter, found := s.endpointsWithAdapter(req)
 	if !found {
 		return nil
@@ -135,6 +139,8 @@
 		panic(http.ErrAbortHandler) // the caller must see that the answer is incomplete
 	case req.failedAnswer != nil:
 		s.writeAnswer(w, req, req.failedAnswer)
+	case outcome == rlbroute.NotRun && !req.quarantineEnd.IsZero():
+		s.refuse(w, req, s.quarantineRefusal(req))
 	case outcome == rlbroute.NotRun && req.busy:
 		s.refuse(w, req, refuseBusy.withRetryAfter(req.expectedWait-s.maxWait(req)))
 	case outcome == rlbroute.NotRun && fault == rlbroute.FaultNoEndpoint:
--- a/rlb-node/pkg/rlbproxy/crash_test.go
+++ b/rlb-node/pkg/rlbproxy/crash_test.go
@@ -13,14 +13,21 @@
 // betweenCrashes is long enough that two crashes do not count as simultaneous.
 const betweenCrashes = 2 * time.Second
 
-// crashOnPart breaks the connection of each request whose prompt has the part.
-func crashOnPart(part string) func(http.ResponseWriter, *http.Request, int) bool {
-	return func(_ http.ResponseWriter, q *http.Request, _ int) bool {
-		if strings.Contains(q.Header.Get("X-Prompt-Prefix"), part) {
+// addCrashing adds endpoints that crash on a part of a prompt. The function that it
+// returns takes the endpoint that crashed last out of service.
+func (f *fixture) addCrashing(t *testing.T, part string, ids ...string) (replace func()) {
+	t.Helper()
+	crashed := make(chan string, len(ids))
+	for _, id := range ids {
+		f.add(t, id, "llm", "a").Intercept = func(_ http.ResponseWriter, q *http.Request, _ int) bool {
+			if !strings.Contains(q.Header.Get("X-Prompt-Prefix"), part) {
+				return false
+			}
+			crashed <- id
 			panic(http.ErrAbortHandler)
 		}
-		return false
 	}
+	return func() { f.drain(<-crashed) }
 }
 
 // sendParts sends a request of its own to an engine; its prompt begins with the parts.
@@ -33,12 +40,11 @@
 func TestNewRequestsWithPartThatCrashesEndpointsAreRefused(t *testing.T) {
 	Convey("Given five endpoints that crash on a part of a prompt", t, func() {
 		f := newFixture(t)
-		for _, id := range []string{"e1", "e2", "e3", "e4", "e5"} {
-			f.add(t, id, "llm", "a").Intercept = crashOnPart("bad")
-		}
+		replace := f.addCrashing(t, "bad", "e1", "e2", "e3", "e4", "e5")
 		Convey("requests with it are refused as not run after three crashes, requests with the other parts are served", func() {
 			for n := range 3 {
 				So(f.sendParts(n, "aa:9", "bad:5").status, ShouldEqual, http.StatusBadGateway)
+				replace()
 				So(f.sendParts(10+n, "aa:9", "bb:5").status, ShouldEqual, http.StatusOK)
 				f.advance(betweenCrashes)
 			}
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
@@ -55,13 +57,12 @@
 
 // fixture runs a server between a caller and replicas on loopback.
 type fixture struct {
-	server      *Server
-	proxy       *httptest.Server
-	view        *rlbdiscovery.View
-	replicas    map[string]*rlbfakedeployment.Replica
-	entries     []rlbobject.Object
-	peerCrashes int          // crashes recorded by other instances
-	clockAhead  atomic.Int64 // nanoseconds that the server's clock is ahead of the process clock
+	server     *Server
+	proxy      *httptest.Server
+	view       *rlbdiscovery.View
+	replicas   map[string]*rlbfakedeployment.Replica
+	entries    []rlbobject.Object
+	clockAhead atomic.Int64 // nanoseconds that the server's clock is ahead of the process clock
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -74,8 +75,7 @@
 	t.Cleanup(closeDispatcher)
 	f.server = New(Opts{
 		Log: quiet, Domain: "a", View: f.view, Balancer: rlbbalancer.New(), PeerLoad: func(string) rlbbalancer.Load { return rlbbalancer.Load{} },
-		PeerCrashes: func(uint64) int { return f.peerCrashes },
-		Instances:   func() int { return 1 }, Dispatcher: dispatcher, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
+		Crashes: rlbcrash.New(rlbcrash.Opts{Instance: "i1", Now: f.now}), Instances: func() int { return 1 }, Dispatcher: dispatcher, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
 		RetryBudget: rlbretrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
 		Metrics:     metrics.NewRegistry(), Now: f.now,
 	})
@@ -108,6 +108,20 @@
 	return replica
 }
 
+// drain marks the entry of a replica as draining.
+func (f *fixture) drain(id string) {
+	raw, err := json.Marshal(f.replicas[id].Entry("draining"))
+	if err != nil {
+		panic(err) // the entry consists of plain values
+	}
+	for i, o := range f.entries {
+		if o.Name == id {
+			f.entries[i] = rlbobject.Object{Name: id, Version: rlbobject.Version(len(f.entries)) + o.Version, Value: raw}
+		}
+	}
+	f.view.ApplyList(f.entries, rlbobject.Version(2*len(f.entries)), false)
+}
+
 // callerResult is the answer that the caller got.
 type callerResult struct {
 	status int
--- a/rlb-node/pkg/rlbproxy/metrics.go
+++ b/rlb-node/pkg/rlbproxy/metrics.go
@@ -16,6 +16,7 @@
 	answersPassed  metrics.Counter
 	firstMs        metrics.Histogram // milliseconds until the first event or the whole answer
 	streamsResumed metrics.Counter
+	quarantined    metrics.Gauge   // properties of requests that are refused
 	crashes        metrics.Counter // attempts whose endpoint broke the connection while it ran the request
 }
 
@@ -25,6 +26,7 @@
 		answersPassed:  metrics.GetOrRegisterCounter("answers_passed", registry),
 		firstMs:        metrics.GetOrRegisterHistogram("first_ms", registry, metrics.NewUniformSample(sampleSize)),
 		streamsResumed: metrics.GetOrRegisterCounter("streams_resumed", registry),
+		quarantined:    metrics.GetOrRegisterGauge("quarantined_properties", registry),
 		crashes:        metrics.GetOrRegisterCounter("endpoint_crashes", registry),
 	}
 }
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -43,13 +43,21 @@
 	refuseNoEndpoint     = &refusal{http.StatusServiceUnavailable, retryLater, "no endpoint can run it now"}
 	refuseBusy           = &refusal{http.StatusServiceUnavailable, retryLater, "all endpoints of the model are busy"}
 	refuseEndpointsFull  = &refusal{http.StatusServiceUnavailable, retryLater, "endpoints are full"}
-	refuseQuarantined    = &refusal{http.StatusServiceUnavailable, retryLater, "the request crashed endpoints before"}
+	refuseQuarantined    = &refusal{http.StatusServiceUnavailable, retryLater, "requests like this one crashed endpoints"}
 	refuseNoTime         = &refusal{http.StatusServiceUnavailable, retrySoon, "no time left"}
 	failInDoubt          = &refusal{http.StatusBadGateway, 0, "an endpoint may have run it, its answer is lost"}
 	failEndpoint         = &refusal{http.StatusBadGateway, 0, "an endpoint failed"}
 	failDeadline         = &refusal{http.StatusGatewayTimeout, 0, "no answer in time"}
 )
 
+// quarantineRefusal returns the refusal of a request that must not run, with the time
+// after which one like it may be tried again.
+func (s *Server) quarantineRefusal(req *request) *refusal {
+	changed := *refuseQuarantined
+	changed.retryAfter = max(req.quarantineEnd.Sub(s.Now()).Round(time.Second), retryLater)
+	return &changed
+}
+
 func (s *Server) refuse(w http.ResponseWriter, req *request, r *refusal) {
 	s.requestMetrics.refused(r.status)
 	s.logEnd(req, r.status, r.text)
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -20,33 +20,35 @@
 
 // request is a request of a caller with its routing decisions and progress.
 type request struct {
-	id           string
-	inbound      *http.Request
-	body         []byte
-	snapshot     *rlbdiscovery.Snapshot
-	route        *rlbdeployment.Route
-	service      string
-	model        string
-	adapter      string
-	promptTokens int
-	sharedParts  []string // IDs of the prompt parts that other requests may share
-	fingerprint  uint64   // equal when the caller sends the request again
-	arrived      time.Time
-	deadline     time.Time
-	exchange     *rlbroute.Exchange
-	tried        []string      // IDs of the endpoints of all attempts
-	unsent       int           // number of these that could not be reached
-	lastEventID  string        // last complete event sent to the caller
-	busy         bool          // not admitted: the expected wait is too long
-	expectedWait time.Duration // expected wait for the answer to start at the endpoint chosen last
-	attemptStart time.Time     // of the latest attempt
-	timeToFirst  time.Duration // from attemptStart to the first event
-	firstEventAt time.Time     // time at which the first event of the latest attempt that brought one was relayed
-	lastEventAt  time.Time     // time at which the latest event was relayed
-	longestPause time.Duration // between two events
-	started      bool          // the caller has got a part of the answer
-	markAnswered func()        // reports to the balancer that the endpoint's answer has started
-	reason       string        // why the latest attempt failed or was not made
+	id            string
+	inbound       *http.Request
+	body          []byte
+	snapshot      *rlbdiscovery.Snapshot
+	route         *rlbdeployment.Route
+	service       string
+	model         string
+	adapter       string
+	promptTokens  int
+	sharedParts   []string // IDs of the prompt parts that other requests may share
+	fingerprint   uint64   // equal when the caller sends the request again
+	arrived       time.Time
+	deadline      time.Time
+	exchange      *rlbroute.Exchange
+	harmless      bool          // the latest attempt has shown that the prompt does not crash endpoints
+	quarantineEnd time.Time     // until when requests like this one are refused; zero: they are not
+	tried         []string      // IDs of the endpoints of all attempts
+	unsent        int           // number of these that could not be reached
+	lastEventID   string        // last complete event sent to the caller
+	busy          bool          // not admitted: the expected wait is too long
+	expectedWait  time.Duration // expected wait for the answer to start at the endpoint chosen last
+	attemptStart  time.Time     // of the latest attempt
+	timeToFirst   time.Duration // from attemptStart to the first event
+	firstEventAt  time.Time     // time at which the first event of the latest attempt that brought one was relayed
+	lastEventAt   time.Time     // time at which the latest event was relayed
+	longestPause  time.Duration // between two events
+	started       bool          // the caller has got a part of the answer
+	markAnswered  func()        // reports to the balancer that the endpoint's answer has started
+	reason        string        // why the latest attempt failed or was not made
 	// misdirected reports that the endpoint of the latest attempt answered 421: it
 	// is not the expected instance or has not loaded the expected model.
 	misdirected  bool
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
@@ -64,6 +63,9 @@
 		return rlbroute.FaultCallerDisconnected, false
 	}
 	outcome = outcomeOf(fault, passed)
+	if passed || fault == rlbroute.FaultFailed {
+		s.recordAnswered(req)
+	}
 	if passed {
 		return fault, true
 	}
@@ -84,27 +86,6 @@
 	return fault, false
 }
 
-// recordCrash counts a crash of the endpoint during the request and logs what the
-// request shares with others, from which the cause can be found.
-func (s *Server) recordCrash(req *request, e *rlbdeployment.Endpoint) {
-	s.crashes.recordCrash(req.fingerprint)
-	s.requestMetrics.crashes.Inc(1)
-	here, peers := s.crashes.count(req.fingerprint)
-	s.Log.WithFields(log.Fields{
-		"request": req.id, "endpoint": e.ID, "endpoint_started": e.StartedAt, "fingerprint": strconv.FormatUint(req.fingerprint, 16), "shared_parts": req.sharedParts,
-		"answering_ms": s.answeringFor(req).Milliseconds(), "crashes_here": here, "crashes_elsewhere": peers,
-	}).Info("endpoint broke the connection while it ran a request")
-}
-
-// answeringFor returns for how long the latest attempt has been answering; 0 if it
-// brought no event.
-func (s *Server) answeringFor(req *request) time.Duration {
-	if req.firstEventAt.Before(req.attemptStart) {
-		return 0
-	}
-	return s.Now().Sub(req.firstEventAt)
-}
-
 func outcomeOf(fault rlbroute.Fault, passed bool) rlbbalancer.Outcome {
 	switch {
 	case passed:
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
@@ -30,7 +31,7 @@
 	View        *rlbdiscovery.View
 	Balancer    *rlbbalancer.Balancer
 	PeerLoad    func(endpoint string) rlbbalancer.Load // load of the other instances at an endpoint
-	PeerCrashes func(fingerprint uint64) int           // endpoints that crashed while they ran the request for other instances
+	Crashes     *rlbcrash.Evidence                     // properties of requests that crash endpoints
 	Instances   func() int                             // number of instances that share the retry budget
 	Dispatcher  *rlbdispatch.Dispatcher
 	Adapters    Adapters
@@ -44,7 +45,6 @@
 	Opts
 	budgets        *retryBudgets
 	demand         *Demand
-	crashes        *crashCounts
 	requestMetrics requestMetrics
 	draining       atomic.Bool
 	closed         atomic.Bool
@@ -57,7 +57,6 @@
 		Opts:           opts,
 		budgets:        newRetryBudgets(opts.RetryBudget),
 		demand:         newDemand(opts.Now),
-		crashes:        newCrashCounts(opts.Now, opts.PeerCrashes),
 		requestMetrics: newRequestMetrics(opts.Metrics),
 	}
 }
@@ -65,10 +64,6 @@
 // Demand returns the counts of requests by model.
 func (s *Server) Demand() *Demand { return s.demand }
 
-// Crashes returns the numbers of recent endpoint crashes by the fingerprint of the
-// request that was running.
-func (s *Server) Crashes() map[uint64]uint8 { return s.crashes.recent() }
-
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/rlb-node/pkg/rlbproxy/server_test.go
+++ b/rlb-node/pkg/rlbproxy/server_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
 	. "github.com/smartystreets/goconvey/convey"
@@ -251,10 +252,13 @@
 		})
 		Convey("crashes recorded by other instances count, and its own are published", func() {
 			first.Intercept = cutConnection
-			f.peerCrashes = 2
 			So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusBadGateway)
+			published := f.server.Crashes.Report()
+			So(published, ShouldHaveLength, 1)
+			So(published[0].Crashes, ShouldHaveLength, 1)
+			elsewhere := rlbcrash.Record{Property: published[0].Property, Crashes: []rlbcrash.Crash{{ID: 1, Endpoint: 1, At: f.now()}, {ID: 2, Endpoint: 2, At: f.now()}}}
+			f.server.Crashes.Merge([]rlbcrash.Record{elsewhere})
 			So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusServiceUnavailable)
-			So(f.server.Crashes(), ShouldHaveLength, 1)
 			shouldHaveRun(first, 1)
 		})
 		Convey("a draining instance is not ready but serves requests until it is closed", func() {
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -46,6 +46,7 @@
 		}
 		req.lastEventID = string(event.ID)
 		s.recordPause(req)
+		s.recordHarmless(req)
 	}
 }
 
