--- a/lib/pkg/rlbcrash/verdict.go
+++ b/lib/pkg/rlbcrash/verdict.go
@@ -13,7 +13,7 @@
 	crashThreshold = 3
 	// simultaneousCrashes is the time within which crashes count as one for a prompt part:
 	// endpoints that fail together were running many requests with the same parts.
-	simultaneousCrashes = 250 * time.Millisecond
+	simultaneousCrashes = 50 * time.Millisecond
 	// refusalTime is how long requests are refused after the crash that reaches the
 	// threshold. Each further crash doubles it.
 	refusalTime = time.Minute
