Crash records of many crashes neither flap nor drift

Cause: a record kept the latest 8 crashes. Instances know the time of a crash with the delay of the message that told them, so they disagreed on which were the latest, dropped and re-added each other's crashes, each time with a later time. At last all 8 lay within 50 ms and counted as one. Class: a bounded set whose rule of eviction depends on local time is no longer commutative when merged. Ruled out: a refutation by an answer (a line for it is new: none for this part).

Change: a record takes up to 16 crashes and then no further ones (a refuted one makes room), and a crash keeps the time at which it was first heard of. TestRecordsOfManyCrashes... fails on the code before. Looked for elsewhere: LeaseHolder.LoadAges has one writer and is replaced whole, so it cannot.

--- a/lib/pkg/rlbcrash/evidence.go
+++ b/lib/pkg/rlbcrash/evidence.go
@@ -68,19 +68,26 @@
 }
 
 // RecordAnswer records that requests with the properties did not crash the endpoint: it
-// has answered one of the service.
-func (e *Evidence) RecordAnswer(service string, properties []Property) {
+// has answered one of the service. It returns the properties that were refused until
+// then.
+func (e *Evidence) RecordAnswer(service string, properties []Property) (released []Property) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.opts.Now()
+	e.refresh()
 	latest := append(e.answers[service], now)
 	e.answers[service] = latest[max(0, len(latest)-minOtherAnswers):]
 	for _, p := range properties {
 		e.answered.Add(p, struct{}{})
-		if e.records[p] != nil {
-			e.update(now, p, (*Record).refute)
+		if e.records[p] == nil {
+			continue
+		}
+		e.update(now, p, (*Record).refute)
+		if _, refused := e.verdicts[p]; refused {
+			released = append(released, p)
 		}
 	}
+	return released
 }
 
 // Merge adds the records of another instance.
--- a/lib/pkg/rlbcrash/evidence_test.go
+++ b/lib/pkg/rlbcrash/evidence_test.go
@@ -197,6 +197,41 @@
 	})
 }
 
+func TestRecordsOfManyCrashesNeitherFlapNorDrift(t *testing.T) {
+	Convey("Given three instances that saw more crashes than a record holds, each a part of them", t, func() {
+		c := &clock{time.Unix(1000, 0)}
+		var all []*Evidence
+		for n := range 3 {
+			all = append(all, New(Opts{Instance: strconv.Itoa(n), Now: c.now}))
+		}
+		for n := range uint64(3 * maxCrashes) {
+			crash(all[n%3], c, n, bad)
+		}
+		last := c.now()
+		Convey("messages that take time neither change their verdicts nor the times of crashes", func() {
+			for range 200 {
+				for n, e := range all {
+					message := e.Report()
+					c.advance(5 * time.Millisecond)
+					for i := range message {
+						for k := range message[i].Crashes {
+							message[i].Crashes[k].At = message[i].Crashes[k].At.Add(5 * time.Millisecond)
+						}
+					}
+					all[(n+1)%3].Merge(message)
+				}
+				for _, e := range all {
+					shouldRefuse(e, bad, true)
+				}
+			}
+			for _, e := range all {
+				So(e.records[bad].lastCrash(), ShouldHappenOnOrBefore, last)
+				So(e.records[bad].changedAt, ShouldHappenBefore, last.Add(time.Second))
+			}
+		})
+	})
+}
+
 // TestMergeOrder draws records of three instances. Whatever the order in which messages
 // arrive, and however often, all reach the same records after two exchanges.
 func TestMergeOrder(t *testing.T) {
@@ -206,7 +241,7 @@
 		for n := range 3 {
 			all = append(all, New(Opts{Instance: strconv.Itoa(n), Now: c.now}))
 		}
-		for range rapid.IntRange(1, maxCrashes).Draw(t, "events") {
+		for range rapid.IntRange(1, 8).Draw(t, "events") {
 			at := all[rapid.IntRange(0, 2).Draw(t, "instance")]
 			c.advance(100 * time.Millisecond)
 			p := Property{PromptPart, rapid.Uint64Range(1, 3).Draw(t, "part")}
--- a/lib/pkg/rlbcrash/record.go
+++ b/lib/pkg/rlbcrash/record.go
@@ -45,12 +45,13 @@
 // Record is the evidence about one property.
 type Record struct {
 	Property Property
-	Crashes  []Crash // with different IDs, oldest first, at most maxCrashes
+	Crashes  []Crash // with different IDs, oldest first, at most maxCrashes; a crash keeps the time at which the instance heard of it first
 	Answered bool    // a request with the property was answered, before or after the crashes
 }
 
-// maxCrashes is the number of crashes that a record keeps, the latest ones.
-const maxCrashes = 8
+// maxCrashes is the number of crashes that a record holds. Later ones are ignored: with so
+// many, requests are refused for as long as the record is kept.
+const maxCrashes = 16
 
 // open returns the crashes that are not refuted.
 func (r *Record) open() []Crash {
@@ -86,17 +87,24 @@
 			return changed
 		}
 	}
-	if len(r.Crashes) == maxCrashes {
-		if !c.At.After(r.Crashes[0].At) {
-			return false
-		}
-		r.Crashes = r.Crashes[1:]
+	if len(r.Crashes) == maxCrashes && (c.Refuted || !r.dropRefuted()) {
+		return false
 	}
 	at, _ := slices.BinarySearchFunc(r.Crashes, c, func(a, b Crash) int { return a.At.Compare(b.At) })
 	r.Crashes = slices.Insert(r.Crashes, at, c)
 	return true
 }
 
+// dropRefuted removes the oldest refuted crash. It reports whether there was one.
+func (r *Record) dropRefuted() bool {
+	oldest := slices.IndexFunc(r.Crashes, func(c Crash) bool { return c.Refuted })
+	if oldest < 0 {
+		return false
+	}
+	r.Crashes = slices.Delete(r.Crashes, oldest, oldest+1)
+	return true
+}
+
 // refute marks all crashes as not caused by the property. It reports whether the record
 // has changed.
 func (r *Record) refute() bool {
--- a/lib/pkg/rlbcrash/verdict.go
+++ b/lib/pkg/rlbcrash/verdict.go
@@ -72,7 +72,7 @@
 			explained[crash.Endpoint] = true
 		}
 		verdicts[c.record.Property] = verdict{
-			until: c.record.lastCrash().Add(refusalTime << (counted - crashThreshold)), crashes: counted, since: left[0].At, contrast: c.record.Answered,
+			until: c.record.lastCrash().Add(min(refusalTime<<(counted-crashThreshold), recordTTL)), crashes: counted, since: left[0].At, contrast: c.record.Answered,
 		}
 	}
 	return verdicts
--- a/rlb-node/pkg/rlbproxy/quarantine.go
+++ b/rlb-node/pkg/rlbproxy/quarantine.go
@@ -74,12 +74,22 @@
 		return
 	}
 	req.harmless = true
-	s.Crashes.RecordAnswer(req.service, req.partProperties())
+	s.logReleased(req, s.Crashes.RecordAnswer(req.service, req.partProperties()), "the answer has been arriving for a while")
 }
 
 // recordAnswered records that an endpoint has answered the request completely.
 func (s *Server) recordAnswered(req *request) {
-	s.Crashes.RecordAnswer(req.service, req.properties())
+	s.logReleased(req, s.Crashes.RecordAnswer(req.service, req.properties()), "the answer is complete")
+}
+
+// logReleased logs which properties the request has shown not to crash endpoints.
+func (s *Server) logReleased(req *request, released []rlbcrash.Property, reason string) {
+	for _, p := range released {
+		s.Log.WithFields(log.Fields{
+			"request": req.id, "kind": p.Kind.String(), "property": strconv.FormatUint(p.ID, 16), "endpoints": req.tried, "reason": reason,
+			"shared_parts": req.sharedParts, "last_event": req.lastEventID,
+		}).Warn("a request with a property that was suspected to crash endpoints was answered")
+	}
 }
 
 // answeringFor returns for how long the latest attempt has been answering; 0 if it
