Gateway: different requests that share a crashing message are refused

Change: a crash record holds hashes of all messages but the last (at most 16); each gateway feeds them to rlbcrash. A quarantined request that ran again without a crash refutes its parts at all gateways. Ruled out by the test with three gateways: refuting by the answers of the own gateway alone; a gateway without recent traffic took the message that all requests share for the cause. Gateways therefore report which suspected parts they have answered, as cleared records without an endpoint, with their heartbeat. New optional field parts of crash records; earlier builds ignore it. The fleet's test rig publishes those records too.

--- a/lib/pkg/rlbcrash/evidence.go
+++ b/lib/pkg/rlbcrash/evidence.go
@@ -223,6 +223,15 @@
 	return records
 }
 
+// Refutes reports whether what this instance knows of answered requests speaks against
+// known crashes being caused by the property.
+func (e *Evidence) Refutes(p Property) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := e.records[p]
+	return t != nil && t.Answered
+}
+
 // Refused returns the number of properties with which requests are refused.
 func (e *Evidence) Refused() int {
 	e.mu.Lock()
--- a/lib/pkg/rlbfleetstate/rows.go
+++ b/lib/pkg/rlbfleetstate/rows.go
@@ -156,6 +156,7 @@
 	Deadline int64           `json:"deadline" msgpack:"d"` // Unix time in seconds
 	Phase    QuarantinePhase `json:"phase,omitempty" msgpack:"h,omitempty"`
 	RunsOn   string          `json:"runs_on,omitempty" msgpack:"r,omitempty"` // endpoint that runs the request in phase QuarantineRunning
+	Parts    []uint64        `json:"parts,omitempty" msgpack:"t,omitempty"`   // hashes of the parts of the prompt that other requests may share
 }
 
 // QuarantinePhase is the phase of a quarantined request.
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -150,6 +150,7 @@
 // heartbeat of this gateway.
 func (a *app) buildReport() rlbfleetstate.Update {
 	demand, report := a.server.Report(time.Now())
+	report.Crashes = a.fleet.TakeAnsweredParts()
 	report.Processes = []rlbfleetstate.Process{{
 		ProcessKey: rlbfleetstate.ProcessKey{Type: rlbfleetstate.ProcessGateway, ID: a.id},
 		StartedAt:  a.startedAt, Heartbeat: a.heartbeats.Add(1), FailureDomain: a.domain, Address: a.listen,
--- a/rlb-gateway/pkg/rlbcaller/attempts.go
+++ b/rlb-gateway/pkg/rlbcaller/attempts.go
@@ -32,6 +32,8 @@
 	candidates       func() []*rlbroute.Endpoint
 	send             func(context.Context, *rlbroute.Endpoint, *rlbroute.Exchange) *attemptError
 	fingerprint      uint64
+	sharedParts      []uint64      // hashes of the parts of the prompt that other requests may share
+	crashingUntil    time.Time     // until when requests with one of these parts are refused, as they crash endpoints; zero: they are not
 	model            string        // or plain service
 	firstTokenTarget time.Duration // latency target of the first token; 0: none
 	batch            bool          // waits for a free slot and, if idempotent, may be preempted by interactive requests
@@ -107,6 +109,9 @@
 // request was not sent to any. A request with one crash record runs in a quarantine
 // slot; a request with more does not run.
 func (s *Server) attempt(ctx context.Context, p *proxiedRequest) (*rlbroute.Endpoint, *attemptError) {
+	if s.hasCrashingPart(p) {
+		return nil, &attemptError{fault: rlbroute.FaultNoEndpoint}
+	}
 	crashes := s.Fleet.CountCrashes(p.fingerprint)
 	var endpoint *rlbroute.Endpoint
 	switch crashes {
@@ -124,6 +129,9 @@
 	defer endpoint.BeginRequest()() // counted as in flight until it is known whether the endpoint crashed
 	failure := s.sendAttempt(ctx, p, endpoint)
 	crashed := failure != nil && s.recordFault(ctx, p, endpoint, failure.fault)
+	if failure == nil {
+		s.Fleet.RecordAnswer(p.model, p.sharedParts)
+	}
 	if crashes == 1 && !crashed {
 		s.ReportCrashes(s.Fleet.AdvanceQuarantine(p.fingerprint, rlbfleetstate.QuarantineCleared, "")) // the request did not crash this endpoint: end its quarantine and free the slot
 	}
@@ -309,6 +317,9 @@
 	if s.Fleet.CountCrashes(p.fingerprint) >= rlbquarantine.MaxCrashes {
 		return newRefusal(rlbroute.Failed, CodeCrashesEndpoints)
 	}
+	if !p.crashingUntil.IsZero() {
+		return newRefusal(d.Outcome, CodeCrashingPart).withRetryAfter(time.Until(p.crashingUntil))
+	}
 	return newRefusal(d.Outcome, codeOf(fault, d.Outcome))
 }
 
--- a/rlb-gateway/pkg/rlbcaller/faults_test.go
+++ b/rlb-gateway/pkg/rlbcaller/faults_test.go
@@ -253,6 +253,33 @@
 	}
 }
 
+// TestPartThatCrashesEngines guards against different requests that share a message which
+// crashes each engine that runs them.
+func TestPartThatCrashesEngines(t *testing.T) {
+	const engines, requests, mostCrashed = 16, 12, 5
+	for _, gateways := range []int{1, 3} {
+		t.Run(fmt.Sprint(gateways, " gateways"), func(t *testing.T) {
+			withGateways(t, gateways, engines, func(r *rig) {
+				send := func(i int, shared string) reply {
+					body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":["all share this",%q,"own %d"]}`, testModel, testTokens, shared, i)
+					return r.sendTo(i%gateways, "POST", "/v1/chat/completions", body)
+				}
+				Convey("after a few crashes they are refused as not run, other requests are answered", t, func() {
+					var last reply
+					for i := range requests {
+						last = send(i, rlbfakeengine.CrashMarker)
+						assertComplete(send(i, "harmless"))
+						time.Sleep(time.Second)
+					}
+					So(r.liveEngines(), ShouldBeGreaterThanOrEqualTo, engines-mostCrashed)
+					So(last.outcome, ShouldEqual, "not-run")
+					So(last.code, ShouldEqual, CodeCrashingPart)
+				})
+			})
+		})
+	}
+}
+
 // liveEngines returns how many engines accept connections.
 func (r *rig) liveEngines() int {
 	n := 0
--- a/rlb-gateway/pkg/rlbcaller/model_request.go
+++ b/rlb-gateway/pkg/rlbcaller/model_request.go
@@ -51,7 +51,7 @@
 	endRequest := s.demand.beginRequest(model.Name)
 	c.nonIdempotent = model.NonIdempotent || c.key != ""
 	x := &modelRequest{Server: s, params: in, model: model, tracker: rlbrelay.NewTracker(c.id)}
-	x.proxiedRequest = &proxiedRequest{call: c, candidates: x.endpoints, send: x.send, fingerprint: requestFingerprint(in.Model, c.body), model: model.Name, firstTokenTarget: model.FirstToken, batch: model.Class == rlbnote.ClassBatch, streaming: in.Stream}
+	x.proxiedRequest = &proxiedRequest{call: c, candidates: x.endpoints, send: x.send, fingerprint: requestFingerprint(in.Model, c.body), sharedParts: in.sharedParts(), model: model.Name, firstTokenTarget: model.FirstToken, batch: model.Class == rlbnote.ClassBatch, streaming: in.Stream}
 	x.routing.Prefix = in.prefix()
 	if adapter != nil {
 		x.adapter = adapter.Name + "@" + adapter.Version
--- a/rlb-gateway/pkg/rlbcaller/quarantine.go
+++ b/rlb-gateway/pkg/rlbcaller/quarantine.go
@@ -24,11 +24,11 @@
 func (s *Server) reportCrash(ctx context.Context, p *proxiedRequest, e *rlbroute.Endpoint) {
 	crash := rlbfleetstate.Crash{
 		CrashKey: rlbfleetstate.CrashKey{Fingerprint: p.fingerprint, Endpoint: e.ID(), Incarnation: e.Incarnation()},
-		Model:    p.model, Deadline: time.Now().Add(rlbquarantine.CrashTTL).Unix(),
+		Model:    p.model, Parts: p.sharedParts, Deadline: time.Now().Add(rlbquarantine.CrashTTL).Unix(),
 	}
 	published := s.Fleet.AddCrash(crash)
 	s.ReportCrashes([]rlbfleetstate.Crash{crash})
-	s.Log.WithField("request_id", p.id).WithField("endpoint", e.ID()).Warn("endpoint crashed while running a request; quarantining the request")
+	s.Log.WithField("request_id", p.id).WithField("endpoint", e.ID()).WithField("shared_parts", p.sharedParts).Warn("endpoint crashed while running a request; quarantining the request")
 	select {
 	case <-published:
 		rlbcommon.Sleep(ctx, crashSettleTime)
@@ -44,7 +44,7 @@
 func (s *Server) awaitQuarantineSlot(ctx context.Context, p *proxiedRequest) *rlbroute.Endpoint {
 	var chosen *rlbroute.Endpoint
 	var since time.Time
-	for ctx.Err() == nil && time.Now().Before(p.deadline) {
+	for ctx.Err() == nil && time.Now().Before(p.deadline) && !s.hasCrashingPart(p) {
 		switch s.Fleet.CountCrashes(p.fingerprint) {
 		case 0:
 			return s.choose(p) // another gateway ran the same request without a crash
@@ -65,3 +65,17 @@
 	}
 	return nil
 }
+
+// hasCrashingPart reports whether requests with a part of the prompt crash endpoints, so
+// that this one must not run.
+func (s *Server) hasCrashingPart(p *proxiedRequest) bool {
+	part, until, found := s.Fleet.CrashingPart(p.model, p.sharedParts)
+	if !found {
+		return false
+	}
+	if p.crashingUntil.IsZero() {
+		s.Log.WithField("request_id", p.id).WithField("part", part).WithField("until_ms", time.Until(until).Milliseconds()).Warn("request not sent: requests with a part of its prompt crash endpoints")
+	}
+	p.crashingUntil = until
+	return true
+}
--- a/rlb-gateway/pkg/rlbcaller/refusal.go
+++ b/rlb-gateway/pkg/rlbcaller/refusal.go
@@ -30,6 +30,7 @@
 	CodeEndpointFailed    Code = "endpoint_failed"
 	CodeAnswerIncomplete  Code = "answer_incomplete"
 	CodeCrashesEndpoints  Code = "crashes_endpoints"
+	CodeCrashingPart      Code = "crashing_part"
 	CodeAnswerTooLarge    Code = "answer_too_large"
 	CodeClaimsUnavailable Code = "claims_unavailable"
 	CodeInProgress        Code = "in_progress"
@@ -51,6 +52,7 @@
 	CodeEndpointFailed:    "The request ran and failed; look at the endpoint's message before sending it again.",
 	CodeAnswerIncomplete:  "The answer broke off; it may have run. If it must not run twice, check its effect before sending it again.",
 	CodeCrashesEndpoints:  "Each endpoint that ran this request crashed; do not send it again.",
+	CodeCrashingPart:      "Requests that share a message with this one crash endpoints; send it again later or without that message.",
 	CodeAnswerTooLarge:    "The answer is longer than the gateway allows; ask for a shorter one.",
 	CodeClaimsUnavailable: "The claim on the idempotency key could not be recorded; send it again later with the same key.",
 	CodeInProgress:        "A request with this idempotency key is running or was cut off; its outcome is not known here.",
@@ -86,6 +88,14 @@
 	return r
 }
 
+// withRetryAfter sets when a request that has not run may be sent again.
+func (r *Refusal) withRetryAfter(d time.Duration) *Refusal {
+	if r.Outcome == rlbroute.NotRun {
+		r.retryAfter = max(d, time.Second)
+	}
+	return r
+}
+
 // statusOf returns the HTTP status of a refusal. It follows from the outcome, except
 // for codes that have a status of their own.
 func statusOf(outcome rlbroute.Outcome, code Code) int {
--- a/rlb-gateway/pkg/rlbcaller/request.go
+++ b/rlb-gateway/pkg/rlbcaller/request.go
@@ -54,6 +54,23 @@
 	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
 }
 
+// maxSharedParts is the number of messages, from the first, that count as shared parts.
+const maxSharedParts = 16
+
+// sharedParts returns hashes of the parts of the prompt that other requests may share:
+// all messages but the last, up to maxSharedParts.
+func (in completionBody) sharedParts() []uint64 {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(in.Messages, &messages); err != nil || len(messages) < 2 {
+		return nil // the prompt is one part, which belongs to the request
+	}
+	var parts []uint64
+	for _, message := range messages[:min(len(messages)-1, maxSharedParts)] {
+		parts = append(parts, xxhash.Sum64(message))
+	}
+	return parts
+}
+
 // requestFingerprint returns a hash of a request's content: its target, which is a model or
 // a method with a path, and its body. It is the same for a resend by any caller.
 func requestFingerprint(target string, body []byte) uint64 {
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -138,12 +138,21 @@
 func (r *rig) publishCrashes(crashes []rlbfleetstate.Crash) {
 	go func() {
 		time.Sleep(crashPublishDelay)
-		for _, f := range r.fleets {
-			f.ApplyUpdate(rlbfleetstate.Update{Crashes: crashes})
-		}
+		r.applyCrashes(crashes)
 	}()
 }
 
+// applyCrashes adds crash records at all gateways, with the records of answered parts
+// that gateways send with their reports.
+func (r *rig) applyCrashes(crashes []rlbfleetstate.Crash) {
+	for _, f := range r.fleets {
+		crashes = append(crashes, f.TakeAnsweredParts()...)
+	}
+	for _, f := range r.fleets {
+		f.ApplyUpdate(rlbfleetstate.Update{Crashes: crashes})
+	}
+}
+
 func (r *rig) close() {
 	r.client.CloseIdleConnections()
 	for _, c := range r.closers {
--- a/rlb-gateway/pkg/rlbfleet/fleet.go
+++ b/rlb-gateway/pkg/rlbfleet/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfleetstate"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
@@ -36,8 +37,10 @@
 	endpoints          map[string]*rlbroute.Endpoint // by ID
 	entries            map[string]routeEntry         // of the current routes, by endpoint ID
 	builtFrom          revisions
-	appliedLoads       rlbtable.Revision                        // of the load reports applied to the endpoints
-	nextExpire         time.Time                                // time of the next call of state.Expire
+	appliedLoads       rlbtable.Revision // of the load reports applied to the endpoints
+	nextExpire         time.Time         // time of the next call of state.Expire
+	crashCauses        *rlbcrash.Evidence
+	nextAnsweredPart   map[uint64]time.Time                     // when TakeAnsweredParts may return a part of a prompt again
 	unpublishedCrashes map[rlbfleetstate.CrashKey]chan struct{} // closed once the controllers have published the crash record
 	routes             atomic.Pointer[Routes]
 }
@@ -49,7 +52,8 @@
 
 // New returns an empty view for a gateway in a failure domain.
 func New(domain string, now func() time.Time) *Fleet {
-	f := &Fleet{domain: domain, now: now, state: rlbfleetstate.New(), endpoints: map[string]*rlbroute.Endpoint{}, entries: map[string]routeEntry{}, unpublishedCrashes: map[rlbfleetstate.CrashKey]chan struct{}{}}
+	f := &Fleet{domain: domain, now: now, state: rlbfleetstate.New(), endpoints: map[string]*rlbroute.Endpoint{}, entries: map[string]routeEntry{}, unpublishedCrashes: map[rlbfleetstate.CrashKey]chan struct{}{}, nextAnsweredPart: map[uint64]time.Time{}}
+	f.crashCauses = rlbcrash.New(rlbcrash.Opts{Now: now})
 	f.routes.Store(&Routes{})
 	return f
 }
@@ -62,6 +66,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	f.learnFromCrashes(u.Crashes)
 	f.state.Merge(u, rlbfleetstate.OriginSameDomain, now)
 	if now.After(f.nextExpire) {
 		f.nextExpire = now.Add(expireInterval)
--- a/rlb-gateway/pkg/rlbfleet/quarantine.go
+++ b/rlb-gateway/pkg/rlbfleet/quarantine.go
@@ -1,6 +1,10 @@
 package rlbfleet
 
 import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfleetstate"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquarantine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -11,6 +15,7 @@
 func (f *Fleet) AddCrash(crash rlbfleetstate.Crash) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.learnFromCrashes([]rlbfleetstate.Crash{crash})
 	f.state.MergeCrash(crash)
 	published, known := f.unpublishedCrashes[crash.CrashKey]
 	if !known {
@@ -31,6 +36,80 @@
 	}
 }
 
+// learnFromCrashes updates the evidence about prompt parts from crash records that are
+// new or newer than the known ones. f.mu must be held.
+func (f *Fleet) learnFromCrashes(crashes []rlbfleetstate.Crash) {
+	for _, crash := range crashes {
+		if known, found := f.state.Crashes().Get(crash.CrashKey); found && !crash.Newer(known) {
+			continue
+		}
+		if crash.Phase == rlbfleetstate.QuarantineCleared {
+			f.RecordAnswer(crash.Model, crash.Parts)
+			continue
+		}
+		endpoint := xxhash.Sum64String(crash.Endpoint) ^ crash.Incarnation
+		for _, p := range partProperties(crash.Parts) {
+			f.crashCauses.RecordCrash(p, endpoint, endpoint)
+		}
+	}
+}
+
+// RecordAnswer records that an endpoint has answered a request for the model whose prompt
+// has the parts.
+func (f *Fleet) RecordAnswer(model string, parts []uint64) {
+	f.crashCauses.RecordAnswer(model, partProperties(parts))
+}
+
+// answeredPartInterval is the time between two records of one answered part.
+const answeredPartInterval = 10 * time.Second
+
+// TakeAnsweredParts returns records for the controllers that tell the other gateways which
+// parts of the prompts of crashed requests are in answered requests too. Such a record is
+// a cleared one without an endpoint.
+func (f *Fleet) TakeAnsweredParts() []rlbfleetstate.Crash {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var answered []rlbfleetstate.Crash
+	for _, crash := range f.crashes() {
+		if crash.Phase == rlbfleetstate.QuarantineCleared {
+			continue
+		}
+		for _, p := range partProperties(crash.Parts) {
+			if !f.crashCauses.Refutes(p) || now.Before(f.nextAnsweredPart[p.ID]) {
+				continue
+			}
+			f.nextAnsweredPart[p.ID] = now.Add(answeredPartInterval)
+			answered = append(answered, rlbfleetstate.Crash{
+				CrashKey: rlbfleetstate.CrashKey{Fingerprint: p.ID}, Model: crash.Model, Parts: []uint64{p.ID},
+				Deadline: now.Add(rlbquarantine.CrashTTL).Unix(), Phase: rlbfleetstate.QuarantineCleared,
+			})
+		}
+	}
+	for part, next := range f.nextAnsweredPart {
+		if now.After(next) {
+			delete(f.nextAnsweredPart, part)
+		}
+	}
+	return answered
+}
+
+// CrashingPart returns the part of a prompt because of which a request for the model must
+// not run, as requests with it crash endpoints, and until when. It returns false if there
+// is none.
+func (f *Fleet) CrashingPart(model string, parts []uint64) (part uint64, until time.Time, found bool) {
+	allowed, cause, until := f.crashCauses.Check(model, partProperties(parts))
+	return cause.ID, until, !allowed
+}
+
+func partProperties(parts []uint64) []rlbcrash.Property {
+	var all []rlbcrash.Property
+	for _, part := range parts {
+		all = append(all, rlbcrash.Property{Kind: rlbcrash.PromptPart, ID: part})
+	}
+	return all
+}
+
 // crashes returns all crash records. f.mu must be held.
 func (f *Fleet) crashes() []rlbfleetstate.Crash {
 	all := make([]rlbfleetstate.Crash, 0, f.state.Crashes().Len())
@@ -82,6 +161,7 @@
 			continue
 		}
 		crash.Phase, crash.RunsOn = phase, runsOn
+		f.learnFromCrashes([]rlbfleetstate.Crash{crash})
 		f.state.MergeCrash(crash)
 		advanced = append(advanced, crash)
 	}
