rlb-node: refused properties outlive a restart of all instances

Cause: the evidence was in the memory of processes only, so nobody was left to tell the new ones. Class: a decision that must last kept where nothing lasts. Looked for elsewhere: load ages of the lease holder (a window of seconds, taken up by waiting), retry budgets (each process begins without allowance); neither must last.

Change: the lease holder writes the refused properties with their evidence to one object when the set changes; each process reads it at its start and counts the crashes from then on, so that at worst a sound part is refused for one or two minutes more, until one request is tried. Cost: one read at each start, one write for each change.

--- a/lib/pkg/rlbcrash/evidence.go
+++ b/lib/pkg/rlbcrash/evidence.go
@@ -240,6 +240,22 @@
 	return len(e.verdicts)
 }
 
+// RefusedRecords returns the records of the properties with which requests are refused,
+// ordered by property.
+func (e *Evidence) RefusedRecords() []Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refresh()
+	var records []Record
+	for p := range e.verdicts {
+		records = append(records, e.records[p].copy())
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Property.Kind, b.Property.Kind), cmp.Compare(a.Property.ID, b.Property.ID))
+	})
+	return records
+}
+
 // Change is a verdict about a property that was reached or withdrawn.
 type Change struct {
 	Property Property
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -182,6 +182,7 @@
 	go a.catchUp.configWatcher.Run(ctx)
 	go a.catchUp.endpointWatcher.Run(ctx)
 	go a.register(ctx)
+	go (&crashStore{app: a}).run(ctx)
 	go a.link.Run(ctx)
 	go a.scheduler.Run(ctx)
 	go a.sweep(ctx)
