--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
@@ -45,6 +46,7 @@
 	Opts
 	budgets        *retryBudgets
 	demand         *Demand
+	limiter        *rlbratelimit.Limiter
 	requestMetrics requestMetrics
 	draining       atomic.Bool
 	closed         atomic.Bool
@@ -57,6 +59,7 @@
 		Opts:           opts,
 		budgets:        newRetryBudgets(opts.RetryBudget),
 		demand:         newDemand(opts.Now),
+		limiter:        rlbratelimit.New(),
 		requestMetrics: newRequestMetrics(opts.Metrics),
 	}
 }
