Endpoints get no more requests than the limit that they state

Class: a statement of the other side that is passed on and not acted upon. Ruled out: that the choice of endpoints draws requests to limited ones (rates before and under the limit are alike).

Weighed: the limit at each instance (up to six send within one span of 4 s); a fixed share for each instance (one replica of a rare model must stay reachable from all; shares of 0.03 a second at 87 instances admit bursts); a token server (a call before each request); counting what others sent (87 instances see the same free place). Change (rlbratelimit): instances publish the rate of requests for which an endpoint is the first choice, and the latest statement with its age; each sends limit/rate of its own ones and takes another endpoint for the rest. Priorities share the limit in their order, each with at least a tenth. What all sent is fed back, since demand that rises is known late. An endpoint near its limit costs up to 300 ms more, so that requests with another choice leave it to those without. Beyond all limits a request is refused at once as not run, with Retry-After. An answer without the header ends the limit; so do 15 s without an answer.

--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -23,6 +23,7 @@
 	Urgent    bool                               // highest priority
 	Fits      func(*rlbdeployment.Endpoint) bool // whether the endpoint can run it
 	OtherLoad func(id string) Load               // load from the other instances
+	ExtraCost func(id string) time.Duration      // added to the cost of an endpoint; nil: nothing
 }
 
 // Choice is the endpoint chosen for a request.
@@ -49,6 +50,9 @@
 		capacity := b.capacity(e, req.Model != "")
 		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
 		cost := load.Cost(capacity, e.Domain == req.Domain) + rand.N(tieBreakJitter)
+		if req.ExtraCost != nil {
+			cost += req.ExtraCost(e.ID)
+		}
 		if best.Endpoint == nil || best.Unhealthy && !c.Unhealthy || best.Unhealthy == c.Unhealthy && cost < bestCost {
 			best, bestCost = c, cost
 		}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -53,6 +55,7 @@
 	link         *rlbpeer.Link
 	balancer     *rlbbalancer.Balancer
 	crashes      *rlbcrash.Evidence
+	limiter      *rlbratelimit.Limiter
 	proxy        *rlbproxy.Server
 	scheduler    *rlbscheduler.Scheduler
 	holdsLease   func() bool // reports whether this instance holds the lease for orders
@@ -119,6 +122,7 @@
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
+	a.limiter = rlbratelimit.New(rlbratelimit.Opts{Now: rlbclock.Now, Random: rand.Float64, Peers: a.peerLimits})
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now)
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
@@ -141,6 +145,7 @@
 	a.proxy = rlbproxy.New(rlbproxy.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler,
+		Limiter:     a.limiter,
 		RetryBudget: retryBudgetLimits(settings),
 		Metrics:     a.registry, Now: rlbclock.Now,
 	})
@@ -205,6 +210,11 @@
 	return a.fleet.Load(rlbclock.Now(), rlbpeer.EndpointKey(endpoint))
 }
 
+// peerLimits returns what the other instances know about the limit of an endpoint.
+func (a *app) peerLimits(endpoint string) rlbratelimit.Peers {
+	return a.fleet.Limits(rlbclock.Now(), rlbpeer.EndpointKey(endpoint))
+}
+
 // totalLoad returns the load of all instances at an endpoint.
 func (a *app) totalLoad(endpoint string) rlbbalancer.Load {
 	return a.peerLoad(endpoint).Add(a.balancer.LocalLoad(endpoint))
@@ -229,6 +239,12 @@
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
 	}
 	a.balancer.Loads(rlbclock.Now(), func(id string, load rlbbalancer.Load) { d.Loads[rlbpeer.EndpointKey(id)] = rlbpeer.NewLoad(load) })
+	for _, r := range a.limiter.Reports() {
+		if d.Limits == nil {
+			d.Limits = map[uint32]rlbpeer.EndpointLimit{}
+		}
+		d.Limits[rlbpeer.EndpointKey(r.Endpoint)] = rlbpeer.NewEndpointLimit(rlbclock.Now(), r.Statement, r.Demand)
+	}
 	return d
 }
 
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -29,6 +29,8 @@
 	Loads          map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see EndpointKey
 	Demand         map[string]float32 `msgpack:"m,omitempty"` // requests in flight or refused, by model
 	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // "k" was used by earlier versions
+
+	Limits map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -80,6 +82,8 @@
 	Loads          map[uint32]Load    `msgpack:"i,omitempty"`
 	Demand         map[string]float32 `msgpack:"m,omitempty"`
 	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // of all instances of the domain; "k" was used by earlier versions
+
+	Limits map[uint32]EndpointLimit `msgpack:"t,omitempty"`
 }
 
 // packet is the content of a datagram. Exactly one field is set.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -326,6 +326,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s.Limits = f.summarizeLimits(now, own)
 	available := false
 	for _, d := range append(f.liveDigests(now), own) {
 		s.Members++
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -68,6 +68,12 @@
 	if len(req.tried) > 0 && s.quarantined(req) {
 		return nil
 	}
+	return s.chooseWithinLimits(req)
+}
+
+// chooseUnlimited returns the best endpoint that was neither tried nor ruled out by its
+// limit, or nil if there is none or the request would wait there for too long.
+func (s *Server) chooseUnlimited(req *request) *rlbdeployment.Endpoint {
 	withAdapter, found := s.endpointsWithAdapter(req)
 	if !found {
 		return nil
@@ -102,7 +108,7 @@
 // withAdapter.
 func (s *Server) pickEndpoint(req *request, withAdapter []string) rlbbalancer.Choice {
 	fits := func(e *rlbdeployment.Endpoint) bool {
-		if slices.Contains(req.tried, e.ID) {
+		if slices.Contains(req.tried, e.ID) || slices.Contains(req.limited, e.ID) {
 			return false
 		}
 		if req.adapter != "" {
@@ -111,7 +117,7 @@
 		return req.model == "" || e.HasModel(req.model)
 	}
 	all := s.View.Snapshot().ByService[req.service]
-	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad})
+	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: s.limitCost})
 }
 
 // endpointsWithAdapter returns the endpoints on which the request's adapter is loaded.
@@ -120,7 +126,7 @@
 	if req.adapter == "" {
 		return nil, true
 	}
-	endpoints, reason := s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, req.tried)
+	endpoints, reason := s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, slices.Concat(req.tried, req.limited))
 	if len(endpoints) == 0 {
 		req.reason = reason
 		return nil, false
@@ -139,16 +145,8 @@
 		panic(http.ErrAbortHandler) // the caller must see that the answer is incomplete
 	case req.failedAnswer != nil:
 		s.writeAnswer(w, req, req.failedAnswer)
-	case outcome == rlbroute.NotRun && !req.quarantineEnd.IsZero():
-		s.refuse(w, req, s.quarantineRefusal(req))
-	case outcome == rlbroute.NotRun && req.busy:
-		s.refuse(w, req, refuseBusy.withRetryAfter(req.expectedWait-s.maxWait(req)))
-	case outcome == rlbroute.NotRun && fault == rlbroute.FaultNoEndpoint:
-		s.refuse(w, req, refuseNoEndpoint)
-	case outcome == rlbroute.NotRun && fault == rlbroute.FaultDeadline:
-		s.refuse(w, req, refuseNoTime)
 	case outcome == rlbroute.NotRun:
-		s.refuse(w, req, refuseEndpointsFull)
+		s.refuse(w, req, s.refusalOf(req, fault))
 	case fault == rlbroute.FaultDeadline:
 		s.refuse(w, req, failDeadline)
 	case outcome == rlbroute.Failed:
@@ -157,3 +155,21 @@
 		s.refuse(w, req, failInDoubt)
 	}
 }
+
+// refusalOf returns the refusal of a request that has not run.
+func (s *Server) refusalOf(req *request, fault rlbroute.Fault) *refusal {
+	switch {
+	case !req.quarantineEnd.IsZero():
+		return s.quarantineRefusal(req)
+	case fault == rlbroute.FaultNoEndpoint && len(req.limited) > 0:
+		return refuseLimited
+	case req.busy:
+		return refuseBusy.withRetryAfter(req.expectedWait - s.maxWait(req))
+	case fault == rlbroute.FaultNoEndpoint:
+		return refuseNoEndpoint
+	case fault == rlbroute.FaultDeadline:
+		return refuseNoTime
+	default:
+		return refuseEndpointsFull
+	}
+}
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -76,6 +77,9 @@
 	f.server = New(Opts{
 		Log: quiet, Domain: "a", View: f.view, Balancer: rlbbalancer.New(), PeerLoad: func(string) rlbbalancer.Load { return rlbbalancer.Load{} },
 		Crashes: rlbcrash.New(rlbcrash.Opts{Instance: "i1", Now: f.now}), Instances: func() int { return 1 }, Dispatcher: dispatcher, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
+		Limiter: rlbratelimit.New(rlbratelimit.Opts{
+			Now: f.now, Random: func() float64 { return 0 }, Peers: func(string) rlbratelimit.Peers { return rlbratelimit.Peers{} },
+		}),
 		RetryBudget: rlbretrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
 		Metrics:     metrics.NewRegistry(), Now: f.now,
 	})
--- a/rlb-node/pkg/rlbproxy/rate_limit.go
+++ b/rlb-node/pkg/rlbproxy/rate_limit.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 )
 
@@ -15,7 +17,43 @@
 		return // not the endpoint's answer
 	}
 	perSecond, _ := rlbplatform.RateLimit(header)
-	if s.limiter.RecordStatement(e.ID, perSecond) {
+	if s.Limiter.RecordStatement(e.ID, perSecond) {
 		s.Log.WithFields(log.Fields{"request": req.id, "endpoint": e.ID, "per_second": perSecond}).Info("endpoint changed the limit of requests that it states")
 	}
 }
+
+// fullLimitCost is the cost of an endpoint whose limit is used up. Requests that others can
+// run leave the limit to those that only this endpoint can run.
+const fullLimitCost = 300 * time.Millisecond
+
+// limitCost returns the cost of sending a request to an endpoint because of its limit.
+func (s *Server) limitCost(endpoint string) time.Duration {
+	return time.Duration(s.Limiter.Utilization(endpoint) * float64(fullLimitCost))
+}
+
+// maxLimitedChoices is the number of endpoints whose limit may rule them out before a
+// request is refused.
+const maxLimitedChoices = 6
+
+// chooseWithinLimits returns the best endpoint whose limit admits the request, or nil. A
+// request whose answer has partly reached the caller is sent to the best one nevertheless.
+func (s *Server) chooseWithinLimits(req *request) *rlbdeployment.Endpoint {
+	req.limited = nil
+	rank := rlbratelimit.RankOf(req.route.Priority)
+	for range maxLimitedChoices {
+		e := s.chooseUnlimited(req)
+		switch {
+		case e == nil && len(req.limited) > 0:
+			req.reason = "the limits that endpoints state are reached"
+			return nil
+		case e == nil || s.Limiter.Admit(e.ID, rank):
+			return e
+		case req.started:
+			s.Limiter.Charge(e.ID, rank)
+			return e
+		}
+		req.limited = append(req.limited, e.ID)
+	}
+	req.reason = "the limits that endpoints state are reached"
+	return nil
+}
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -162,7 +162,8 @@
 	if req.adapter != "" && !req.started {
 		return true // the next attempt may find an endpoint that loads the adapter
 	}
-	return s.pickEndpoint(req, nil).Endpoint != nil
+	other := s.pickEndpoint(req, nil).Endpoint
+	return other != nil && s.Limiter.Utilization(other.ID) < 1
 }
 
 // endpointFailing reports whether the endpoint of the latest attempt was removed or
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -36,6 +36,7 @@
 	Instances   func() int                             // number of instances that share the retry budget
 	Dispatcher  *rlbdispatch.Dispatcher
 	Adapters    Adapters
+	Limiter     *rlbratelimit.Limiter // limits that endpoints state
 	RetryBudget rlbretrybudget.Limits
 	Metrics     metrics.Registry
 	Now         func() time.Time
@@ -46,7 +47,6 @@
 	Opts
 	budgets        *retryBudgets
 	demand         *Demand
-	limiter        *rlbratelimit.Limiter
 	requestMetrics requestMetrics
 	draining       atomic.Bool
 	closed         atomic.Bool
@@ -59,7 +59,6 @@
 		Opts:           opts,
 		budgets:        newRetryBudgets(opts.RetryBudget),
 		demand:         newDemand(opts.Now),
-		limiter:        rlbratelimit.New(),
 		requestMetrics: newRequestMetrics(opts.Metrics),
 	}
 }
