Calls to the control interface of endpoints count against their limits

Change: an order to load an adapter needs admission, else another endpoint takes it; orders for models and reports are sent and counted, so that requests make up for them; the cost of an endpoint for an adapter includes its limit.

--- a/lib/pkg/rlbratelimit/limiter.go
+++ b/lib/pkg/rlbratelimit/limiter.go
@@ -230,14 +230,21 @@
 	return granted / demand.Wanted[rank]
 }
 
-// Charge counts a request that was sent although it was not admitted.
+// maxDebt is how many requests an instance at most makes up for.
+const maxDebt = 4
+
+// Charge counts a request that is sent without admission. The next ones of its rank make
+// up for it.
 func (l *Limiter) Charge(endpoint string, rank int) {
+	peers := l.opts.Peers(endpoint)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.opts.Now()
 	e := l.state(now, endpoint)
 	e.sent.add(now, sentTime)
-	e.credit[rank]--
+	if e.limit(now, peers) > 0 {
+		e.credit[rank] = max(e.credit[rank]-1, -maxDebt)
+	}
 }
 
 // Utilization returns which part of its limit the endpoint's demand takes, at most 1; 0 if
@@ -258,6 +265,15 @@
 	return min(1, e.demand(now).Add(peers.Demand).total()/limit)
 }
 
+// fullCost is the cost of an endpoint whose limit is used up. Requests that others can run
+// leave the limit to those that only this endpoint can run.
+const fullCost = 300 * time.Millisecond
+
+// Cost returns the cost of sending a request to an endpoint because of its limit.
+func (l *Limiter) Cost(endpoint string) time.Duration {
+	return time.Duration(l.Utilization(endpoint) * float64(fullCost))
+}
+
 // Reports returns what to publish: about the endpoints that are limited or were so lately,
 // so that the other instances hear when a limit ends.
 func (l *Limiter) Reports() []Report {
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -138,7 +138,7 @@
 	a.scheduler = rlbscheduler.New(rlbscheduler.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Incarnation: a.name + "/" + strconv.FormatInt(a.incarnation, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Query: link.Query,
-		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
+		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
@@ -223,7 +223,7 @@
 // cost returns the cost of sending a request from an instance of a failure domain to
 // an endpoint with an engine.
 func (a *app) cost(e *rlbdeployment.Endpoint, domain string) time.Duration {
-	return a.totalLoad(e.ID).Cost(a.balancer.Capacity(e, true), e.Domain == domain)
+	return a.totalLoad(e.ID).Cost(a.balancer.Capacity(e, true), e.Domain == domain) + a.limiter.Cost(e.ID)
 }
 
 // nextDigest returns the next digest to send to the other instances.
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -117,7 +117,7 @@
 		return req.model == "" || e.HasModel(req.model)
 	}
 	all := s.View.Snapshot().ByService[req.service]
-	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: s.limitCost})
+	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: s.Limiter.Cost})
 }
 
 // endpointsWithAdapter returns the endpoints on which the request's adapter is loaded.
--- a/rlb-node/pkg/rlbproxy/rate_limit.go
+++ b/rlb-node/pkg/rlbproxy/rate_limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
@@ -22,15 +21,6 @@
 	}
 }
 
-// fullLimitCost is the cost of an endpoint whose limit is used up. Requests that others can
-// run leave the limit to those that only this endpoint can run.
-const fullLimitCost = 300 * time.Millisecond
-
-// limitCost returns the cost of sending a request to an endpoint because of its limit.
-func (s *Server) limitCost(endpoint string) time.Duration {
-	return time.Duration(s.Limiter.Utilization(endpoint) * float64(fullLimitCost))
-}
-
 // maxLimitedChoices is the number of endpoints whose limit may rule them out before a
 // request is refused.
 const maxLimitedChoices = 6
--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -218,11 +218,13 @@
 	if fetching >= maxAdapterFetches {
 		return time.Time{}, false
 	}
-	if total >= engine.AdapterSlots {
-		model, name, lastUsed := state.lruAdapter()
-		if now.Sub(lastUsed) < minAdapterResidency {
-			return time.Time{}, false
-		}
+	evict := total >= engine.AdapterSlots
+	if evict && !state.canEvictAdapter(now) || !s.Limits.Admit(state.endpoint.ID, controlRank) {
+		return time.Time{}, false
+	}
+	if evict {
+		model, name, _ := state.lruAdapter()
+		s.Limits.Charge(state.endpoint.ID, controlRank)
 		o := rlbdeployment.Order{Action: rlbdeployment.ActionUnload, Model: model, Adapter: name}
 		if !s.sendOrder(ctx, state, engine, o, "makes room for "+q.Model+"/"+q.Adapter) {
 			return time.Time{}, false
--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -248,6 +248,12 @@
 	return modelName, name, lastUsed
 }
 
+// canEvictAdapter reports whether the least recently used adapter may be unloaded.
+func (s *endpointState) canEvictAdapter(now time.Time) bool {
+	_, _, lastUsed := s.lruAdapter()
+	return now.Sub(lastUsed) >= minAdapterResidency
+}
+
 // applyOrder updates the state for an order that takes effect.
 func (s *endpointState) applyOrder(o rlbdeployment.Order, engine *rlbdeployment.Engine, now time.Time) {
 	spec := engine.Models[o.Model]
--- a/rlb-node/pkg/rlbscheduler/orders.go
+++ b/rlb-node/pkg/rlbscheduler/orders.go
@@ -16,6 +16,10 @@
 	reportPause       = 200 * time.Millisecond // until the report is read again after an endpoint was busy or did not accept an order
 )
 
+// controlRank is the rank of calls to the control interface among the requests that an
+// endpoint's limit admits.
+const controlRank = 0
+
 // refreshState reads the endpoint's report if its state is not known. It reports
 // whether the state is known afterwards. The caller holds state.mu.
 func (s *Scheduler) refreshState(ctx context.Context, state *endpointState) bool {
@@ -28,6 +32,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	s.Limits.Charge(state.endpoint.ID, controlRank)
 	report, err := s.engines.ReadReport(ctx, state.endpoint)
 	if err != nil {
 		state.pausedUntil = now.Add(failedReportPause)
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -157,6 +157,7 @@
 		}
 		if p.Action == rlbengine.ActionUnload {
 			if state.canServe(p.Name) {
+				s.Limits.Charge(state.endpoint.ID, controlRank)
 				s.sendOrder(ctx, state, engine, rlbdeployment.Order{Action: rlbdeployment.ActionUnload, Model: p.Name}, p.Reason)
 			}
 			return
@@ -164,6 +165,7 @@
 		if !state.fits(engine, p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(now, engine.LoadsPerSecond) {
 			return
 		}
+		s.Limits.Charge(state.endpoint.ID, controlRank)
 		s.sendOrder(ctx, state, engine, rlbdeployment.Order{Action: rlbdeployment.ActionLoad, Model: p.Name}, p.Reason)
 	}()
 }
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -31,6 +31,15 @@
 	fencedBackoff       = 3 * time.Second
 )
 
+// RequestLimits are the limits of requests that endpoints state. Calls to their control
+// interface count as well.
+type RequestLimits interface {
+	// Admit reports whether a request of a rank may be sent to the endpoint.
+	Admit(endpoint string, rank int) bool
+	// Charge counts a request that is sent without admission.
+	Charge(endpoint string, rank int)
+}
+
 // Opts configures a Scheduler.
 type Opts struct {
 	Log         log.Interface
@@ -46,6 +55,7 @@
 	Load        func(endpoint string) rlbbalancer.Load // load that all instances put on an endpoint
 	// Cost returns the cost of sending a request of a failure domain to an endpoint.
 	Cost       func(e *rlbdeployment.Endpoint, domain string) time.Duration
+	Limits     RequestLimits
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration // window of the limit on loads from the weight store
 	// APIUnavailable reports whether the object API answers none of the known
