Bytes that never become an answer are given up after 256 KiB

Cause: the head of an answer was read without a limit until the deadline (a header field without end grows in memory at the speed of the link; on a machine with 284 MB and 1,000 Mbit/s that is some two seconds), as were interim answers and answers to other requests. A stream without the end of an event ended at 1 MiB already, but counted as a crash of its endpoint.

Change: a connection may bring 256 KiB until the head of the matching answer is complete; beyond it, and for an event without end, the fault is malformed: idempotent requests go elsewhere, the others end in 502. TestEndlessAnswersAreGivenUp: no evidence of a crash.

--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -13,6 +13,13 @@
 
 const bufferBytes = 16 << 10
 
+// maxBeforeAnswer is the number of bytes that a connection may bring until the head of the
+// answer is complete: interim answers, answers to other requests and that head.
+const maxBeforeAnswer = 256 << 10
+
+// errNoAnswer is returned by reads beyond maxBeforeAnswer.
+var errNoAnswer = errors.New("too many bytes that are no answer to the request")
+
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
@@ -23,6 +30,8 @@
 	mayHaveSent bool          // a byte of the current request may have been sent
 	idleSince   time.Time     // when it was put into the pool
 	reused      bool          // the current request is not its first one
+	awaitsHead  bool          // the head of the answer is not complete
+	beforeHead  int           // bytes read since the request was sent, while awaitsHead
 	notReusable bool          // the next bytes on it may belong to another request
 }
 
@@ -55,7 +64,15 @@
 	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	if !c.awaitsHead {
+		return c.Conn.Read(p)
+	}
+	if c.beforeHead >= maxBeforeAnswer {
+		return 0, errNoAnswer
+	}
+	n, err := c.Conn.Read(p)
+	c.beforeHead += n
+	return n, err
 }
 
 // Write implements io.Writer.
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -101,6 +101,7 @@
 	if c.reused && out.FirstByteTimeout == 0 {
 		c.readTimeout = min(c.readTimeout, d.opts.ReusedFirstByteTimeout)
 	}
+	c.awaitsHead, c.beforeHead = true, 0
 	sent()
 	written, err := startWrite(c, address, out)
 	if err != nil {
@@ -115,6 +116,7 @@
 		}
 		return nil, rlberror.New("read answer", d.classifyError(c, address, err), err)
 	}
+	c.awaitsHead = false
 	if !written() {
 		c.notReusable = true // the endpoint may still be reading the request body
 	}
@@ -259,5 +261,8 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return rlbroute.FaultSilent
 	}
+	if errors.Is(err, errNoAnswer) {
+		return rlbroute.FaultMalformed
+	}
 	return rlbroute.FaultCut
 }
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -28,6 +28,9 @@
 		if err != nil {
 			s.flushEvents(req, flusher)
 			in.Abort()
+			if errors.Is(err, rlbrelay.ErrTooLarge) {
+				return rlbroute.FaultMalformed, false, err
+			}
 			return in.Fault(err), false, err
 		}
 		switch isNext, err := isNextEvent(req.lastEventID, event.ID); {
--- a/rlb-node/pkg/rlbproxy/unframed_test.go
+++ b/rlb-node/pkg/rlbproxy/unframed_test.go
@@ -66,3 +66,31 @@
 		})
 	})
 }
+
+func TestEndlessAnswersAreGivenUp(t *testing.T) {
+	Convey("Given an engine and a plain endpoint whose answers never end", t, func() {
+		f := newFixture(t)
+		closed := make(chan struct{}, 1)
+		endless := func(w http.ResponseWriter, _ *http.Request, _ int) bool {
+			w.Header().Set("X-Server-Stamp", "endless")
+			for piece := []byte(strings.Repeat("a", 1<<16)); ; {
+				if _, err := w.Write(piece); err != nil {
+					closed <- struct{}{}
+					return true
+				}
+			}
+		}
+		engine, plain := f.add(t, "e1", "llm", "a"), f.add(t, "p1", "plain", "a")
+		engine.Intercept, plain.Intercept = endless, endless
+		Convey("a stream without an end of an event is given up, and is no crash", func() {
+			So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusBadGateway)
+			<-closed
+			So(f.server.Crashes.Report(), ShouldBeEmpty)
+		})
+		Convey("a whole answer is given up beyond its size limit, and is no crash", func() {
+			So(f.send(http.MethodPost, "/write/x", "b", nil).status, ShouldEqual, http.StatusBadGateway)
+			<-closed
+			So(f.server.Crashes.Report(), ShouldBeEmpty)
+		})
+	})
+}
