Crash records: reports are bounded in crashes, twice cut requests are news only

Change: at most 256 crashes in a report; whole requests are reported for two seconds after a change, or while they are refused. Tested in TestExchange.

--- a/lib/pkg/rlbcrash/evidence.go
+++ b/lib/pkg/rlbcrash/evidence.go
@@ -14,9 +14,9 @@
 const (
 	maxRecords  = 4096
 	maxAnswered = 8192 // answered properties that are remembered
-	maxReported = 96   // records in one report
-	// newsTime is how long a change is reported. Records with several unrefuted crashes
-	// are always reported.
+	maxReported = 256  // crashes in one report, which must fit into a datagram
+	// newsTime is how long a change is reported. Records of refused properties, and of parts
+	// with several unrefuted crashes, are always reported.
 	newsTime = 2 * time.Second
 	// trialTimeout is how long a request that is tried after the refusals may take until
 	// another one is tried.
@@ -196,20 +196,17 @@
 	}
 }
 
-// Report returns the records to send to the other instances: those with several unrefuted
-// crashes and those that changed recently, the ones with the most crashes first.
+// Report returns the records to send to the other instances, the ones with the most
+// crashes first, up to maxReported crashes.
 func (e *Evidence) Report() []Record {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.opts.Now()
+	e.removeOutdated(now)
+	e.refresh()
 	var reported []*tracked
-	for p, t := range e.records {
-		if now.Sub(t.lastCrash()) > recordTTL {
-			delete(e.records, p)
-			e.stale = true
-			continue
-		}
-		if t.countOpen() > 1 || now.Sub(t.changedAt) < newsTime {
+	for _, t := range e.records {
+		if e.isReported(now, t) {
 			reported = append(reported, t)
 		}
 	}
@@ -217,12 +214,37 @@
 		return cmp.Or(cmp.Compare(b.countOpen(), a.countOpen()), b.changedAt.Compare(a.changedAt))
 	})
 	var records []Record
-	for _, t := range reported[:min(len(reported), maxReported)] {
+	crashes := 0
+	for _, t := range reported {
+		if crashes += len(t.Crashes); crashes > maxReported {
+			break
+		}
 		records = append(records, t.copy())
 	}
 	return records
 }
 
+// isReported reports whether a record is sent to the other instances.
+func (e *Evidence) isReported(now time.Time, t *tracked) bool {
+	if now.Sub(t.changedAt) < newsTime {
+		return true
+	}
+	if t.Property.Kind == PromptPart && t.countOpen() > 1 {
+		return true
+	}
+	_, refused := e.verdicts[t.Property]
+	return refused
+}
+
+func (e *Evidence) removeOutdated(now time.Time) {
+	for p, t := range e.records {
+		if now.Sub(t.lastCrash()) > recordTTL {
+			delete(e.records, p)
+			e.stale = true
+		}
+	}
+}
+
 // Refutes reports whether what this instance knows of answered requests speaks against
 // known crashes being caused by the property.
 func (e *Evidence) Refutes(p Property) bool {
--- a/lib/pkg/rlbcrash/evidence_test.go
+++ b/lib/pkg/rlbcrash/evidence_test.go
@@ -183,6 +183,17 @@
 			So(e.Report(), ShouldBeEmpty)
 			shouldRefuse(e, bad, false)
 		})
+		Convey("a request that was cut twice is not reported for long, and a report is bounded", func() {
+			crash(e, c, 1, whole)
+			crash(e, c, 2, whole)
+			for n := range uint64(2 * maxReported) {
+				e.RecordCrash(Property{PromptPart, 100 + n}, 3, 3)
+			}
+			So(e.Report(), ShouldHaveLength, maxReported-1)
+			So(e.Report()[0].Property, ShouldResemble, whole)
+			c.advance(newsTime)
+			So(e.Report(), ShouldBeEmpty)
+		})
 		Convey("many requests that are cut do not displace the evidence against a cause", func() {
 			for n := range uint64(3) {
 				crash(e, c, n, bad)
