Shares of stated limits fall from 1.1 times the limit on, not 1.25

Cause: engines crash, the demand for the rest jumps, each instance knows that of the others late, and the sums of what was sent lowered the shares from a quarter above the limit only. Ruled out: control calls (none beyond what is counted).

--- a/lib/pkg/rlbratelimit/limiter.go
+++ b/lib/pkg/rlbratelimit/limiter.go
@@ -25,7 +25,7 @@
 	leastRankShare = 0.1
 	// sentTolerance is the ratio of sent requests to the limit above which instances send
 	// fewer: demand that rises is known to the others only after a while.
-	sentTolerance = 1.25
+	sentTolerance = 1.1
 	// idleTime is the time without a request or a statement after which an endpoint is
 	// forgotten.
 	idleTime = time.Minute
--- a/lib/pkg/rlbratelimit/limiter_test.go
+++ b/lib/pkg/rlbratelimit/limiter_test.go
@@ -163,6 +163,14 @@
 	return 1
 }
 
+// jump lets the demand rise to its fivefold for three seconds, as when other endpoints crash.
+func jump(now time.Duration) float64 {
+	if now > 12*time.Second && now < 15*time.Second {
+		return 5
+	}
+	return 1
+}
+
 // TestFleetKeepsToLimit lets instances of fleets of different sizes send requests to an
 // endpoint that states a limit, with demand that changes and instances that join. In each
 // span of 4 s, from 3 s after the limit was first stated, the endpoint must get at most one
@@ -172,7 +180,7 @@
 		size          int
 		limit, demand float64 // requests a second, of all instances
 	}{{1, 3, 10}, {6, 3.3, 8}, {6, 1, 30}, {6, 3.8, 15}, {9, 5.3, 12}, {87, 3, 40}, {87, 8, 100}, {300, 3, 100}} {
-		for name, change := range map[string]demandAt{"surge": surge, "waves": waves} {
+		for name, change := range map[string]demandAt{"surge": surge, "waves": waves, "jump": jump} {
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprintf("%d instances, limit %g, demand %g, %s, seed %d", c.size, c.limit, c.demand, name, seed), func(t *testing.T) {
 					sent := simulate(c.size, c.limit, c.demand, change, seed)
