Controllers keep their configured peers until a controller is known there

What was seen: TestFullMemory and TestSlowObjects failed in about one of a thousand runs beside other processes (KNOWN-RED.txt). One controller kept an old row of an engine until the end.

Cause: no update was lost on a link; the link was closed. rlbmembership.Peers used the configured addresses only while no other controller was known. A controller that heard the first heartbeat of one peer before that of the other dropped its link to the other at its next tick. Heartbeats are not forwarded from one failure domain to the next, so that it never heard of that one again, and none of what it collects.

Ruled out: rlblink (full update on each subscription, closed queue ends the link), the cursor of rlbfleetstate, the in-memory network; the rows of the other links were complete in each dump.

Change: a configured address is linked until a controller is known there, unless the platform's list names controllers (then the list is the source, as before). Test: TestLiveControllers, "a configured address is used until ..."; before the change it got one peer of two.

Its class looked for: instances of rlb-node learn each other from registrations in the store and from digests, and keep an address ten minutes; no such drop there.

--- a/lib/pkg/rlbmembership/membership.go
+++ b/lib/pkg/rlbmembership/membership.go
@@ -88,13 +88,16 @@
 // Peers returns the control addresses of the controllers to receive updates from,
 // with the scope of each: all controllers of the own failure domain and, if this
 // controller is one of those that link its domain to another one, the delegates of
-// that domain. While no other controller is known, it returns the configured
-// addresses with the scope of another domain.
+// that domain. While the platform's list names no other controller, it also returns
+// the configured addresses at which no controller is known yet, with the scope of
+// another domain: heartbeats are not forwarded from one other domain to the next, so
+// the link itself is the only way to learn of the controller behind it.
 func Peers(state *rlbfleetstate.State, self Controller, configured []string) map[string]rlbfleetstate.Scope {
-	known := map[string]knownController{}
+	known, listed := map[string]knownController{}, false
 	state.Instances().All(func(id string, i rlbfleetstate.Instance) bool {
 		if i.Type == rlbinstance.TypeLoadBalancer && i.Serves() {
 			known[id] = knownController{id, i.FailureDomain, i.Control}
+			listed = listed || id != self.ID
 		}
 		return true
 	})
@@ -105,13 +108,14 @@
 		return true
 	})
 	known[self.ID] = knownController{self.ID, self.FailureDomain, self.Address}
-	domains := map[string][]string{}
+	domains, addresses := map[string][]string{}, map[string]bool{}
 	for id, c := range known {
 		domains[c.domain] = append(domains[c.domain], id)
+		addresses[c.address] = true
 	}
 	peers := map[string]rlbfleetstate.Scope{}
-	if len(known) == 1 {
-		for _, address := range configured {
+	for _, address := range configured {
+		if !listed && !addresses[address] {
 			peers[address] = rlbfleetstate.ScopeOtherDomain
 		}
 	}
--- a/lib/pkg/rlbmembership/membership_test.go
+++ b/lib/pkg/rlbmembership/membership_test.go
@@ -120,6 +120,16 @@
 	Convey("a controller without known peers uses the configured addresses", t, func() {
 		So(Peers(rlbfleetstate.New(), opts.Self, []string{"c9"}), ShouldResemble, map[string]rlbfleetstate.Scope{"c9": rlbfleetstate.ScopeOtherDomain})
 	})
+	Convey("a configured address is used until a controller is known there, even if others are known, as those do not tell of it", t, func() {
+		state := stateOf(nil, rlbinstance.List{Revision: 1})
+		known := func(id string) {
+			state.MergeHeartbeat(rlbfleetstate.Process{ProcessKey: rlbfleetstate.ProcessKey{Type: rlbfleetstate.ProcessController, ID: id}, FailureDomain: "domain of " + id, Address: id}, rlbfleetstate.OriginOtherDomain, now)
+		}
+		known("c1")
+		So(Peers(state, opts.Self, []string{"c1", "c9"}), ShouldResemble, map[string]rlbfleetstate.Scope{"c1": rlbfleetstate.ScopeOtherDomain, "c9": rlbfleetstate.ScopeOtherDomain})
+		known("c8")
+		So(Peers(state, opts.Self, []string{"c1", "c8"}), ShouldHaveLength, 2)
+	})
 	Convey("with 720 controllers in 22 domains, each receives from its own domain and from few others, and every pair of domains is linked", t, func() {
 		state, all := rlbfleetstate.New(), []Controller{}
 		for i := range 720 {
