A new collector of an engine sends its row even if it has not changed

Cause: rows are sent by the instance that collected them and marked as changed when they differ. If a collector fails after it sent a row to some instances and not to others, the next collector has the row already: it becomes its origin, but the row counts as unchanged and is never sent to those that lack it, as long as the engine does not change.

Ruled out as harmful: rows sent twice (merged by version, ignored). Cost: a row once for each engine whose collector changes.

Change: takeOver marks a row as changed when this instance becomes its origin.

--- a/lib/pkg/rlbfleetstate/state.go
+++ b/lib/pkg/rlbfleetstate/state.go
@@ -131,7 +131,8 @@
 // MergeEngineState applies a report of an engine, read at now.
 func (s *State) MergeEngineState(state rlbengine.State, now time.Time) {
 	s.lastReports[state.ID] = now
-	s.origins.engines[state.ID], s.origins.loads[state.ID] = OriginSelf, OriginSelf
+	takeOver(s.engines, s.origins.engines, state.ID)
+	takeOver(s.loads, s.origins.loads, state.ID)
 	s.engines.Merge(state.ID, Engine{
 		ID:          state.ID,
 		Incarnation: state.Incarnation,
@@ -151,6 +152,16 @@
 	s.loads.Merge(state.ID, load)
 }
 
+// takeOver makes this instance the origin of a row. A row that came from another
+// instance counts as changed, even if it stays the same: that instance may have failed
+// before it sent the row to all the others, and this one did not forward it to them.
+func takeOver[R rlbtable.Row[R]](rows rlbtable.Replica[string, R], origins originMap[string], id string) {
+	if row, known := rows.Get(id); known && origins[id] != OriginSelf {
+		rows.Put(id, row)
+	}
+	origins[id] = OriginSelf
+}
+
 // SetUnreachable records whether the engine is unreachable for this instance, which
 // collects its reports. It reports whether that changed.
 func (s *State) SetUnreachable(id string, unreachable bool) bool {
--- a/lib/pkg/rlbfleetstate/state_test.go
+++ b/lib/pkg/rlbfleetstate/state_test.go
@@ -107,6 +107,26 @@
 	})
 }
 
+func TestCollectorReplaced(t *testing.T) {
+	Convey("a new collector of an engine sends its row to those that the failed one did not reach, even if the engine has not changed", t, func() {
+		failed, next := New(), New()
+		failed.MergeEngineState(engineReport(1, 5, 9, 3), start)
+		cursor := NewCursor(ScopeSameDomain)
+		next.Merge(failed.Delta(NewCursor(ScopeSameDomain)), OriginSameDomain, start)
+		So(next.Delta(cursor).Engines, ShouldBeEmpty)
+		next.MergeEngineState(engineReport(1, 5, 10, 3), start)
+		update := next.Delta(cursor)
+		So(update.Engines, ShouldHaveLength, 1)
+		So(update.Loads, ShouldHaveLength, 1)
+		Convey("and only once", func() {
+			next.MergeEngineState(engineReport(1, 5, 11, 3), start)
+			update := next.Delta(cursor)
+			So(update.Engines, ShouldBeEmpty)
+			So(update.Loads, ShouldBeEmpty)
+		})
+	})
+}
+
 func TestUnreachableEngine(t *testing.T) {
 	Convey("subscribers receive that an engine became unreachable, and that it is reachable again", t, func() {
 		collector, other := New(), New()
