An endpoint that states that it leaves gets no new request, whatever its entry says

Cause: only the entry in the store made an endpoint count as draining. The answer header Server-Leaving was not read, so that an instance which had passed it on sent new requests until the entry arrived: for as long as the store was away, or the instance cut off from it.

Ruled out: a per-instance list in the proxy (placement and adapters would not know); a set that ends with the next entry (an entry may be older than the answer).

Only the value 1 counts, in an answer that bears the endpoint's stamp or its "not run", not with status 421 and not with the ID of another endpoint. Running requests end there.

Tests (all new): TestEndpointThatStatesThatItLeavesGetsNoNewRequest (failed before: all requests went to the leaving engine), TestStatementsOfOthersDoNotMakeAnEndpointLeave, TestIncarnationThatStatedThatItDrains, TestDrainingEndpoints, TestDraining. Stand-in replicas state it.

--- a/lib/pkg/rlbdeployment/endpoint.go
+++ b/lib/pkg/rlbdeployment/endpoint.go
@@ -2,7 +2,10 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // LoadedModel is a model loaded on an endpoint, with its loaded adapters.
@@ -46,3 +49,9 @@
 func (e *Endpoint) SameIncarnation(other *Endpoint) bool {
 	return e.ID == other.ID && e.StartedAt.Equal(other.StartedAt)
 }
+
+// IncarnationKey returns a number that identifies the incarnation of the endpoint in
+// messages between instances, a hash of its ID and start.
+func (e *Endpoint) IncarnationKey() uint64 {
+	return xxhash.Sum64String(e.ID + "/" + strconv.FormatInt(e.StartedAt.UnixMilli(), 10))
+}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -196,6 +196,7 @@
 func (a *app) sweep(ctx context.Context) {
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
 		a.view.Sweep()
+		a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(rlbclock.Now()), sourcePeer)
 		a.catchUp.step(ctx)
 		a.proxy.LogQuarantine()
 		snapshot := a.view.Snapshot()
@@ -233,6 +234,7 @@
 		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
 		Draining: a.proxy.Draining(), APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
 		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report()),
+		DrainingEndpoints: a.view.MarkedDraining(),
 	}
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -47,6 +47,7 @@
 	entries          map[string]*entry
 	revision         rlbobject.Version // newest version of an entry or removal
 	removals         []removal         // the latest ones, at most maxRemovals
+	draining         drainingSet
 
 	snapshot atomic.Pointer[Snapshot]
 }
@@ -56,6 +57,9 @@
 	version  rlbobject.Version
 	endpoint *rlbdeployment.Endpoint // nil: the entry cannot be decoded
 	dropAt   time.Time               // end of the grace period after a removal; zero: not removed
+	// markedDraining reports that the endpoint counts as draining because it stated so in
+	// an answer, not because its entry does.
+	markedDraining bool
 }
 
 // removal records that an entry was removed.
@@ -70,7 +74,7 @@
 
 // New returns an empty view.
 func New(logger log.Interface, decoder Decoder, now func() time.Time) *View {
-	v := &View{log: logger, decoder: decoder, now: now, entries: map[string]*entry{}}
+	v := &View{log: logger, decoder: decoder, now: now, entries: map[string]*entry{}, draining: drainingSet{}}
 	v.snapshot.Store(&Snapshot{})
 	return v
 }
@@ -157,6 +161,7 @@
 			dropped = true
 		}
 	}
+	v.expireDraining()
 	if dropped {
 		v.publish()
 	}
@@ -172,7 +177,8 @@
 	if err != nil {
 		v.log.WithError(err).WithField("endpoint", o.Name).Warn("failed to decode the entry of an endpoint; the endpoint is not used")
 	} else {
-		next.endpoint = decoded
+		next.endpoint, next.markedDraining = decoded, !decoded.Draining && v.draining.contains(decoded)
+		decoded.Draining = decoded.Draining || next.markedDraining
 	}
 	v.entries[o.Name] = next
 	v.revision = max(v.revision, o.Version)
--- a/rlb-node/pkg/rlbdiscovery/view_test.go
+++ b/rlb-node/pkg/rlbdiscovery/view_test.go
@@ -113,3 +113,67 @@
 		})
 	})
 }
+
+// startDecoder decodes "START STATE" as the entry of an endpoint that started at START.
+type startDecoder struct{ plainDecoder }
+
+func (startDecoder) Endpoint(id string, value []byte) (*rlbdeployment.Endpoint, error) {
+	var startedAt int64
+	var state string
+	if _, err := fmt.Sscan(string(value), &startedAt, &state); err != nil {
+		return nil, err
+	}
+	return &rlbdeployment.Endpoint{ID: id, Service: "s", StartedAt: time.UnixMilli(startedAt), Draining: state == "leaving"}, nil
+}
+
+func startEntry(version int, value string) []rlbobject.Object {
+	return []rlbobject.Object{{Name: "a", Version: rlbobject.Version(version), Value: []byte(value)}}
+}
+
+func TestIncarnationThatStatedThatItDrains(t *testing.T) {
+	Convey("Given an endpoint that stated in an answer that it drains", t, func() {
+		now := time.Unix(1000, 0)
+		v := New(quiet, startDecoder{}, func() time.Time { return now })
+		v.ApplyList(startEntry(1, "5 ready"), 9, false)
+		So(v.MarkDraining(v.Snapshot().ByID["a"], "test"), ShouldBeTrue)
+		So(v.Snapshot().ByID["a"].Draining, ShouldBeTrue)
+		So(v.MarkedDraining(), ShouldResemble, []uint64{v.Snapshot().ByID["a"].IncarnationKey()})
+		Convey("a second statement is not new", func() {
+			So(v.MarkDraining(v.Snapshot().ByID["a"], "test"), ShouldBeFalse)
+		})
+		Convey("a newer entry that says ready does not end it", func() {
+			v.ApplyChanges(startEntry(10, "5 ready"), false)
+			So(v.Snapshot().ByID["a"].Draining, ShouldBeTrue)
+		})
+		Convey("nor does an entry that lapses and comes back", func() {
+			v.ApplyChanges([]rlbobject.Object{deleted("a", 10)}, true)
+			v.Sweep()
+			now = now.Add(5 * time.Minute)
+			v.ApplyChanges(startEntry(11, "5 ready"), false)
+			So(v.Snapshot().ByID["a"].Draining, ShouldBeTrue)
+		})
+		Convey("the next incarnation takes requests again", func() {
+			v.ApplyChanges(startEntry(10, "6 ready"), false)
+			So(v.Snapshot().ByID["a"].Draining, ShouldBeFalse)
+			So(v.MarkedDraining(), ShouldBeEmpty)
+		})
+		Convey("other instances are told until the entry says so itself", func() {
+			v.ApplyChanges(startEntry(10, "5 leaving"), false)
+			So(v.MarkedDraining(), ShouldBeEmpty)
+			So(v.Snapshot().ByID["a"].Draining, ShouldBeTrue)
+		})
+		Convey("it is forgotten some time after the entry has gone", func() {
+			v.ApplyChanges([]rlbobject.Object{deleted("a", 10)}, false)
+			now = now.Add(drainingTTL + time.Second)
+			v.Sweep()
+			So(v.draining, ShouldBeEmpty)
+		})
+	})
+	Convey("A statement that another instance passed on counts before the entry is known", t, func() {
+		v := New(quiet, startDecoder{}, time.Now)
+		e := rlbdeployment.Endpoint{ID: "a", StartedAt: time.UnixMilli(5)}
+		v.MarkDrainingIncarnations([]uint64{e.IncarnationKey()}, "test")
+		v.ApplyList(startEntry(1, "5 ready"), 9, false)
+		So(v.Snapshot().ByID["a"].Draining, ShouldBeTrue)
+	})
+}
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -30,7 +30,8 @@
 	Demand         map[string]float32 `msgpack:"m,omitempty"` // requests in flight or refused, by model
 	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // "k" was used by earlier versions
 
-	Limits map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
+	Limits            map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
+	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, see rlbdeployment.Endpoint.IncarnationKey
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -83,7 +84,8 @@
 	Demand         map[string]float32 `msgpack:"m,omitempty"`
 	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // of all instances of the domain; "k" was used by earlier versions
 
-	Limits map[uint32]EndpointLimit `msgpack:"t,omitempty"`
+	Limits            map[uint32]EndpointLimit `msgpack:"t,omitempty"`
+	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"`
 }
 
 // packet is the content of a datagram. Exactly one field is set.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -326,7 +326,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.Limits = f.summarizeLimits(now, own)
+	s.Limits, s.DrainingEndpoints = f.summarizeLimits(now, own), f.summarizeDraining(now, own)
 	available := false
 	for _, d := range append(f.liveDigests(now), own) {
 		s.Members++
--- a/rlb-node/pkg/rlbproxy/quarantine.go
+++ b/rlb-node/pkg/rlbproxy/quarantine.go
@@ -52,7 +52,7 @@
 // and logs what the request shares with others, from which the cause can be found.
 func (s *Server) recordCrash(req *request, e *rlbdeployment.Endpoint) {
 	answering := s.answeringFor(req)
-	endpoint := xxhash.Sum64String(e.ID + "/" + strconv.FormatInt(e.StartedAt.UnixMilli(), 10))
+	endpoint := e.IncarnationKey()
 	attempt := xxhash.Sum64String(e.ID + "/" + req.id + "/" + strconv.FormatInt(req.attemptStart.UnixNano(), 10))
 	s.Crashes.RecordCrash(rlbcrash.Property{Kind: rlbcrash.WholeRequest, ID: req.fingerprint}, attempt, endpoint)
 	if answering < harmlessAfter {
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -52,7 +52,7 @@
 	}()
 	in, err := s.Dispatcher.Send(ctx, e.Address, s.outgoingRequest(req, e), req.exchange.MarkSent)
 	if err == nil {
-		s.recordLimit(req, e, in.Header)
+		s.recordStatements(req, e, in)
 		fault, passed, err = s.relayAnswer(w, req, in)
 	} else {
 		fault, _ = rlberror.KindOf[rlbroute.Fault](err)
--- a/rlb-standin/pkg/rlbfakedeployment/replica.go
+++ b/rlb-standin/pkg/rlbfakedeployment/replica.go
@@ -75,6 +75,7 @@
 	overcommitted  bool                // accepted an order beyond its memory or adapter slots
 	incarnation    int
 	restarted      chan struct{} // closed when the incarnation ends
+	leaving        bool          // its answers state that it leaves
 }
 
 // NewReplica returns a replica in its first incarnation.
@@ -106,6 +107,21 @@
 	r.incarnation++
 	r.startedMs = max(time.Now().UnixMilli(), r.startedMs+1)
 	r.sequence, r.fence, r.pendingEffect, r.resident = 0, 0, nil, map[string][]string{}
+	r.leaving = false
+}
+
+// SetLeaving makes all answers of the replica state that it leaves.
+func (r *Replica) SetLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// statesLeaving reports whether the answers state that the replica leaves.
+func (r *Replica) statesLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
 }
 
 // Runs returns the request IDs of the runs so far.
@@ -163,6 +179,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.statesLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch req.URL.Path {
 	case "/-/order":
 		r.order(w, req)
