An endpoint that refuses with Retry-After gets no request of the instance before its end

Cause: Retry-After of an endpoint was not read. After its 503 the same model was avoided there for 300 ms (if others could run it), other models not at all.

Ruled out: the limiter of stated limits (it shares a rate over all instances; this is a time for one instance), the backoff after failures (an unhealthy endpoint is used if it is the only one).

Change: rlbbalancer keeps a hold-off for each endpoint incarnation. Pick leaves held-off endpoints out, for first sends, retries and resumptions of every model; the caller of a request whose endpoints are all held off gets "not run" at once with the soonest end as Retry-After. Adapters are looked for elsewhere. The lease holder neither orders nor reads reports there: calls to the control interface reach the endpoint too, and its state is known again some hundred milliseconds after the end. Fractions of seconds count; a missing, negative, infinite or no number, NaN and dates state nothing; more than five minutes count as five minutes, because the models there would be unreachable. No herd at the end: each instance adds up to an eighth of the time at random, and in the first second sends one request and the next only when that one begins to be answered.

--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -40,6 +40,7 @@
 	defer b.mu.Unlock()
 	s := b.statsOf(e)
 	s.inFlight++
+	s.unanswered++
 	b.loadVersion++
 	s.unreadTokens += load.PromptTokens
 	if load.Urgent {
@@ -48,6 +49,7 @@
 	return sync.OnceFunc(func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		s.unanswered--
 		s.unreadTokens -= load.PromptTokens
 		b.loadVersion++
 	})
--- a/lib/pkg/rlbbalancer/balancer_test.go
+++ b/lib/pkg/rlbbalancer/balancer_test.go
@@ -148,3 +148,40 @@
 		So(balancer.Capacity(e, true).ServiceTime, ShouldEqual, 1100*time.Millisecond)
 	})
 }
+
+func TestHoldOff(t *testing.T) {
+	start := time.Unix(1000, 0)
+	Convey("with an endpoint that wants no requests for 4 s and one that wants none for 8 s", t, func() {
+		balancer := New()
+		a, b := &rlbdeployment.Endpoint{ID: "a", Slots: 4}, &rlbdeployment.Endpoint{ID: "b", Slots: 4}
+		So(balancer.RecordHoldOff(start, a, 4*time.Second), ShouldBeTrue)
+		So(balancer.RecordHoldOff(start, b, 8*time.Second), ShouldBeTrue)
+		pickAt := func(after time.Duration) Choice {
+			return balancer.Pick(start.Add(after), []*rlbdeployment.Endpoint{a, b}, Requirements{
+				Model: "m", OtherLoad: func(string) Load { return Load{} }, Fits: func(*rlbdeployment.Endpoint) bool { return true },
+			})
+		}
+		Convey("none is picked, and the soonest end is known", func() {
+			So(pickAt(3*time.Second), ShouldResemble, Choice{HeldOffUntil: start.Add(4 * time.Second)})
+		})
+		Convey("a shorter time that is stated later does not end it", func() {
+			So(balancer.RecordHoldOff(start, b, time.Second), ShouldBeFalse)
+			So(pickAt(5*time.Second).Endpoint, ShouldEqual, a)
+		})
+		Convey("the first request after it is alone until it is answered", func() {
+			So(pickAt(4*time.Second).Endpoint, ShouldEqual, a)
+			answered := balancer.Begin(a, RequestLoad{})
+			So(pickAt(4*time.Second).Endpoint, ShouldBeNil)
+			answered()
+			So(pickAt(4*time.Second).Endpoint, ShouldEqual, a)
+			balancer.Begin(a, RequestLoad{})
+			So(pickAt(4*time.Second+trialPeriod).Endpoint, ShouldEqual, a)
+		})
+		Convey("a restart ends it", func() {
+			next := *a
+			next.StartedAt = start
+			a = &next
+			So(pickAt(0).Endpoint, ShouldEqual, a)
+		})
+	})
+}
--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -38,6 +38,8 @@
 	refusedUntil  map[string]time.Time    // by model or MODEL/ADAPTER
 	mismatched    *rlbdeployment.Endpoint // entry that the endpoint did not match
 	mismatchUntil time.Time
+	holdOff       holdOff
+	unanswered    int // requests in flight whose answer has not begun
 }
 
 // statsOf returns the stats of an endpoint. When the endpoint has restarted, it resets
@@ -49,7 +51,7 @@
 		b.stats[e.ID] = s
 	}
 	if e.StartedAt.After(s.startedAt) {
-		s.startedAt, s.slowShare, s.failures, s.backoffUntil, s.noAnswerUntil, s.refusedUntil = e.StartedAt, 0, 0, time.Time{}, time.Time{}, nil
+		s.startedAt, s.slowShare, s.failures, s.backoffUntil, s.noAnswerUntil, s.refusedUntil, s.holdOff = e.StartedAt, 0, 0, time.Time{}, time.Time{}, nil, holdOff{}
 	}
 	if s.mismatched != nil && s.mismatched != e {
 		s.mismatched = nil // the entry has changed
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -31,21 +31,29 @@
 	Endpoint  *rlbdeployment.Endpoint // nil if none fits
 	Wait      time.Duration           // expected time until the answer begins
 	Unhealthy bool                    // only unhealthy endpoints fit
+	// HeldOffUntil is the soonest time at which an endpoint that fits wants requests again,
+	// if Endpoint is nil because each of them is held off; zero otherwise.
+	HeldOffUntil time.Time
 }
 
 // Pick returns the endpoint with the lowest cost of those that fit. An endpoint that
 // is unhealthy, or recently refused a request for the model, is used only if no other
-// fits.
+// fits; one that is held off is not used at all.
 func (b *Balancer) Pick(now time.Time, all []*rlbdeployment.Endpoint, req Requirements) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best Choice
 	var bestCost time.Duration
+	var heldOffUntil time.Time
 	for _, e := range all {
 		if e.Draining || !req.Fits(e) {
 			continue
 		}
 		stats := b.statsOf(e)
+		if stats.holdOff.active(now, stats.unanswered) {
+			heldOffUntil = earliest(heldOffUntil, stats.holdOff.until)
+			continue
+		}
 		load := stats.load().Add(req.OtherLoad(e.ID))
 		capacity := b.capacity(e, req.Model != "")
 		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
@@ -57,5 +65,16 @@
 			best, bestCost = c, cost
 		}
 	}
+	if best.Endpoint == nil {
+		best.HeldOffUntil = heldOffUntil
+	}
 	return best
 }
+
+// earliest returns the earlier of two times; a zero one does not count.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -138,7 +138,7 @@
 	a.scheduler = rlbscheduler.New(rlbscheduler.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Incarnation: a.name + "/" + strconv.FormatInt(a.incarnation, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Query: link.Query,
-		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
+		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -79,8 +79,10 @@
 		return nil
 	}
 	best := s.pickEndpoint(req, withAdapter)
-	req.expectedWait, req.attemptStart = best.Wait, s.Now()
+	req.expectedWait, req.attemptStart, req.heldOffUntil = best.Wait, s.Now(), best.HeldOffUntil
 	switch {
+	case !best.HeldOffUntil.IsZero():
+		req.reason = "all endpoints that can serve the request want none for a while"
 	case best.Endpoint == nil:
 		req.reason = "no endpoint that can serve the request is left to try"
 	case !s.admits(req, best):
@@ -126,7 +128,8 @@
 	if req.adapter == "" {
 		return nil, true
 	}
-	endpoints, reason := s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, slices.Concat(req.tried, req.limited))
+	avoid := slices.Concat(req.tried, req.limited, s.Balancer.HeldOffEndpoints(s.Now()))
+	endpoints, reason := s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, avoid)
 	if len(endpoints) == 0 {
 		req.reason = reason
 		return nil, false
@@ -163,6 +166,8 @@
 		return s.quarantineRefusal(req)
 	case fault == rlbroute.FaultNoEndpoint && len(req.limited) > 0:
 		return refuseLimited
+	case fault == rlbroute.FaultNoEndpoint && !req.heldOffUntil.IsZero():
+		return s.heldOffRefusal(req)
 	case req.busy:
 		return refuseBusy.withRetryAfter(req.expectedWait - s.maxWait(req))
 	case fault == rlbroute.FaultNoEndpoint:
--- a/rlb-node/pkg/rlbproxy/endpoint_statement.go
+++ b/rlb-node/pkg/rlbproxy/endpoint_statement.go
@@ -1,7 +1,9 @@
 package rlbproxy
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
@@ -10,7 +12,7 @@
 )
 
 // recordStatements records what an endpoint states about itself in the header of an
-// answer: its limit of requests, and that it drains.
+// answer: its limit of requests, that it drains, and for how long it wants no requests.
 func (s *Server) recordStatements(req *request, e *rlbdeployment.Endpoint, in *rlbdispatch.Incoming) {
 	s.recordLimit(req, e, in.Header)
 	if !answeredBy(e, in) {
@@ -19,6 +21,9 @@
 	if rlbplatform.Draining(in.Header) {
 		s.recordDraining(req, e)
 	}
+	if wait, stated := rlbplatform.RetryAfter(in.Header); stated && in.StatusCode == http.StatusServiceUnavailable {
+		s.recordHoldOff(req, e, wait)
+	}
 }
 
 // answeredBy reports whether an answer comes from the endpoint itself. Another endpoint
@@ -38,3 +43,27 @@
 		s.Log.WithFields(log.Fields{"request": req.id, "endpoint": e.ID}).Info("endpoint states that it drains")
 	}
 }
+
+// holdOffSpreadDivisor limits the random time by which a hold-off is extended, as a part
+// of it, so that the instances do not all return to the endpoint at the same moment.
+const holdOffSpreadDivisor = 8
+
+// recordHoldOff records that the endpoint wants no requests from this instance for a
+// while.
+func (s *Server) recordHoldOff(req *request, e *rlbdeployment.Endpoint, wait time.Duration) {
+	spread := rand.N(wait/holdOffSpreadDivisor + 1)
+	if s.Balancer.RecordHoldOff(s.Now(), e, wait+spread) {
+		s.Log.WithFields(log.Fields{"request": req.id, "endpoint": e.ID, "wait_ms": wait.Milliseconds()}).Info("endpoint wants no requests for a while")
+	}
+}
+
+// heldOffRefusal returns the refusal of a request all of whose endpoints want no requests
+// for a while, with the time after which the first of them takes requests again.
+func (s *Server) heldOffRefusal(req *request) *refusal {
+	changed := *refuseHeldOff
+	changed.retryAfter = req.heldOffUntil.Sub(s.Now())
+	if changed.retryAfter <= 0 { // over, but the first request after it has no answer yet
+		changed.retryAfter = retrySoon
+	}
+	return &changed
+}
--- a/rlb-node/pkg/rlbproxy/endpoint_statement_test.go
+++ b/rlb-node/pkg/rlbproxy/endpoint_statement_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -27,6 +29,16 @@
 			shouldBeAvoided()
 		})
 	})
+	Convey("A refusal that states it counts as well", t, func() {
+		f := newFixture(t)
+		leaving, _ := f.add(t, "e1", "llm", "a"), f.add(t, "e2", "llm", "b")
+		leaving.SetLeaving()
+		leaving.Refuse("0") // states no time
+		So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusOK)
+		f.advance(time.Minute)
+		So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusOK)
+		So(leaving.Refusals(), ShouldHaveLength, 1)
+	})
 }
 
 func TestStatementsOfOthersDoNotMakeAnEndpointLeave(t *testing.T) {
@@ -56,3 +68,77 @@
 		}
 	})
 }
+
+func TestEndpointGetsNoRequestBeforeItsRetryAfter(t *testing.T) {
+	Convey("Given two engines, of which the nearer one refuses with a Retry-After of 2.5 s", t, func() {
+		f := newFixture(t)
+		refusing, other := f.add(t, "e1", "llm", "a"), f.add(t, "e2", "llm", "b")
+		refusing.Refuse("2.5")
+		send := func() { So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusOK) }
+		send()
+		refusing.Refuse("")
+		Convey("it gets nothing until then, of whatever route", func() {
+			f.advance(2400 * time.Millisecond)
+			send()
+			So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusOK)
+			So(refusing.Runs(), ShouldBeEmpty)
+			So(other.Runs(), ShouldHaveLength, 3)
+			Convey("and requests again soon after", func() {
+				f.advance(500 * time.Millisecond)
+				send()
+				So(refusing.Runs(), ShouldHaveLength, 1)
+			})
+		})
+	})
+	Convey("A restart of the endpoint ends it", t, func() {
+		f := newFixture(t)
+		refusing := f.add(t, "e1", "plain", "a")
+		refusing.Refuse("60")
+		read := func() int { return f.send(http.MethodGet, "/read/x", "", nil).status }
+		So(read(), ShouldEqual, http.StatusServiceUnavailable)
+		refusing.Restart()
+		So(read(), ShouldEqual, http.StatusServiceUnavailable)
+		f.refreshEntry("e1")
+		So(read(), ShouldEqual, http.StatusOK)
+	})
+	for name, value := range map[string]string{"none": "", "no number": "soon", "a date": "Fri, 04 Dec 2026 10:00:00 GMT", "not finite": "1e999", "NaN": "NaN", "negative": "-3"} {
+		Convey("A Retry-After that is "+name+" holds nothing off", t, func() {
+			f := newFixture(t)
+			refusing := f.add(t, "e1", "llm", "a")
+			refusing.Refuse(value)
+			for range 3 {
+				f.sendPrompt("/plan/x")
+			}
+			So(f.server.Balancer.HeldOffEndpoints(f.now()), ShouldBeEmpty)
+		})
+	}
+	Convey("An absurdly long one ends after some minutes", t, func() {
+		f := newFixture(t)
+		refusing := f.add(t, "e1", "llm", "a")
+		refusing.Refuse("1e12")
+		So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusServiceUnavailable)
+		refusing.Refuse("")
+		f.advance(4 * time.Minute)
+		So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusServiceUnavailable)
+		f.advance(2 * time.Minute)
+		So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusOK)
+	})
+}
+
+func TestRequestIsRefusedAtOnceWhenAllEndpointsAreHeldOff(t *testing.T) {
+	Convey("With both engines held off, a caller is told at once that its request did not run, and the soonest end", t, func() {
+		f := newFixture(t)
+		first, second := f.add(t, "e1", "llm", "a"), f.add(t, "e2", "llm", "b")
+		first.Refuse("8")
+		second.Refuse("4")
+		So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusServiceUnavailable)
+		f.advance(time.Second)
+		got := f.sendPrompt("/talk/x")
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(first.Refusals(), ShouldHaveLength, 1)
+		So(second.Refusals(), ShouldHaveLength, 1)
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		So(err, ShouldBeNil)
+		So(seconds, ShouldBeBetween, 2.5, 3.6) // the rest of 4 s, and a part of them at random
+	})
+}
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -126,6 +126,16 @@
 	f.view.ApplyList(f.entries, rlbobject.Version(2*len(f.entries)), false)
 }
 
+// refreshEntry applies the entry that a replica writes now, as after a restart.
+func (f *fixture) refreshEntry(id string) {
+	for i, o := range f.entries {
+		if o.Name == id {
+			f.entries[i] = rlbobject.Object{Name: id, Version: 2*rlbobject.Version(len(f.entries)) + o.Version, Value: encodeEntry(f.replicas[id])}
+		}
+	}
+	f.view.ApplyList(f.entries, rlbobject.Version(4*len(f.entries)), false)
+}
+
 // callerResult is the answer that the caller got.
 type callerResult struct {
 	status int
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -43,6 +43,7 @@
 	refuseNoEndpoint     = &refusal{http.StatusServiceUnavailable, retryLater, "no endpoint can run it now"}
 	refuseBusy           = &refusal{http.StatusServiceUnavailable, retryLater, "all endpoints of the model are busy"}
 	refuseLimited        = &refusal{http.StatusServiceUnavailable, retryLater, "the endpoints take no more requests a second"}
+	refuseHeldOff        = &refusal{http.StatusServiceUnavailable, retryLater, "all endpoints want no requests for a while"}
 	refuseEndpointsFull  = &refusal{http.StatusServiceUnavailable, retryLater, "endpoints are full"}
 	refuseQuarantined    = &refusal{http.StatusServiceUnavailable, retryLater, "requests like this one crashed endpoints"}
 	refuseNoTime         = &refusal{http.StatusServiceUnavailable, retrySoon, "no time left"}
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -41,6 +41,7 @@
 	unsent        int           // number of these that could not be reached
 	lastEventID   string        // last complete event sent to the caller
 	busy          bool          // not admitted: the expected wait is too long
+	heldOffUntil  time.Time     // the soonest end if all endpoints that are left want no requests for a while; zero: not so
 	expectedWait  time.Duration // expected wait for the answer to start at the endpoint chosen last
 	attemptStart  time.Time     // of the latest attempt
 	timeToFirst   time.Duration // from attemptStart to the first event
--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -211,7 +211,7 @@
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	now := s.now()
-	if !state.known || !state.canServe(q.Model) || state.busy() || now.Before(state.pausedUntil) {
+	if !state.known || !state.canServe(q.Model) || state.busy() || now.Before(state.pausedUntil) || s.HeldOff(state.endpoint.ID) {
 		return time.Time{}, false
 	}
 	total, fetching := state.countAdapters(now)
--- a/rlb-node/pkg/rlbscheduler/orders.go
+++ b/rlb-node/pkg/rlbscheduler/orders.go
@@ -27,7 +27,7 @@
 	if state.known {
 		return true
 	}
-	if now.Before(state.pausedUntil) {
+	if now.Before(state.pausedUntil) || s.HeldOff(state.endpoint.ID) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -54,6 +54,13 @@
 	return true
 }
 
+// takesOrders reports whether the endpoint may get an order for a model now. The caller
+// holds state.mu.
+func (s *Scheduler) takesOrders(state *endpointState) bool {
+	now := s.now()
+	return !state.busy() && !now.Before(state.pausedUntil) && !now.Before(state.blockedUntil) && !s.HeldOff(state.endpoint.ID)
+}
+
 // sendOrder sends an order with the current fencing number. It reports whether the
 // order takes effect. The caller holds state.mu and has made sure that the state is known.
 func (s *Scheduler) sendOrder(ctx context.Context, state *endpointState, engine *rlbdeployment.Engine, o rlbdeployment.Order, reason string) bool {
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -105,7 +105,7 @@
 		state.applyLoadedModels(entry)
 	}
 	e := rlbplacement.Engine{
-		Frozen: !known || state.busy() || s.now().Before(state.pausedUntil) || s.now().Before(state.blockedUntil),
+		Frozen: !known || !s.takesOrders(state),
 		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Memory: modelMemory(engine), Reserved: state.usedMemory(engine), Leaving: entry.Draining,
 		InFlight: s.Load(state.incarnation.ID).InFlight,
 		Near:     slices.Concat(state.endpoint.InMemory, state.endpoint.OnDisk),
@@ -151,8 +151,7 @@
 			return // an order is in flight; the next plan takes its outcome into account
 		}
 		defer state.mu.Unlock()
-		now := s.now()
-		if !state.known || state.busy() || now.Before(state.pausedUntil) || now.Before(state.blockedUntil) {
+		if !state.known || !s.takesOrders(state) {
 			return
 		}
 		if p.Action == rlbengine.ActionUnload {
@@ -162,7 +161,7 @@
 			}
 			return
 		}
-		if !state.fits(engine, p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(now, engine.LoadsPerSecond) {
+		if !state.fits(engine, p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(s.now(), engine.LoadsPerSecond) {
 			return
 		}
 		s.Limits.Charge(state.endpoint.ID, controlRank)
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -54,8 +54,11 @@
 	Demand      func() map[string]float32              // demand of this instance's callers by model
 	Load        func(endpoint string) rlbbalancer.Load // load that all instances put on an endpoint
 	// Cost returns the cost of sending a request of a failure domain to an endpoint.
-	Cost       func(e *rlbdeployment.Endpoint, domain string) time.Duration
-	Limits     RequestLimits
+	Cost   func(e *rlbdeployment.Endpoint, domain string) time.Duration
+	Limits RequestLimits
+	// HeldOff reports whether an endpoint wants no requests from this instance for a
+	// while. It gets no orders and no queries for its report either.
+	HeldOff    func(endpoint string) bool
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration // window of the limit on loads from the weight store
 	// APIUnavailable reports whether the object API answers none of the known
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -161,6 +162,7 @@
 	takeoverDelay  time.Duration
 	apiUnavailable atomic.Bool // what Opts.APIUnavailable returns
 	limits         *fakeLimits
+	heldOff        map[string]bool // endpoints that want no requests
 }
 
 // fakeLimits is a fake of RequestLimits that admits no request to some endpoints.
@@ -186,7 +188,7 @@
 }
 
 func newTestFleet(t *testing.T, endpoints ...string) *testFleet {
-	f := &testFleet{api: rlbfake.NewObjects(), engines: &fakeEngines{t: t, endpoints: map[string]*fakeEndpoint{}}, demand: map[string]float32{}, limits: &fakeLimits{full: map[string]bool{}, charged: map[string]int{}}}
+	f := &testFleet{api: rlbfake.NewObjects(), engines: &fakeEngines{t: t, endpoints: map[string]*fakeEndpoint{}}, demand: map[string]float32{}, limits: &fakeLimits{full: map[string]bool{}, charged: map[string]int{}}, heldOff: map[string]bool{}}
 	for _, id := range endpoints {
 		f.engines.endpoints[id] = &fakeEndpoint{models: map[string]map[string]bool{"m": {}}}
 	}
@@ -208,7 +210,7 @@
 		Query: func(context.Context, string, rlbpeer.Query) (rlbpeer.Reply, error) {
 			return rlbpeer.Reply{}, errors.New("nobody")
 		},
-		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbbalancer.Load { return rlbbalancer.Load{} }, Cost: func(*rlbdeployment.Endpoint, string) time.Duration { return 0 }, Limits: f.limits,
+		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbbalancer.Load { return rlbbalancer.Load{} }, Cost: func(*rlbdeployment.Endpoint, string) time.Duration { return 0 }, Limits: f.limits, HeldOff: func(id string) bool { return f.heldOff[id] },
 		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, TakeoverDelay: f.takeoverDelay, APIUnavailable: f.apiUnavailable.Load, Now: time.Now,
 	})
 	go s.Run(ctx)
@@ -300,6 +302,27 @@
 	})
 }
 
+func TestEndpointThatIsHeldOffGetsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "e1", "e2")
+		f.heldOff["e1"] = true
+		s := f.start(t.Context(), "a")
+		time.Sleep(20 * time.Second)
+		ids, _ := s.Find(t.Context(), "s", "m", "a1", nil)
+		if !slices.Equal(ids, []string{"e2"}) {
+			t.Errorf("the adapter is found at %v", ids)
+		}
+		for _, order := range f.engines.allOrders() {
+			if strings.HasPrefix(order, "e1 ") {
+				t.Errorf("order to an endpoint that is held off: %s", order)
+			}
+		}
+		if f.limits.count("e1") > 0 {
+			t.Errorf("%d calls to an endpoint that is held off", f.limits.count("e1"))
+		}
+	})
+}
+
 func TestOutageUpdate(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var o outage
--- a/rlb-standin/pkg/rlbfakedeployment/replica.go
+++ b/rlb-standin/pkg/rlbfakedeployment/replica.go
@@ -76,6 +76,8 @@
 	incarnation    int
 	restarted      chan struct{} // closed when the incarnation ends
 	leaving        bool          // its answers state that it leaves
+	retryAfter     string        // in the refusals of all requests; empty: they are not refused
+	refusals       []time.Time   // when requests were refused with retryAfter
 }
 
 // NewReplica returns a replica in its first incarnation.
@@ -107,7 +109,7 @@
 	r.incarnation++
 	r.startedMs = max(time.Now().UnixMilli(), r.startedMs+1)
 	r.sequence, r.fence, r.pendingEffect, r.resident = 0, 0, nil, map[string][]string{}
-	r.leaving = false
+	r.leaving, r.retryAfter = false, ""
 }
 
 // SetLeaving makes all answers of the replica state that it leaves.
@@ -117,6 +119,21 @@
 	r.leaving = true
 }
 
+// Refuse makes the replica refuse all requests as not run, with this Retry-After, until
+// it is called with an empty one.
+func (r *Replica) Refuse(retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAfter = retryAfter
+}
+
+// Refusals returns when requests were refused with a Retry-After.
+func (r *Replica) Refusals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.refusals)
+}
+
 // statesLeaving reports whether the answers state that the replica leaves.
 func (r *Replica) statesLeaving() bool {
 	r.mu.Lock()
@@ -124,6 +141,20 @@
 	return r.leaving
 }
 
+// refuse refuses a request if Refuse asks for it, and reports whether it did.
+func (r *Replica) refuse(w http.ResponseWriter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.retryAfter == "" {
+		return false
+	}
+	r.refusals = append(r.refusals, time.Now())
+	w.Header().Set("Retry-After", r.retryAfter)
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // Runs returns the request IDs of the runs so far.
 func (r *Replica) Runs() []string {
 	var ids []string
@@ -287,6 +318,9 @@
 	}
 	id := req.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	if r.refuse(w) {
+		return
+	}
 	if status := r.admit(req); status != http.StatusOK {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(status)
