One odd entry among those of the endpoints no longer hides the sound ones

Cause: Objects.List and Watch decoded an answer as a whole. encoding/json rejects a document that is nested too deeply anywhere, so that one such entry of another writer made every list and watch fail as long as it was there: an instance that started then knew no endpoint.

Ruled out: a JSON library without a depth limit that returns what it can (a truncated answer would look complete); recursion of our own (the stack grows with the nesting).

Objects that cannot be decoded are left out one by one, counted, and logged once for each list or change. An instance keeps and passes on nothing of an entry that it cannot use.

--- a/lib/pkg/rlbobject/api.go
+++ b/lib/pkg/rlbobject/api.go
@@ -44,6 +44,9 @@
 type Changes struct {
 	Revision Version  `json:"revision"`
 	Objects  []Object `json:"objects"`
+	// Undecodable is the number of objects that are left out, because another writer left
+	// something in them that cannot be decoded.
+	Undecodable int `json:"-"`
 }
 
 // API is the object API. Errors are of type *Error. After an error of KindUnknown
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -175,6 +175,7 @@
 	next := &entry{raw: o.Value, version: o.Version}
 	decoded, err := v.decoder.Endpoint(o.Name, o.Value)
 	if err != nil {
+		next.raw = nil // of any size; other instances need to know only that there is no endpoint
 		v.log.WithError(err).WithField("endpoint", o.Name).Warn("failed to decode the entry of an endpoint; the endpoint is not used")
 	} else {
 		next.endpoint, next.markedDraining = decoded, !decoded.Draining && v.draining.contains(decoded)
--- a/rlb-node/pkg/rlbdiscovery/watcher.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	w.logUndecodable(all)
 	w.Sink.ApplyList(all.Objects, all.Revision, w.recordSuccess())
 	w.revision = all.Revision
 	return nil
@@ -112,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	w.logUndecodable(changes)
 	w.Sink.ApplyChanges(changes.Objects, w.recordSuccess())
 	w.revision = max(w.revision, changes.Revision)
 	if len(changes.Objects) > 0 {
@@ -120,6 +122,14 @@
 	return nil
 }
 
+// logUndecodable logs objects that the object API returned and that cannot be decoded. A
+// watch returns each of them once.
+func (w *Watcher) logUndecodable(c rlbobject.Changes) {
+	if c.Undecodable > 0 {
+		w.Log.WithFields(log.Fields{"kind": w.Kind, "objects": c.Undecodable, "revision": uint64(c.Revision)}).Warn("failed to decode objects of another writer; they are not used")
+	}
+}
+
 // TriggerList cancels a call that waits for changes and makes the watcher read the
 // list: another instance has changes that the call should have returned.
 func (w *Watcher) TriggerList() {
