A lease object that cannot be decoded no longer blocks all orders

Cause: Lease.OnRead returned an error for an undecodable object and left the lease unknown, so that no instance ever contended for it. A fencing number at its highest value would have become 0 with the next holder. The object lies in the store, where other writers can leave odd values.

Ruled out: overwriting it at once (its holder may still send orders); starting again with fencing number 1 (endpoints would refuse all orders).

Change: such an object counts as the lease of an unknown holder with the object's version as fencing number. It expires after the TTL like any other. Each new fencing number takes a write, so that none is above the version; a record that states a higher one is odd as well.

--- a/lib/pkg/rlblease/lease.go
+++ b/lib/pkg/rlblease/lease.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
@@ -130,15 +131,33 @@
 	}
 }
 
-// OnRead applies the object as read at now. Version 0 means that the object does not
-// exist.
-func (l *Lease) OnRead(now time.Time, version rlbobject.Version, value []byte) error {
+// unknownHolder is the holder in a record that cannot be decoded.
+const unknownHolder = "unknown holder"
+
+// decodeRecord decodes the object of a version. One that cannot be decoded, as another
+// writer left it, counts as the lease of an unknown holder, so that it expires like any
+// other. Each new fencing number takes a write, so that no holder had one higher than the
+// version.
+func decodeRecord(version rlbobject.Version, value []byte) (Record, error) {
 	var record Record
-	if version != 0 {
-		if err := json.Unmarshal(value, &record); err != nil {
-			return rlberror.New("decode lease", KindEncoding, err)
-		}
+	if version == 0 {
+		return record, nil
+	}
+	err := json.Unmarshal(value, &record)
+	if err == nil && record.Fence > uint64(version) {
+		err = fmt.Errorf("the fencing number %d is higher than the version %d", record.Fence, version)
+	}
+	if err != nil {
+		return Record{Holder: unknownHolder, Fence: uint64(version)}, rlberror.New("decode lease", KindEncoding, err)
 	}
+	return record, nil
+}
+
+// OnRead applies the object as read at now. Version 0 means that the object does not
+// exist. It returns an error if the object cannot be decoded; the lease then counts as
+// held by someone else.
+func (l *Lease) OnRead(now time.Time, version rlbobject.Version, value []byte) error {
+	record, err := decodeRecord(version, value)
 	if version < l.version {
 		return nil // stale read
 	}
@@ -157,7 +176,7 @@
 	case w != nil && record == w.record:
 		l.extendDeadline(w)
 	}
-	return nil
+	return err
 }
 
 // extendDeadline sets the deadline after a write took effect, unless it released the
