Messages of other instances cannot exhaust memory or stack

Cause: rlbpeer decoded datagrams with the library directly, which allocates as many elements as a header states: a datagram of seven bytes can ask for four billion. Frames were checked by skipping through them, with a recursion for each level: 8 MiB of list headers need more stack than a process may have, which ends it.

Ruled out: a limit on the datagram's size (seven bytes suffice).

--- a/lib/pkg/rlbmsgpack/unmarshal.go
+++ b/lib/pkg/rlbmsgpack/unmarshal.go
@@ -2,7 +2,6 @@
 package rlbmsgpack
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 
@@ -12,16 +11,13 @@
 // ErrTrailing is returned if there are bytes after the value.
 var ErrTrailing = errors.New("bytes after the value")
 
-// Unmarshal decodes data into v. It first skips through the data without storing
-// it: the library allocates as many elements as a list header states, so a few
-// bytes could otherwise exhaust the memory.
+// Unmarshal decodes data into v. It first checks that the data holds all elements that the
+// headers of lists and maps state, and does not nest them deeply: the library allocates
+// as many elements as a header states and recurses for each level, so that a few bytes
+// could otherwise exhaust memory or stack.
 func Unmarshal(data []byte, v any) error {
-	reader := bytes.NewReader(data)
-	if err := msgpack.NewDecoder(reader).Skip(); err != nil {
+	if err := validate(data); err != nil {
 		return fmt.Errorf("validate msgpack: %w", err)
 	}
-	if reader.Len() > 0 {
-		return ErrTrailing
-	}
 	return msgpack.Unmarshal(data, v)
 }
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmsgpack"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -188,7 +189,7 @@
 			continue
 		}
 		var p packet
-		if err := msgpack.Unmarshal(buffer[:n], &p); err != nil {
+		if err := rlbmsgpack.Unmarshal(buffer[:n], &p); err != nil {
 			l.log.WithError(err).Warn("failed to decode a message from another instance")
 			continue
 		}
