--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial trial-platform capacity faults cost replace outage bench moves soak soak-fresh
+.PHONY: build test race lint trial trial-platform capacity faults cost replace outage bench moves soak soak-fresh fuzz cross
 
 build:
 	@mkdir -p bin
@@ -15,6 +15,18 @@
 test:
 	go test $(PACKAGES)
 
+# Native fuzz tests of the decoders at the process boundary, a few seconds each.
+FUZZTIME ?= 4s
+FUZZED := lib/pkg/rlbjson:FuzzSplit lib/pkg/rlbmsgpack:FuzzUnmarshal platform:FuzzDecodePage platform:FuzzDecodeEndpoint platform:FuzzDecodeConfig rlb-node/pkg/rlbpeer:FuzzPacket rlb-node/pkg/rlbpeer:FuzzQuery
+
+fuzz:
+	@for f in $(FUZZED); do go test ./$${f%%:*} -run '^$$' -fuzz "^$${f##*:}$$" -fuzztime $(FUZZTIME) || exit 1; done
+
+# Builds and vets for both processors that the product runs on. The other one than this
+# machine's is built without C, as there may be no C compiler for it.
+cross:
+	@for arch in amd64 arm64; do echo "$$arch" && GOARCH=$$arch CGO_ENABLED=0 go build -o /dev/null $(PACKAGES) && GOARCH=$$arch CGO_ENABLED=0 go vet $(PACKAGES) || exit 1; done
+
 lint:
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); exit 1; }
 	go vet $(PACKAGES)
