A refusal that an endpoint writes once more is not believed for another run

Cause: an answer on a kept connection was matched by the request's ID alone. A request that is sent again with the same ID (by a caller that keeps its IDs, or by the gateway to its only candidate) could get the earlier refusal's copy as its answer: "not run" while it runs. In the gateway an answer without any ID was accepted on kept connections too, so that a late anonymous refusal was believed for whatever request came next.

Ruled out: closing every connection that brought a refusal (a tenth of the arrivals at large sites are refused, and connections cost); the check for unread bytes before a request (the copy may come later). Requests that run at most once were not affected: each has a connection of its own.

Change: rlbdispatch matches by ID itself. A connection remembers the IDs that it answered with an error status, sixteen at most, and is not used for the same ID again. On kept connections only answers that name the request count, others are dropped; where an endpoint names none, its connection is not kept. An answer on a new connection that belongs to another request is the fault Foreign, no longer a cut connection, which counted as a crash of the endpoint.

--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfleetstate"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbtls"
@@ -73,6 +74,7 @@
 	}
 	a.fleet = rlbfleet.New(a.domain, time.Now)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		IDHeader:               rlbrelay.HeaderRequestID,
 		Dial:                   rlbdispatch.DialTCP(settings.Duration(rlbsettings.GatewayConnectTimeout)),
 		FirstByteTimeout:       settings.Duration(rlbsettings.GatewayFirstTokenTimeout),
 		ReusedFirstByteTimeout: settings.Duration(rlbsettings.GatewayReusedFirstTokenTimeout),
--- a/rlb-gateway/pkg/rlbcaller/attempts.go
+++ b/rlb-gateway/pkg/rlbcaller/attempts.go
@@ -13,7 +13,6 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfleetstate"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquarantine"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 )
@@ -356,9 +355,10 @@
 	}
 }
 
-// dispatch sends one attempt and checks the status and the request id of the
-// answer. Done or Abort must be called on the returned answer.
+// dispatch sends one attempt and checks the status of the answer, which names the request
+// or, on a new connection, none. Done or Abort must be called on the returned answer.
 func (s *Server) dispatch(ctx context.Context, p *proxiedRequest, e *rlbroute.Endpoint, exchange *rlbroute.Exchange, out *rlbdispatch.Outgoing, fault func(*rlbdispatch.Incoming) (rlbroute.Fault, bool)) (*rlbdispatch.Incoming, *attemptError) {
+	out.ID = p.id
 	in, err := s.Dispatcher.Send(ctx, e.Address(), out, exchange.MarkSent)
 	if err != nil {
 		if rlberror.Is(err, rlbroute.FaultNotSent) {
@@ -366,10 +366,6 @@
 		}
 		return nil, faultOf(err)
 	}
-	if !rlbrelay.CheckIdentity(in.Header, p.id) {
-		in.Abort()
-		return nil, &attemptError{fault: rlbroute.FaultForeign}
-	}
 	kind, failed := fault(in)
 	if !failed {
 		return in, nil
--- a/rlb-gateway/pkg/rlbcaller/bench_test.go
+++ b/rlb-gateway/pkg/rlbcaller/bench_test.go
@@ -55,7 +55,8 @@
 	b.Cleanup(engine.Close)
 	endpoint = strings.TrimPrefix(engine.URL, "http://")
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
-		Dial: rlbdispatch.DialTCP(time.Second), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Second,
+		IDHeader: rlbrelay.HeaderRequestID,
+		Dial:     rlbdispatch.DialTCP(time.Second), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Second,
 	})
 	b.Cleanup(closeDispatcher)
 	policy, err := rlbroute.NewPolicy[*rlbroute.Endpoint]("cost", func() uint64 { return 1 })
--- a/rlb-gateway/pkg/rlbcaller/rig_test.go
+++ b/rlb-gateway/pkg/rlbcaller/rig_test.go
@@ -25,6 +25,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfleetstate"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
@@ -110,7 +111,8 @@
 // crashPublishDelay, in place of controllers.
 func (r *rig) addGateway(common *rlbcommon.Common, address string) {
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
-		Dial: r.network.Dial, FirstByteTimeout: 10 * time.Second, ReusedFirstByteTimeout: 2 * time.Second, IdleTimeout: 3 * time.Second, SweepInterval: time.Second,
+		IDHeader: rlbrelay.HeaderRequestID,
+		Dial:     r.network.Dial, FirstByteTimeout: 10 * time.Second, ReusedFirstByteTimeout: 2 * time.Second, IdleTimeout: 3 * time.Second, SweepInterval: time.Second,
 	})
 	seed := rand.New(rand.NewPCG(1, 1))
 	var mu sync.Mutex
--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -33,6 +34,22 @@
 	awaitsHead  bool          // the head of the answer is not complete
 	beforeHead  int           // bytes read since the request was sent, while awaitsHead
 	notReusable bool          // the next bytes on it may belong to another request
+	failedIDs   []string      // IDs of requests that were answered on it with an error status
+}
+
+// maxFailedIDs is how many requests are answered with an error status on a connection
+// until it is closed.
+const maxFailedIDs = 16
+
+// recordFailure remembers a request that was answered with an error status. If the same
+// request is sent again, it must not use this connection: a copy of that answer would be
+// taken for the new one.
+func (c *conn) recordFailure(response *http.Response, id string) {
+	if response.StatusCode < http.StatusBadRequest {
+		return
+	}
+	c.failedIDs = append(c.failedIDs, id)
+	c.notReusable = c.notReusable || len(c.failedIDs) >= maxFailedIDs
 }
 
 func newConn(c net.Conn) *conn {
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -21,6 +21,12 @@
 	ReusedFirstByteTimeout time.Duration // the same on a reused connection, if it is shorter
 	IdleTimeout            time.Duration // of each read within the body of an answer
 	SweepInterval          time.Duration
+	// IDHeader is the header with which endpoints name the request that an answer belongs
+	// to.
+	IDHeader string
+	// RequireID makes an answer that names no request an error. Otherwise it is accepted on
+	// a new connection, which is then not used again.
+	RequireID bool
 }
 
 // Dial opens a connection to an endpoint.
@@ -80,17 +86,17 @@
 	// KeepWaiting is called whenever one of these timeouts expires and reports whether
 	// to wait once more. nil: never.
 	KeepWaiting func() bool
-	// Matches reports whether an answer belongs to this request. On a reused
-	// connection, other answers are read and dropped; on a new one, they are an error.
-	// nil: all match.
-	Matches func(*http.Response) bool
+	// ID is the request's ID in Opts.IDHeader. On a reused connection, answers that do not
+	// name it are read and dropped; on a new one, those that name another are an error.
+	// Empty: all answers belong to the request.
+	ID string
 }
 
 // Send sends a request and reads the header of the answer. It calls sent right
 // before the first byte of the request may be sent. If ctx ends before Done or Abort
 // is called on the answer, the connection is closed.
 func (d *Dispatcher) Send(ctx context.Context, address string, out *Outgoing, sent func()) (*Incoming, error) {
-	c, err := d.connection(ctx, address, out.NewConnection)
+	c, err := d.connection(ctx, address, out)
 	if err != nil {
 		return nil, rlberror.New("connect", rlbroute.FaultNotSent, err)
 	}
@@ -108,7 +114,7 @@
 		in.Abort()
 		return nil, rlberror.New("send", d.classifyError(c, address, err), err)
 	}
-	in.Response, err = readMatching(c, out)
+	in.Response, err = d.readMatching(c, out)
 	if err != nil {
 		in.Abort()
 		if c.reused {
@@ -148,16 +154,29 @@
 // the request fails.
 const maxMismatched = 4
 
+// errForeign is returned if the answer on a new connection belongs to another request.
+var errForeign = errors.New("the answer belongs to another request")
+
 // readMatching reads the answer to the request and drops late answers to earlier
 // requests. A connection that had late answers is not reused.
-func readMatching(c *conn, out *Outgoing) (*http.Response, error) {
+func (d *Dispatcher) readMatching(c *conn, out *Outgoing) (*http.Response, error) {
 	for range maxMismatched {
 		response, err := readResponse(c, &http.Request{Method: out.Method})
-		if err != nil || out.Matches == nil || out.Matches(response) {
-			return response, err
+		if err != nil {
+			return nil, err
 		}
-		if !c.reused {
-			return nil, errors.New("the answer belongs to another request")
+		named := response.Header.Get(d.opts.IDHeader)
+		switch {
+		case out.ID == "":
+			return response, nil
+		case named == out.ID:
+			c.recordFailure(response, out.ID)
+			return response, nil
+		case !c.reused && named == "" && !d.opts.RequireID:
+			c.notReusable = true // a late copy of such an answer could not be told from the answer to the next request
+			return response, nil
+		case !c.reused:
+			return nil, errForeign
 		}
 		c.notReusable = true
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -177,9 +196,9 @@
 	return true
 }
 
-func (d *Dispatcher) connection(ctx context.Context, address string, forceNew bool) (*conn, error) {
-	if !forceNew {
-		if c := d.pool.get(address, time.Now()); c != nil {
+func (d *Dispatcher) connection(ctx context.Context, address string, out *Outgoing) (*conn, error) {
+	if !out.NewConnection {
+		if c := d.pool.get(address, out.ID, time.Now()); c != nil {
 			return c, nil
 		}
 	}
@@ -264,5 +283,8 @@
 	if errors.Is(err, errNoAnswer) {
 		return rlbroute.FaultMalformed
 	}
+	if errors.Is(err, errForeign) {
+		return rlbroute.FaultForeign
+	}
 	return rlbroute.FaultCut
 }
--- a/rlb-gateway/pkg/rlbdispatch/endless_test.go
+++ b/rlb-gateway/pkg/rlbdispatch/endless_test.go
@@ -52,14 +52,14 @@
 	} {
 		Convey("Bytes without end "+name+" are given up after a bounded number", t, func() {
 			e.sent = make(chan int, 1)
-			d, closeDispatcher := New(Opts{Dial: e.dial, FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute})
+			d, closeDispatcher := New(Opts{IDHeader: "X-Request-Id", Dial: e.dial, FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute})
 			defer closeDispatcher()
 			c, err := d.dial(t.Context(), "e")
 			So(err, ShouldBeNil)
 			d.pool.put("e", c, time.Now()) // answers to other requests are dropped on used connections only
 			_, err = d.Send(t.Context(), "e", &Outgoing{
 				Method: http.MethodGet, Path: "/", Host: "h", Header: http.Header{}, Deadline: time.Now().Add(time.Minute),
-				Matches: func(r *http.Response) bool { return r.Header.Get("X-Request-Id") != "other" },
+				ID: "own",
 			}, func() {})
 			var sendError *Error
 			So(errors.As(err, &sendError), ShouldBeTrue)
--- a/rlb-gateway/pkg/rlbdispatch/pool.go
+++ b/rlb-gateway/pkg/rlbdispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,14 +29,15 @@
 
 func newPool() *pool { return &pool{idle: map[string][]*conn{}} }
 
-// get returns a usable idle connection, or nil. It prefers the most recently used.
-func (p *pool) get(address string, now time.Time) *conn {
+// get returns an idle connection that the request of an ID can use, or nil. It prefers
+// the most recently used.
+func (p *pool) get(address, id string, now time.Time) *conn {
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) < maxIdleTime && c.alive() {
+		if now.Sub(c.idleSince) < maxIdleTime && c.alive() && !slices.Contains(c.failedIDs, id) {
 			c.reused = true
 			return c
 		}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -128,6 +128,7 @@
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	a.api = rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 	})
 	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest, LoadVersion: a.balancer.LoadVersion})
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -71,6 +71,7 @@
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	f := &fixture{view: rlbdiscovery.New(quiet, decoder{}, time.Now), replicas: map[string]*rlbfakedeployment.Replica{}}
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
+		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(time.Minute), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute,
 	})
 	t.Cleanup(closeDispatcher)
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -123,7 +123,7 @@
 	out := &rlbdispatch.Outgoing{
 		Method: req.inbound.Method, Path: path, Host: req.inbound.Host, Header: header, Body: req.body, Deadline: s.ioDeadline(req.deadline),
 		NewConnection: !req.route.Retryable(),
-		Matches:       func(r *http.Response) bool { return r.Header.Get(rlbplatform.HeaderRequestID) == req.id },
+		ID:            req.id,
 	}
 	out.FirstByteTimeout, out.IdleTimeout = s.silenceTimeouts(req)
 	out.KeepWaiting = func() bool { return !s.canFailOver(req) }
