A stream that sends a byte now and then counts as silent; slow sound ones are not cut

Cause (operators' report): timeouts of an answer limited each read. An endpoint that sends a byte now and then, but never a whole event, was waited for until the request's deadline, although another endpoint could have run the request. A head that ended early because of a timeout was reported as a cut connection, as net/http says "malformed" whatever ended it: evidence of a crash where there was none.

Ruled out: a shorter deadline (cuts slow sound streams); a minimum rate of bytes (events have any length).

Change: for streams the timeouts limit the time without progress, which is the head and each whole event. When one expires the same question as before decides: whether another endpoint can take the request; a stream that has begun stays at an endpoint that is only slow. The error of the latest read says what ended a head. Node and gateway.

--- a/rlb-gateway/pkg/rlbcaller/model_request.go
+++ b/rlb-gateway/pkg/rlbcaller/model_request.go
@@ -158,6 +158,7 @@
 		// A batch request may wait longer for its first byte than the timeout of a reused
 		// connection allows, and a saved round trip does not matter to it.
 		NewConnection: x.nonIdempotent || x.batch,
+		Events:        x.params.Stream,
 	}
 	in, failure := x.dispatch(ctx, x.proxiedRequest, e, exchange, out, engineFault)
 	if failure != nil {
@@ -227,6 +228,7 @@
 			in.Abort()
 			return &attemptError{fault: streamFault(in, err)}
 		}
+		in.RecordProgress()
 		switch x.tracker.Check(event) {
 		case rlbrelay.Forward:
 			x.startAnswer(e, exchange)
--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -25,7 +25,9 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
-	readTimeout time.Duration // of a single read
+	readTimeout time.Duration // of a single read, or of the time without progress
+	countsBytes bool          // each read is progress; otherwise progress is recorded by the user of the answer
+	progress    time.Time     // of the latest progress, if countsBytes is false
 	keepWaiting func() bool   // called after a read timeout; reports whether to repeat the read; nil: never
 	deadline    time.Time     // of the whole exchange
 	mayHaveSent bool          // a byte of the current request may have been sent
@@ -33,6 +35,7 @@
 	reused      bool          // the current request is not its first one
 	awaitsHead  bool          // the head of the answer is not complete
 	beforeHead  int           // bytes read since the request was sent, while awaitsHead
+	readError   error         // of the latest read
 	notReusable bool          // the next bytes on it may belong to another request
 	failedIDs   []string      // IDs of requests that were answered on it with an error status
 }
@@ -60,7 +63,8 @@
 
 // Read implements io.Reader. A read that times out is repeated as long as
 // keepWaiting returns true and the deadline has not passed.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (n int, err error) {
+	defer func() { c.readError = err }()
 	for {
 		n, err := c.readOnce(p)
 		var timeout net.Error
@@ -70,11 +74,15 @@
 		if c.keepWaiting == nil || !time.Now().Before(c.deadline) || !c.keepWaiting() {
 			return n, err
 		}
+		c.progress = time.Now() // to wait as long once more
 	}
 }
 
 func (c *conn) readOnce(p []byte) (int, error) {
-	deadline := time.Now().Add(c.readTimeout)
+	deadline := c.progress.Add(c.readTimeout)
+	if c.countsBytes {
+		deadline = time.Now().Add(c.readTimeout)
+	}
 	if c.deadline.Before(deadline) {
 		deadline = c.deadline
 	}
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -83,6 +83,10 @@
 	Host             string        // empty: the endpoint's address
 	FirstByteTimeout time.Duration // overrides that of Opts; 0: no override
 	IdleTimeout      time.Duration // overrides that of Opts; 0: no override
+	// Events makes these timeouts limit the time without progress, which is the header of the
+	// answer and each call of Incoming.RecordProgress, as for streams: single bytes do not
+	// show that an endpoint makes progress. Otherwise they limit each read.
+	Events bool
 	// KeepWaiting is called whenever one of these timeouts expires and reports whether
 	// to wait once more. nil: never.
 	KeepWaiting func() bool
@@ -103,7 +107,7 @@
 	in := &Incoming{dispatcher: d, address: address, conn: c}
 	in.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.deadline, c.readTimeout, c.mayHaveSent = out.Deadline, cmp.Or(out.FirstByteTimeout, d.opts.FirstByteTimeout), false
-	c.keepWaiting = out.KeepWaiting
+	c.keepWaiting, c.countsBytes, c.progress = out.KeepWaiting, !out.Events, time.Now()
 	if c.reused && out.FirstByteTimeout == 0 {
 		c.readTimeout = min(c.readTimeout, d.opts.ReusedFirstByteTimeout)
 	}
@@ -126,7 +130,7 @@
 	if !written() {
 		c.notReusable = true // the endpoint may still be reading the request body
 	}
-	c.readTimeout = cmp.Or(out.IdleTimeout, d.opts.IdleTimeout)
+	c.readTimeout, c.progress = cmp.Or(out.IdleTimeout, d.opts.IdleTimeout), time.Now()
 	return in, nil
 }
 
@@ -252,7 +256,7 @@
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(c.readError, err) // a head that ends early counts as malformed there, whatever ended it
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
--- a/rlb-gateway/pkg/rlbdispatch/incoming.go
+++ b/rlb-gateway/pkg/rlbdispatch/incoming.go
@@ -21,6 +21,10 @@
 // Reused reports whether the connection was used for earlier requests.
 func (in *Incoming) Reused() bool { return in.conn.reused }
 
+// RecordProgress records that a part of the answer is complete, such as an event of a
+// stream, see Outgoing.Events.
+func (in *Incoming) RecordProgress() { in.conn.progress = time.Now() }
+
 // ReadAll reads the whole body. It fails if the body is longer than limit bytes.
 func (in *Incoming) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(in.Body, limit+1))
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -69,7 +69,8 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	f := &fixture{view: rlbdiscovery.New(quiet, decoder{}, time.Now), replicas: map[string]*rlbfakedeployment.Replica{}}
+	f := &fixture{replicas: map[string]*rlbfakedeployment.Replica{}}
+	f.view = rlbdiscovery.New(quiet, decoder{}, f.now)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(time.Minute), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute,
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -124,6 +124,7 @@
 		Method: req.inbound.Method, Path: path, Host: req.inbound.Host, Header: header, Body: req.body, Deadline: s.ioDeadline(req.deadline),
 		NewConnection: !req.route.Retryable(),
 		ID:            req.id,
+		Events:        req.route.Kind == rlbdeployment.KindStream,
 	}
 	out.FirstByteTimeout, out.IdleTimeout = s.silenceTimeouts(req)
 	out.KeepWaiting = func() bool { return !s.canFailOver(req) }
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -33,6 +33,7 @@
 			}
 			return in.Fault(err), false, err
 		}
+		in.RecordProgress()
 		switch isNext, err := isNextEvent(req.lastEventID, event.ID); {
 		case err != nil:
 			s.flushEvents(req, flusher)
