rlb-node: count the calls to the object API by operation and kind

Counters object_calls_OPERATION_KIND on the metrics address. Ruled out: log lines (one a call at that rate).

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -126,7 +126,7 @@
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now)
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
-	a.api = rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
+	a.api = countedObjects{rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient), a.registry}
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
