Endpoints that do not answer no longer delay the plan, nor the adapters of others

Cause: a plan read the reports of endpoints whose state is unknown one after the other, 250 ms for each that does not answer, before any order went out: with twenty dark endpoints every order was five seconds late, and a new lease holder began with all of them unknown. A query for an adapter did the same, and waited for the lock of each endpoint with a call in flight, although it may take 400 ms. It grows with the fleet.

Ruled out: a shorter timeout of reports (slow endpoints would stay unknown).

A query for an adapter reads no reports; it waits up to 24 ms for orders in flight where other endpoints can serve the model, as long as its time allows where none can.

Test: TestDarkEndpointsDelayNoOrder, 60 dark endpoints beside 6: first load within two ticks, an adapter within 250 ms. On the code before it does not end: the query waits for the lock of each one.

--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -129,31 +129,60 @@
 	inUseEvictionCost = 2 * time.Second       // the adapter to unload may be in use
 )
 
-// candidates returns the endpoints that can serve the model, in order of cost.
+// Waits of a query for an adapter while orders to endpoints with the model are in flight.
+const (
+	inFlightPollInterval = 4 * time.Millisecond
+	maxInFlightWait      = 24 * time.Millisecond // if other endpoints can serve the model
+)
+
+// candidates returns the endpoints that can serve the model, in order of cost. It waits for
+// orders in flight to endpoints with the model, but no longer than maxInFlightWait if there
+// are others: endpoints that do not answer must not delay the query.
 func (s *Scheduler) candidates(ctx context.Context, snapshot *rlbdiscovery.Snapshot, q rlbpeer.AdapterQuery) []candidate {
-	var all []candidate
+	for waitUntil := s.now().Add(maxInFlightWait); ; {
+		all, inFlight := s.candidatesNow(snapshot, q)
+		if inFlight == 0 || len(all) > 0 && !s.now().Before(waitUntil) || !rlbcommon.Sleep(ctx, inFlightPollInterval) {
+			return all
+		}
+	}
+}
+
+// candidatesNow returns the endpoints that can serve the model, in order of cost, and how
+// many endpoints with the model have a call in flight and are left out. So are endpoints
+// whose state is not known: the next plan reads their reports.
+func (s *Scheduler) candidatesNow(snapshot *rlbdiscovery.Snapshot, q rlbpeer.AdapterQuery) (all []candidate, inFlight int) {
 	engine := snapshot.Config.Services[q.Service].Engine
 	for _, state := range s.serviceStates(snapshot, q.Service) {
 		entry := snapshot.ByID[state.incarnation.ID]
 		if entry == nil || entry.Draining || slices.Contains(q.Avoid, entry.ID) {
 			continue
 		}
-		c := candidate{state: state, cost: s.Cost(entry, q.Domain)}
-		state.mu.Lock()
-		usable := s.refreshState(ctx, state) && state.canServe(q.Model) && !state.busy()
-		if usable {
-			c.cost += s.slotCost(state, engine)
-			if a := state.models[q.Model].adapters[q.Adapter]; a != nil {
-				c.readyAt = later(a.readyAt, time.Unix(1, 0)) // not zero, also if the adapter is ready
+		if !state.mu.TryLock() {
+			if entry.HasModel(q.Model) {
+				inFlight++
 			}
+			continue
 		}
-		state.mu.Unlock()
-		if usable {
+		if c, usable := s.candidate(state, entry, engine, q); usable {
 			all = append(all, c)
 		}
+		state.mu.Unlock()
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	return all
+	return all, inFlight
+}
+
+// candidate returns an endpoint as a candidate and whether it can serve the model. The
+// caller holds state.mu.
+func (s *Scheduler) candidate(state *endpointState, entry *rlbdeployment.Endpoint, engine *rlbdeployment.Engine, q rlbpeer.AdapterQuery) (c candidate, usable bool) {
+	if !state.known || !state.canServe(q.Model) || state.busy() {
+		return candidate{}, false
+	}
+	c = candidate{state: state, cost: s.Cost(entry, q.Domain) + s.slotCost(state, engine)}
+	if a := state.models[q.Model].adapters[q.Adapter]; a != nil {
+		c.readyAt = later(a.readyAt, time.Unix(1, 0)) // not zero, also if the adapter is ready
+	}
+	return c, true
 }
 
 // slotCost returns the cost of freeing an adapter slot, or 0 if one is free. It is
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -37,7 +37,8 @@
 			continue
 		}
 		states := s.serviceStates(snapshot, name)
-		input := s.planInput(ctx, snapshot, service.Engine, states, demand)
+		s.refreshStates(ctx, snapshot, states)
+		input := s.planInput(snapshot, service.Engine, states, demand)
 		for _, proposal := range rlbplacement.Plan(input, planOpts(service.Engine)) {
 			s.executeProposal(ctx, states, service.Engine, proposal)
 		}
@@ -69,43 +70,49 @@
 
 // planInput returns the input of the placement. Endpoints whose state is not known
 // are included with their last known state, and get no orders.
-func (s *Scheduler) planInput(ctx context.Context, snapshot *rlbdiscovery.Snapshot, engine *rlbdeployment.Engine, states []*endpointState, demand map[string]float64) rlbplacement.Input {
+func (s *Scheduler) planInput(snapshot *rlbdiscovery.Snapshot, engine *rlbdeployment.Engine, states []*endpointState, demand map[string]float64) rlbplacement.Input {
 	note := rlbnote.State{Models: map[string]rlbnote.Model{}}
 	for name, m := range engine.Models {
 		note.Models[name] = rlbnote.Model{Name: name, Memory: m.Memory}
 	}
 	input := rlbplacement.Input{Note: note, Demand: demand, Settled: true}
 	for _, state := range states {
-		if e, known := s.describeEndpoint(ctx, snapshot, engine, state); known {
+		if e, known := s.describeEndpoint(snapshot, engine, state); known {
 			input.Engines = append(input.Engines, e)
 		}
 	}
 	return input
 }
 
-// describeEndpoint returns the plan input of an endpoint. For an endpoint with an order
-// in flight it returns the previous input, frozen so that it gets no other order.
-func (s *Scheduler) describeEndpoint(ctx context.Context, snapshot *rlbdiscovery.Snapshot, engine *rlbdeployment.Engine, state *endpointState) (rlbplacement.Engine, bool) {
+// describeEndpoint returns the plan input of an endpoint. For an endpoint with a call in
+// flight it returns the previous input or, if there is none, what its entry says, frozen so
+// that it gets no order.
+func (s *Scheduler) describeEndpoint(snapshot *rlbdiscovery.Snapshot, engine *rlbdeployment.Engine, state *endpointState) (rlbplacement.Engine, bool) {
 	entry := snapshot.ByID[state.incarnation.ID]
 	if entry == nil {
 		return rlbplacement.Engine{}, false
 	}
 	if !state.mu.TryLock() {
 		last, known := s.lastDescribed[state.incarnation.ID]
+		if !known {
+			last = s.describeState(engine, newEndpointState(entry), entry)
+		}
 		last.Frozen = true
-		return last, known
+		return last, true
 	}
 	defer state.mu.Unlock()
-	state.applyEntry(entry)
-	if state.overdue(s.now()) {
-		state.known = false
-	}
-	known := s.refreshState(ctx, state)
-	if !known && len(state.models) == 0 {
+	e := s.describeState(engine, state, entry)
+	s.lastDescribed[state.incarnation.ID] = e
+	return e, true
+}
+
+// describeState returns the plan input of an endpoint's state. The caller holds state.mu.
+func (s *Scheduler) describeState(engine *rlbdeployment.Engine, state *endpointState, entry *rlbdeployment.Endpoint) rlbplacement.Engine {
+	if !state.known && len(state.models) == 0 {
 		state.applyLoadedModels(entry)
 	}
 	e := rlbplacement.Engine{
-		Frozen: !known || !s.takesOrders(state),
+		Frozen: !state.known || !s.takesOrders(state),
 		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Memory: modelMemory(engine), Reserved: state.usedMemory(engine), Leaving: entry.Draining,
 		InFlight: s.Load(state.incarnation.ID).InFlight,
 		Near:     slices.Concat(state.endpoint.InMemory, state.endpoint.OnDisk),
@@ -119,8 +126,7 @@
 		}
 		return 1
 	})
-	s.lastDescribed[state.incarnation.ID] = e
-	return e, true
+	return e
 }
 
 func phase(m *modelState) rlbengine.Phase {
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -27,9 +28,10 @@
 	mu         sync.Mutex
 	t          *testing.T
 	endpoints  map[string]*fakeEndpoint
-	orders     []string      // "endpoint order model/adapter verdict"
-	orderDelay time.Duration // delay before each order takes effect and is answered
-	unanswered int           // number of orders still to be dropped without effect or answer
+	orders     []string        // "endpoint order model/adapter verdict"
+	orderDelay time.Duration   // delay before each order takes effect and is answered
+	unanswered int             // number of orders still to be dropped without effect or answer
+	dark       map[string]bool // endpoints that do not answer
 }
 
 type fakeEndpoint struct {
@@ -100,7 +102,11 @@
 	}
 }
 
-func (e *fakeEngines) ReadReport(_ context.Context, of *rlbdeployment.Endpoint) (rlbdeployment.Report, error) {
+func (e *fakeEngines) ReadReport(ctx context.Context, of *rlbdeployment.Endpoint) (rlbdeployment.Report, error) {
+	if e.dark[of.ID] {
+		<-ctx.Done()
+		return rlbdeployment.Report{}, ctx.Err()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep := e.endpoints[of.ID]
@@ -323,6 +329,34 @@
 	})
 }
 
+func TestDarkEndpointsDelayNoOrder(t *testing.T) {
+	const dark = 60
+	var ids []string
+	for i := range dark {
+		ids = append(ids, fmt.Sprintf("d%d", i))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, append(ids, "e1", "e2", "e3", "e4", "e5", "e6")...)
+		f.engines.dark = map[string]bool{}
+		for _, id := range ids {
+			f.engines.dark[id] = true
+		}
+		s := f.start(t.Context(), "a")
+		for s.Fence() == 0 {
+			time.Sleep(tickInterval)
+		}
+		time.Sleep(2 * tickInterval)
+		if !slices.ContainsFunc(f.engines.allOrders(), func(order string) bool { return strings.HasSuffix(order, " load n/ accepted") }) {
+			t.Errorf("no load of n within two ticks: %v", f.engines.allOrders())
+		}
+		start := time.Now()
+		found, reason := s.Find(t.Context(), "s", "m", "a1", nil)
+		if took := time.Since(start); len(found) == 0 || took > orderTimeout {
+			t.Errorf("the adapter is found at %v after %v: %s", found, took, reason)
+		}
+	})
+}
+
 func TestOutageUpdate(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var o outage
