Replicas on endpoints that do not answer protect no other replica from an unload

A model with two of three replicas on crashed endpoints was taken for one with spares, and its last live replica was unloaded for another model. The lease holder also sent orders there, whose missing answers block an endpoint for 13 s.

Change: an endpoint from which several instances get no answers is silent for the placement: no orders, its replicas are present but not ready, and its loads are not under way. Adapters are not loaded there.

--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -117,7 +117,7 @@
 	defer b.mu.Unlock()
 	for id, s := range b.stats {
 		load := s.load()
-		if now.Before(s.noAnswerUntil) || s.hasMismatch(now) {
+		if s.reportsFailure(now) {
 			load.FailureReports = 1
 		}
 		if load.InFlight > 0 || load.FailureReports > 0 {
--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -64,6 +64,12 @@
 	return s.mismatched != nil && now.Before(s.mismatchUntil)
 }
 
+// reportsFailure reports whether other instances are told that the endpoint gave no answer
+// or does not match its entry.
+func (s *endpointStats) reportsFailure(now time.Time) bool {
+	return now.Before(s.noAnswerUntil) || s.hasMismatch(now)
+}
+
 // unhealthy reports whether the endpoint is in its backoff after a failure or does
 // not match its entry.
 func (s *endpointStats) unhealthy(now time.Time) bool {
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -16,6 +16,18 @@
 // fault of that instance's own network link.
 const minFailureReports = 2
 
+// Silent reports whether enough instances got no answer from an endpoint lately, given
+// the load and the reports of the other instances.
+func (b *Balancer) Silent(now time.Time, endpoint string, others Load) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reports := others.FailureReports
+	if s := b.stats[endpoint]; s != nil && s.reportsFailure(now) {
+		reports++
+	}
+	return reports >= minFailureReports
+}
+
 // Requirements describes what a request needs from an endpoint.
 type Requirements struct {
 	Domain    string                             // failure domain of this instance
--- a/lib/pkg/rlbplacement/demand.go
+++ b/lib/pkg/rlbplacement/demand.go
@@ -61,8 +61,10 @@
 	}
 }
 
-// pendingReplicas returns how many replicas of a model are not ready yet.
-func (p *planner) pendingReplicas(m rlbnote.Model) int { return p.replicas(m) - p.readyReplicas(m) }
+// pendingReplicas returns how many replicas of a model are being loaded.
+func (p *planner) pendingReplicas(m rlbnote.Model) int {
+	return p.replicas(m) - p.readyReplicas(m) - p.counts[m.Name].silent
+}
 
 // growthLimitReached reports whether as many loads of the model are under way as
 // Opts.Growth allows. Further replicas wait until the effect of these shows.
--- a/lib/pkg/rlbplacement/plan.go
+++ b/lib/pkg/rlbplacement/plan.go
@@ -24,8 +24,8 @@
 }
 
 // replicaCounts counts the replicas of a model's version in force on engines that
-// are not leaving.
-type replicaCounts struct{ present, ready int }
+// are not leaving. Those on silent engines are present, not ready.
+type replicaCounts struct{ present, ready, silent int }
 
 // defaultSearches limits the searches for replicas to evict in one plan if
 // Opts.Searches is 0. The weight store allows no more loads than this before the
@@ -50,9 +50,10 @@
 	}
 	for i := range p.engines {
 		e := &p.engines[i]
+		e.Frozen = e.Frozen || e.Silent
 		e.Residents = slices.Clone(e.Residents)
 		for _, r := range e.Residents {
-			if r.Phase == rlbengine.PhaseLoading {
+			if r.Phase == rlbengine.PhaseLoading && !e.Silent {
 				p.loading++
 			}
 			p.countResident(*e, r, 1)
@@ -68,9 +69,12 @@
 		return
 	}
 	p.counts[r.Name].present += delta
-	if r.Phase == rlbengine.PhaseReady {
+	if r.Phase == rlbengine.PhaseReady && !e.Silent {
 		p.counts[r.Name].ready += delta
 	}
+	if e.Silent {
+		p.counts[r.Name].silent += delta
+	}
 }
 
 // modelDemand is a model in force with its demand.
--- a/lib/pkg/rlbplacement/types.go
+++ b/lib/pkg/rlbplacement/types.go
@@ -23,6 +23,7 @@
 	Leaving   bool     // receives no loads; its replicas do not count
 	InFlight  int      // requests in flight; an unload waits for those of its model
 	Frozen    bool     // receives no orders for now; its replicas count
+	Silent    bool     // answers no requests: receives no orders, and its replicas are not relied on, as a crash may have unloaded them
 	Near      []string // models with a local copy, which load without the weight store
 }
 
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -139,7 +139,7 @@
 	a.scheduler = rlbscheduler.New(rlbscheduler.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Incarnation: a.name + "/" + strconv.FormatInt(a.incarnation, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Query: link.Query,
-		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
+		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, Silent: a.silent, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
@@ -222,6 +222,11 @@
 	return a.peerLoad(endpoint).Add(a.balancer.LocalLoad(endpoint))
 }
 
+// silent reports whether several instances got no answers from an endpoint lately.
+func (a *app) silent(endpoint string) bool {
+	return a.balancer.Silent(rlbclock.Now(), endpoint, a.peerLoad(endpoint))
+}
+
 // cost returns the cost of sending a request from an instance of a failure domain to
 // an endpoint with an engine.
 func (a *app) cost(e *rlbdeployment.Endpoint, domain string) time.Duration {
--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -154,7 +154,7 @@
 	engine := snapshot.Config.Services[q.Service].Engine
 	for _, state := range s.serviceStates(snapshot, q.Service) {
 		entry := snapshot.ByID[state.incarnation.ID]
-		if entry == nil || entry.Draining || slices.Contains(q.Avoid, entry.ID) {
+		if entry == nil || entry.Draining || s.Silent(entry.ID) || slices.Contains(q.Avoid, entry.ID) {
 			continue
 		}
 		if !state.mu.TryLock() {
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -97,7 +97,7 @@
 		if !known {
 			last = s.describeState(engine, newEndpointState(entry), entry)
 		}
-		last.Frozen = true
+		last.Frozen, last.Silent = true, s.Silent(state.incarnation.ID)
 		return last, true
 	}
 	defer state.mu.Unlock()
@@ -114,6 +114,7 @@
 	e := rlbplacement.Engine{
 		Frozen: !state.known || !s.takesOrders(state),
 		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Memory: modelMemory(engine), Reserved: state.usedMemory(engine), Leaving: entry.Draining,
+		Silent:   s.Silent(state.incarnation.ID),
 		InFlight: s.Load(state.incarnation.ID).InFlight,
 		Near:     slices.Concat(state.endpoint.InMemory, state.endpoint.OnDisk),
 	}
@@ -181,15 +182,15 @@
 	return listed
 }
 
-// readyReplicas returns the number of endpoints that can serve a model and are not
-// draining.
+// readyReplicas returns the number of endpoints that can serve a model, answer requests
+// and are not draining.
 func (s *Scheduler) readyReplicas(states []*endpointState, name string) int {
 	n := 0
 	for _, state := range states {
 		if !state.mu.TryLock() {
 			continue // an order is in flight: does not count as ready
 		}
-		if state.known && state.canServe(name) && !state.endpoint.Draining {
+		if state.known && state.canServe(name) && !state.endpoint.Draining && !s.Silent(state.incarnation.ID) {
 			n++
 		}
 		state.mu.Unlock()
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -58,7 +58,10 @@
 	Limits RequestLimits
 	// HeldOff reports whether an endpoint wants no requests from this instance for a
 	// while. It gets no orders and no queries for its report either.
-	HeldOff    func(endpoint string) bool
+	HeldOff func(endpoint string) bool
+	// Silent reports whether several instances got no answers from an endpoint lately. It
+	// gets no orders, and its models are not relied on.
+	Silent     func(endpoint string) bool
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration // window of the limit on loads from the weight store
 	// APIUnavailable reports whether the object API answers none of the known
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -169,6 +169,7 @@
 	apiUnavailable atomic.Bool // what Opts.APIUnavailable returns
 	limits         *fakeLimits
 	heldOff        map[string]bool // endpoints that want no requests
+	silent         map[string]bool // endpoints that do not answer requests
 }
 
 // fakeLimits is a fake of RequestLimits that admits no request to some endpoints.
@@ -194,7 +195,7 @@
 }
 
 func newTestFleet(t *testing.T, endpoints ...string) *testFleet {
-	f := &testFleet{api: rlbfake.NewObjects(), engines: &fakeEngines{t: t, endpoints: map[string]*fakeEndpoint{}}, demand: map[string]float32{}, limits: &fakeLimits{full: map[string]bool{}, charged: map[string]int{}}, heldOff: map[string]bool{}}
+	f := &testFleet{api: rlbfake.NewObjects(), engines: &fakeEngines{t: t, endpoints: map[string]*fakeEndpoint{}}, demand: map[string]float32{}, limits: &fakeLimits{full: map[string]bool{}, charged: map[string]int{}}, heldOff: map[string]bool{}, silent: map[string]bool{}}
 	for _, id := range endpoints {
 		f.engines.endpoints[id] = &fakeEndpoint{models: map[string]map[string]bool{"m": {}}}
 	}
@@ -216,7 +217,7 @@
 		Query: func(context.Context, string, rlbpeer.Query) (rlbpeer.Reply, error) {
 			return rlbpeer.Reply{}, errors.New("nobody")
 		},
-		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbbalancer.Load { return rlbbalancer.Load{} }, Cost: func(*rlbdeployment.Endpoint, string) time.Duration { return 0 }, Limits: f.limits, HeldOff: func(id string) bool { return f.heldOff[id] },
+		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbbalancer.Load { return rlbbalancer.Load{} }, Cost: func(*rlbdeployment.Endpoint, string) time.Duration { return 0 }, Limits: f.limits, HeldOff: func(id string) bool { return f.heldOff[id] }, Silent: func(id string) bool { return f.silent[id] },
 		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, TakeoverDelay: f.takeoverDelay, APIUnavailable: f.apiUnavailable.Load, Now: time.Now,
 	})
 	go s.Run(ctx)
@@ -329,6 +330,24 @@
 	})
 }
 
+func TestLastReplicaThatAnswersIsNotUnloaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "e1", "e2", "e3")
+		f.silent["e1"], f.silent["e2"] = true, true
+		f.demand["n"], f.demand["o"] = 50, 50 // want the memory in which e3 holds m
+		f.start(t.Context(), "a")
+		time.Sleep(time.Minute)
+		if n := f.engines.count("e3 unload m/ accepted"); n > 0 {
+			t.Errorf("the last replica that answers was unloaded: %v", f.engines.allOrders())
+		}
+		for _, order := range f.engines.allOrders() {
+			if !strings.HasPrefix(order, "e3 ") {
+				t.Errorf("order to a silent endpoint: %s", order)
+			}
+		}
+	})
+}
+
 func TestDarkEndpointsDelayNoOrder(t *testing.T) {
 	const dark = 60
 	var ids []string
