--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -42,24 +42,29 @@
 // app is a running instance.
 type app struct {
 	*rlbcommon.Common
-	name         string
-	domain       string
-	address      string // at which the other instances reach this one
-	incarnation  int64
-	digestNumber uint64       // sequence of the latest digest
-	grace        atomic.Int64 // grace period of the shutdown, in nanoseconds
-	registry     metrics.Registry
-	api          rlbobject.API
-	view         *rlbdiscovery.View
-	fleet        *rlbpeer.Fleet
-	link         *rlbpeer.Link
-	balancer     *rlbbalancer.Balancer
-	crashes      *rlbcrash.Evidence
-	limiter      *rlbratelimit.Limiter
-	proxy        *rlbproxy.Server
-	scheduler    *rlbscheduler.Scheduler
-	holdsLease   func() bool // reports whether this instance holds the lease for orders
-	catchUp      *catchUp
+	name        string
+	domain      string
+	address     string // at which the other instances reach this one
+	incarnation int64
+	startedAt   time.Time
+	// firstRegistered reports that this instance was registered before its start, and that no
+	// registered instance of its domain has a lower name.
+	firstRegistered atomic.Bool
+	digestNumber    uint64       // sequence of the latest digest
+	grace           atomic.Int64 // grace period of the shutdown, in nanoseconds
+	registry        metrics.Registry
+	api             rlbobject.API
+	staleAPI        rlbobject.API // the same with reads that may return data that is seconds old
+	view            *rlbdiscovery.View
+	fleet           *rlbpeer.Fleet
+	link            *rlbpeer.Link
+	balancer        *rlbbalancer.Balancer
+	crashes         *rlbcrash.Evidence
+	limiter         *rlbratelimit.Limiter
+	proxy           *rlbproxy.Server
+	scheduler       *rlbscheduler.Scheduler
+	holdsLease      func() bool // reports whether this instance holds the lease for orders
+	catchUp         *catchUp
 	// registrations are those in the latest list that this instance read as the lease
 	// holder, by name.
 	registrations map[string]observedRegistration
@@ -116,7 +121,7 @@
 	}
 	a := &app{
 		Common: common, name: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
-		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(),
+		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(),
 		registry: metrics.NewRegistry(), balancer: rlbbalancer.New(),
 	}
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
@@ -126,7 +131,8 @@
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now)
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
-	a.api = countedObjects{rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient), a.registry}
+	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
+	a.api, a.staleAPI = countedObjects{objects, a.registry, ""}, countedObjects{objects.WithStaleReads(), a.registry, "stale_"}
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
@@ -139,7 +145,7 @@
 	a.scheduler = rlbscheduler.New(rlbscheduler.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Incarnation: a.name + "/" + strconv.FormatInt(a.incarnation, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Query: link.Query,
-		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, Silent: a.silent, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
+		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, Silent: a.silent, Settled: a.settled, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -40,11 +40,11 @@
 	return &catchUp{
 		app: a, querying: make(chan struct{}, 1),
 		configWatcher: &rlbdiscovery.Watcher{
-			API: a.api, Kind: rlbplatform.ObjectKindConfig, Sink: rlbdiscovery.ConfigSink{View: a.view, Name: rlbplatform.ConfigName},
+			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindConfig, Sink: rlbdiscovery.ConfigSink{View: a.view, Name: rlbplatform.ConfigName},
 			Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher,
 		},
 		endpointWatcher: &rlbdiscovery.Watcher{
-			API: a.api, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher, BatchDelay: batchDelay,
+			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher, BatchDelay: batchDelay,
 		},
 	}
 }
@@ -74,6 +74,9 @@
 // one of the first maxWatcherCandidates instances by name, and the object API is
 // unavailable to all instances before it. Leaving instances do not count.
 func (a *app) isWatcher() bool {
+	if !a.settled() {
+		return false
+	}
 	now, before := rlbclock.Now(), 0
 	for _, d := range a.fleet.LiveDigests(now) {
 		if d.Name < a.name && !d.Draining {
--- a/rlb-node/pkg/rlbapp/counted_objects.go
+++ b/rlb-node/pkg/rlbapp/counted_objects.go
@@ -13,10 +13,11 @@
 type countedObjects struct {
 	rlbobject.API
 	registry metrics.Registry
+	prefix   string // of the operations in the names of the counters
 }
 
 func (c countedObjects) count(operation, kind string) {
-	metrics.GetOrRegisterCounter("object_calls_"+operation+"_"+kind, c.registry).Inc(1)
+	metrics.GetOrRegisterCounter("object_calls_"+c.prefix+operation+"_"+kind, c.registry).Inc(1)
 }
 
 // Get implements rlbobject.API.
--- a/rlb-node/pkg/rlbapp/crash_store.go
+++ b/rlb-node/pkg/rlbapp/crash_store.go
@@ -56,7 +56,7 @@
 func (s *crashStore) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	causes, err := s.read(ctx)
+	causes, err := s.read(ctx, s.app.staleAPI)
 	if err != nil {
 		s.app.Log.WithError(err).Warn("failed to read which requests crash endpoints")
 		return false
@@ -79,8 +79,8 @@
 }
 
 // read returns the stored causes and sets the version.
-func (s *crashStore) read(ctx context.Context) ([]storedCause, error) {
-	o, err := s.app.api.Get(ctx, crashCausesKey)
+func (s *crashStore) read(ctx context.Context, api rlbobject.API) ([]storedCause, error) {
+	o, err := api.Get(ctx, crashCausesKey)
 	if rlbobject.Is(err, rlbobject.KindNotFound) {
 		s.version = 0
 		return nil, nil
@@ -131,7 +131,7 @@
 // refreshVersion reads the version of the object after a failed write: another lease
 // holder has written it, or the write took effect without an answer.
 func (s *crashStore) refreshVersion(ctx context.Context) {
-	if _, err := s.read(ctx); err != nil {
+	if _, err := s.read(ctx, s.app.api); err != nil {
 		s.app.Log.WithError(err).Warn("failed to read which requests crash endpoints")
 	}
 }
--- a/rlb-node/pkg/rlbapp/register.go
+++ b/rlb-node/pkg/rlbapp/register.go
@@ -37,17 +37,12 @@
 // discovery while it is isolated, that is while it receives from no other instance or
 // no longer from every domain. Each instance renews its registration periodically.
 func (a *app) register(ctx context.Context) {
-	for ctx.Err() == nil && !a.writeRegistration(ctx, 0) {
-		rlbcommon.Sleep(ctx, retryDelay)
-	}
-	for ctx.Err() == nil && !a.discoverPeers(ctx) {
-		rlbcommon.Sleep(ctx, retryDelay)
-	}
-	renewal, renewed := uint64(0), rlbclock.Now()
+	stored := a.registerAtStart(ctx)
+	renewal, renewed := stored.Renewal, rlbclock.Now()
 	for rlbcommon.Sleep(ctx, isolatedPollInterval) {
 		now := rlbclock.Now()
 		if a.fleet.Isolated(now) && a.isWatcher() {
-			a.discoverPeers(ctx)
+			a.discoverPeers(ctx, a.api)
 		}
 		if now.Sub(renewed) > renewInterval && a.writeRegistration(ctx, renewal+1) {
 			renewal, renewed = renewal+1, now
@@ -56,6 +51,33 @@
 	}
 }
 
+// registerAtStart discovers the other instances and makes sure that this one is registered.
+// After a restart at the same address that takes a single cheap call. It returns the
+// registration of an earlier process, if there was one.
+func (a *app) registerAtStart(ctx context.Context) registration {
+	var stored registration
+	retryUntilDone(ctx, func() (done bool) {
+		stored, done = a.discoverPeers(ctx, a.staleAPI)
+		return done
+	})
+	if stored.Address == a.address && stored.Domain == a.domain {
+		return stored
+	}
+	retryUntilDone(ctx, func() bool { return a.writeRegistration(ctx, 0) })
+	retryUntilDone(ctx, func() bool {
+		_, done := a.discoverPeers(ctx, a.api)
+		return done
+	})
+	return registration{}
+}
+
+// retryUntilDone calls f until it reports that it is done, or ctx ends.
+func retryUntilDone(ctx context.Context, f func() (done bool)) {
+	for ctx.Err() == nil && !f() {
+		rlbcommon.Sleep(ctx, retryDelay)
+	}
+}
+
 // writeRegistration writes this instance's object. It reports whether no retry is
 // needed.
 func (a *app) writeRegistration(ctx context.Context, renewal uint64) bool {
@@ -125,25 +147,31 @@
 	unchangedLists int // consecutive lists with this version
 }
 
-// discoverPeers adds the addresses of registered instances to the fleet. It reports
-// whether the list could be read.
-func (a *app) discoverPeers(ctx context.Context) bool {
+// discoverPeers adds the addresses of registered instances to the fleet. It returns the
+// registration of this instance, if there is one, and whether the list could be read.
+func (a *app) discoverPeers(ctx context.Context, api rlbobject.API) (own registration, done bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	all, err := a.api.List(ctx, kindInstances)
+	all, err := api.List(ctx, kindInstances)
 	if err != nil {
 		a.Log.WithError(err).Warn("failed to list the other instances")
-		return false
+		return registration{}, false
 	}
+	first := true
 	for _, o := range all.Objects {
 		var r registration
 		if err := json.Unmarshal(o.Value, &r); err != nil {
 			a.Log.WithError(err).WithField("object", o.Name).Warn("failed to decode the registration of an instance")
 			continue
 		}
+		if o.Name == a.name {
+			own = r
+		}
 		if r.Address != a.address {
 			a.fleet.AddAddress(rlbclock.Now(), r.Address, r.Domain)
+			first = first && (r.Domain != a.domain || o.Name > a.name)
 		}
 	}
-	return true
+	a.firstRegistered.Store(first && own.Address == a.address)
+	return own, true
 }
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -107,7 +107,8 @@
 }
 
 // ApplyList replaces the entries by the full list at a revision. Endpoints that are
-// missing from it are dropped after a grace period, which is longer after an outage.
+// missing from it are dropped after a grace period, which is longer after an outage, but
+// not those whose entries are newer than the list.
 func (v *View) ApplyList(objects []rlbobject.Object, revision rlbobject.Version, afterOutage bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -117,8 +118,8 @@
 		v.applyEntry(o)
 	}
 	for id, e := range v.entries {
-		if !listed[id] && e.dropAt.IsZero() {
-			v.recordRemoval(id, max(e.version, revision), afterOutage)
+		if !listed[id] && e.dropAt.IsZero() && e.version <= revision {
+			v.recordRemoval(id, revision, afterOutage)
 			v.scheduleDrop(id, e, afterOutage)
 		}
 	}
--- a/rlb-node/pkg/rlbdiscovery/view_test.go
+++ b/rlb-node/pkg/rlbdiscovery/view_test.go
@@ -98,6 +98,13 @@
 				So(state(), ShouldEqual, "7 false true")
 			})
 		})
+		Convey("a list that is older than an entry does not remove its endpoint", func() {
+			v.ApplyChanges([]rlbobject.Object{ready("c", 20)}, false)
+			v.ApplyList([]rlbobject.Object{ready("a", 1), ready("b", 2)}, 15, false)
+			now = now.Add(time.Minute)
+			v.Sweep()
+			So(v.Snapshot().ByID["c"], ShouldNotBeNil)
+		})
 		Convey("after an outage the grace period is longer", func() {
 			v.ApplyList([]rlbobject.Object{ready("b", 2)}, 9, true)
 			now = now.Add(removalGrace)
--- a/rlb-node/pkg/rlbdiscovery/watcher.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher.go
@@ -33,19 +33,23 @@
 
 // Watcher keeps a sink up to date with the objects of one kind.
 type Watcher struct {
-	API  rlbobject.API
-	Kind string
-	Sink Sink
-	Log  log.Interface
-	Now  func() time.Time
+	API rlbobject.API
+	// FirstAPI answers the first list of the process. It may return data that is seconds
+	// old: the changes since come from the watch or from other instances.
+	FirstAPI rlbobject.API
+	Kind     string
+	Sink     Sink
+	Log      log.Interface
+	Now      func() time.Time
 	// Active reports whether this instance watches the object API for the others of
 	// its failure domain, which get the changes from it. The watcher makes no calls
-	// while it is not active.
+	// while it is not active, but for the first list.
 	Active func() bool
 	// BatchDelay is the delay of the next call after a change, so that one call
 	// returns several changes: each call to the object API has a cost.
 	BatchDelay time.Duration
 
+	listed      bool                               // the first list has been tried
 	cancelWatch atomic.Pointer[context.CancelFunc] // cancels the current watch call
 	failures    int                                // consecutive failed calls
 	revision    rlbobject.Version                  // 0: a list call is needed
@@ -59,7 +63,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	w.lastAnswer = w.Now()
 	for ctx.Err() == nil {
-		if !w.Active() {
+		if w.listed && !w.Active() {
 			w.idle(ctx)
 			continue
 		}
@@ -91,7 +95,11 @@
 func (w *Watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	all, err := w.API.List(ctx, w.Kind)
+	api := w.API
+	if !w.listed {
+		w.listed, api = true, w.FirstAPI
+	}
+	all, err := api.List(ctx, w.Kind)
 	if err != nil {
 		return err
 	}
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -64,6 +64,9 @@
 	Silent     func(endpoint string) bool
 	LeaseTTL   time.Duration
 	LoadWindow time.Duration // window of the limit on loads from the weight store
+	// Settled reports whether this instance knows which others there are, and may contend
+	// for the lease.
+	Settled func() bool
 	// APIUnavailable reports whether the object API answers none of the known
 	// instances.
 	APIUnavailable func() bool
@@ -233,7 +236,7 @@
 	if _, held := s.orderFence(); held {
 		return true
 	}
-	if !s.Fleet.IsDelegate(now, func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.APIUnavailable }) {
+	if !s.Settled() || !s.Fleet.IsDelegate(now, func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.APIUnavailable }) {
 		return false
 	}
 	if _, known := s.Fleet.LeaseHolder(now); !known {
