A process that does not contend for the lease does not read it

Ruled out: a cheap stale read (a contender needs the exact version, the others nothing). Change: without contention it is read only to find out about a write in doubt.

--- a/lib/pkg/rlblease/lease.go
+++ b/lib/pkg/rlblease/lease.go
@@ -85,6 +85,8 @@
 	}
 	holding := l.known && l.record.Holder == l.opts.Holder
 	switch {
+	case !l.known && !contend && l.pendingWrite == nil:
+		return StepNone, nil, 0, nil // nothing to release
 	case !l.known:
 		l.nextStep = now.Add(l.opts.TTL / renewalsPerTTL)
 		return StepRead, nil, 0, nil
--- a/lib/pkg/rlblease/lease_test.go
+++ b/lib/pkg/rlblease/lease_test.go
@@ -37,3 +37,21 @@
 		})
 	}
 }
+
+func TestProcessThatDoesNotContendReadsNothing(t *testing.T) {
+	Convey("A process that never contended makes no calls, one whose write is in doubt finds out", t, func() {
+		now := time.Unix(1000, 0)
+		l := New(Opts{Holder: "self", TTL: 3 * time.Second, Margin: time.Second / 2})
+		step, _, _, _ := l.Next(now, false)
+		So(step, ShouldEqual, StepNone)
+		step, _, _, _ = l.Next(now, true)
+		So(step, ShouldEqual, StepRead)
+		So(l.OnRead(now, 0, nil), ShouldBeNil)
+		now = now.Add(3 * time.Second)
+		step, _, _, _ = l.Next(now, true)
+		So(step, ShouldEqual, StepWrite)
+		l.OnWriteUnanswered()
+		step, _, _, _ = l.Next(now, false)
+		So(step, ShouldEqual, StepRead)
+	})
+}
