Requests no longer go to replicas whose model is being unloaded

Cause: an endpoint refuses new requests for a model from the order to unload it on, and waits for the running ones, up to seconds. Only the lease holder knew.

Ruled out: full engines (33 of 1,653 refusals without an order), stale places (421 after a load: 55 of 285).

Change: the lease holder publishes, in its digest and so in the summaries, which models endpoints no longer serve and which they serve already while their entries say otherwise: eight bytes each, until the entry agrees. What it says goes before the entry, for that incarnation and while the holder is live.

--- a/lib/pkg/rlbdeployment/endpoint.go
+++ b/lib/pkg/rlbdeployment/endpoint.go
@@ -55,3 +55,9 @@
 func (e *Endpoint) IncarnationKey() uint64 {
 	return xxhash.Sum64String(e.ID + "/" + strconv.FormatInt(e.StartedAt.UnixMilli(), 10))
 }
+
+// ModelKey returns a number that identifies a model on the incarnation of the endpoint in
+// messages between instances.
+func (e *Endpoint) ModelKey(model string) uint64 {
+	return xxhash.Sum64String(e.ID + "/" + strconv.FormatInt(e.StartedAt.UnixMilli(), 10) + "/" + model)
+}
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -152,7 +152,7 @@
 	a.proxy = rlbproxy.New(rlbproxy.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler,
-		Limiter:     a.limiter,
+		Limiter: a.limiter, ModelChanges: a.modelChanges,
 		RetryBudget: retryBudgetLimits(settings),
 		Metrics:     a.registry, Now: rlbclock.Now,
 	})
@@ -233,6 +233,14 @@
 	return a.balancer.Silent(rlbclock.Now(), endpoint, a.peerLoad(endpoint))
 }
 
+// modelChanges returns the changes that the lease holder, which may be this instance, knows.
+func (a *app) modelChanges() rlbpeer.ModelChanges {
+	if a.scheduler.Fence() > 0 {
+		return rlbpeer.NewModelChanges(a.scheduler.ModelChanges())
+	}
+	return a.fleet.ModelChanges(rlbclock.Now())
+}
+
 // cost returns the cost of sending a request from an instance of a failure domain to
 // an endpoint with an engine.
 func (a *app) cost(e *rlbdeployment.Endpoint, domain string) time.Duration {
@@ -251,6 +259,7 @@
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
+		d.LeaseHolder.Unloaded, d.LeaseHolder.Loaded = a.scheduler.ModelChanges()
 	}
 	a.balancer.Loads(rlbclock.Now(), func(id string, load rlbbalancer.Load) { d.Loads[rlbpeer.EndpointKey(id)] = rlbpeer.NewLoad(load) })
 	for _, r := range a.limiter.Reports() {
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -40,6 +40,11 @@
 	Address  string   `msgpack:"a"`
 	Fence    uint64   `msgpack:"f"`
 	LoadAges []uint16 `msgpack:"b,omitempty"` // ages in milliseconds of its latest loads from the weight store
+	// Unloaded and Loaded name models that endpoints no longer serve, because they are being
+	// unloaded, or serve already, while their entries say otherwise; see
+	// rlbdeployment.Endpoint.ModelKey.
+	Unloaded []uint64 `msgpack:"u,omitempty"`
+	Loaded   []uint64 `msgpack:"l,omitempty"`
 }
 
 // Load is the load on an endpoint as encoded in digests.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -64,6 +64,7 @@
 	addresses       map[string]registeredAddress
 	leaseHolder     LeaseHolder // known holder with the highest fencing number
 	leaseHolderSeen time.Time
+	modelChanges    ModelChanges                // of the lease holder
 	peerLoads       map[uint32]rlbbalancer.Load // sum over the live members and domains when it was computed last
 	loadsStale      bool
 }
@@ -116,6 +117,7 @@
 func (f *Fleet) updateLeaseHolder(now time.Time, h *LeaseHolder) {
 	if h != nil && h.Fence >= f.leaseHolder.Fence {
 		f.leaseHolder, f.leaseHolderSeen = *h, now
+		f.modelChanges = NewModelChanges(h.Unloaded, h.Loaded)
 	}
 }
 
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -109,14 +109,15 @@
 // nil if there is none. A request for an adapter goes to one of the endpoints in
 // withAdapter.
 func (s *Server) pickEndpoint(req *request, withAdapter []string) rlbbalancer.Choice {
+	changes := s.ModelChanges()
 	fits := func(e *rlbdeployment.Endpoint) bool {
 		if slices.Contains(req.tried, e.ID) || slices.Contains(req.limited, e.ID) {
 			return false
 		}
-		if req.adapter != "" {
-			return slices.Contains(withAdapter, e.ID)
+		if req.adapter != "" && !slices.Contains(withAdapter, e.ID) {
+			return false
 		}
-		return req.model == "" || e.HasModel(req.model)
+		return req.model == "" || changes.Serves(e, req.model)
 	}
 	all := s.View.Snapshot().ByService[req.service]
 	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: s.Limiter.Cost})
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -23,6 +23,7 @@
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
 )
 
@@ -63,6 +64,7 @@
 	view       *rlbdiscovery.View
 	replicas   map[string]*rlbfakedeployment.Replica
 	entries    []rlbobject.Object
+	changes    rlbpeer.ModelChanges
 	clockAhead atomic.Int64 // nanoseconds that the server's clock is ahead of the process clock
 }
 
@@ -82,8 +84,9 @@
 		Limiter: rlbratelimit.New(rlbratelimit.Opts{
 			Now: f.now, Random: func() float64 { return 0 }, Peers: func(string) rlbratelimit.Peers { return rlbratelimit.Peers{} },
 		}),
-		RetryBudget: rlbretrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
-		Metrics:     metrics.NewRegistry(), Now: f.now,
+		ModelChanges: func() rlbpeer.ModelChanges { return f.changes },
+		RetryBudget:  rlbretrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
+		Metrics:      metrics.NewRegistry(), Now: f.now,
 	})
 	f.proxy = httptest.NewServer(f.server)
 	t.Cleanup(f.proxy.Close)
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 )
 
 // Adapters finds endpoints on which an adapter is loaded.
@@ -27,19 +28,21 @@
 
 // Opts are the dependencies and settings of a server.
 type Opts struct {
-	Log         log.Interface
-	Domain      string
-	View        *rlbdiscovery.View
-	Balancer    *rlbbalancer.Balancer
-	PeerLoad    func(endpoint string) rlbbalancer.Load // load of the other instances at an endpoint
-	Crashes     *rlbcrash.Evidence                     // properties of requests that crash endpoints
-	Instances   func() int                             // number of instances that share the retry budget
-	Dispatcher  *rlbdispatch.Dispatcher
-	Adapters    Adapters
-	Limiter     *rlbratelimit.Limiter // limits that endpoints state
-	RetryBudget rlbretrybudget.Limits
-	Metrics     metrics.Registry
-	Now         func() time.Time
+	Log        log.Interface
+	Domain     string
+	View       *rlbdiscovery.View
+	Balancer   *rlbbalancer.Balancer
+	PeerLoad   func(endpoint string) rlbbalancer.Load // load of the other instances at an endpoint
+	Crashes    *rlbcrash.Evidence                     // properties of requests that crash endpoints
+	Instances  func() int                             // number of instances that share the retry budget
+	Dispatcher *rlbdispatch.Dispatcher
+	Adapters   Adapters
+	Limiter    *rlbratelimit.Limiter // limits that endpoints state
+	// ModelChanges returns which models endpoints serve other than their entries say.
+	ModelChanges func() rlbpeer.ModelChanges
+	RetryBudget  rlbretrybudget.Limits
+	Metrics      metrics.Registry
+	Now          func() time.Time
 }
 
 // Server is the HTTP handler for callers.
--- a/rlb-node/pkg/rlbscheduler/orders.go
+++ b/rlb-node/pkg/rlbscheduler/orders.go
@@ -76,7 +76,11 @@
 		"endpoint": state.endpoint.ID, "order": o.Action.String(), "model": o.Model, "adapter": o.Adapter,
 		"sequence": o.Sequence, "fence": o.Fence, "verdict": verdict.String(), "reason": reason, "error": err,
 	}).Info("sent an order to an endpoint")
-	return s.recordVerdict(state, engine, o, verdict)
+	takesEffect := s.recordVerdict(state, engine, o, verdict)
+	if entry := s.View.Snapshot().ByID[state.incarnation.ID]; takesEffect && o.Adapter == "" && entry != nil {
+		s.recordChanges(entry.ID, changesOf(state, entry))
+	}
+	return takesEffect
 }
 
 // inTakeoverDelay reports whether orders of the previous lease holder may still
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -101,6 +101,9 @@
 		return last, true
 	}
 	defer state.mu.Unlock()
+	if state.known {
+		s.recordChanges(state.incarnation.ID, changesOf(state, entry))
+	}
 	e := s.describeState(engine, state, entry)
 	s.lastDescribed[state.incarnation.ID] = e
 	return e, true
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -97,6 +97,7 @@
 	states       map[string]*endpointState
 	adapterLocks map[string]chan struct{} // by SERVICE/MODEL/ADAPTER
 	adapterCache map[string]cacheEntry
+	changes      map[string]modelChanges // by endpoint, of those that differ from their entries
 
 	shuttingDown atomic.Bool
 	holderSince  atomic.Int64 // when this instance became the lease holder, in Unix nanoseconds; 0 if it must not send orders
@@ -114,7 +115,7 @@
 		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
 		leaseManager:  newLeaseManager(opts.Log, opts.API, opts.Incarnation, opts.LeaseTTL, opts.Now),
 		loadLimiter:   newLoadLimiter(opts.LoadWindow),
-		lastDescribed: map[string]rlbplacement.Engine{}, states: map[string]*endpointState{}, adapterLocks: map[string]chan struct{}{}, adapterCache: map[string]cacheEntry{},
+		lastDescribed: map[string]rlbplacement.Engine{}, states: map[string]*endpointState{}, adapterLocks: map[string]chan struct{}{}, adapterCache: map[string]cacheEntry{}, changes: map[string]modelChanges{},
 	}
 }
 
@@ -264,6 +265,7 @@
 	}
 	if s.holderSince.Load() == 0 {
 		s.holderSince.Store(s.now().UnixNano())
+		clear(s.changes)
 		clear(s.states) // another holder may have sent orders in the meantime
 		lastSeen, starts := s.Fleet.HolderLoads(s.now())
 		s.loadLimiter.takeOver(s.now(), lastSeen, starts)
@@ -284,6 +286,7 @@
 		if snapshot.ByID[id] == nil {
 			delete(s.states, id)
 			delete(s.lastDescribed, id)
+			delete(s.changes, id)
 		}
 	}
 	return true
