--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -175,7 +175,7 @@
 // candidate returns an endpoint as a candidate and whether it can serve the model. The
 // caller holds state.mu.
 func (s *Scheduler) candidate(state *endpointState, entry *rlbdeployment.Endpoint, engine *rlbdeployment.Engine, q rlbpeer.AdapterQuery) (c candidate, usable bool) {
-	if !state.known || !state.canServe(q.Model) || state.busy() {
+	if !state.known || !state.canServe(q.Model) || state.inProgress() {
 		return candidate{}, false
 	}
 	c = candidate{state: state, cost: s.Cost(entry, q.Domain) + s.slotCost(state, engine)}
@@ -240,7 +240,7 @@
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	now := s.now()
-	if !state.known || !state.canServe(q.Model) || state.busy() || now.Before(state.pausedUntil) || s.HeldOff(state.endpoint.ID) {
+	if !state.known || !state.canServe(q.Model) || state.inProgress() || now.Before(state.pausedUntil) || s.HeldOff(state.endpoint.ID) {
 		return time.Time{}, false
 	}
 	total, fetching := state.countAdapters(now)
--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -42,6 +42,8 @@
 type modelState struct {
 	readyAt   time.Time // when its load or unload should be complete; zero if it is loaded
 	unloading bool
+	unloadAt  time.Time // when its unload is ordered; until then no new requests are sent; zero: it stays
+	unloadFor string    // reason of that unload
 	adapters  map[string]*adapterState
 }
 
@@ -78,7 +80,7 @@
 		return
 	}
 	s.lastEntry = e
-	if !s.busy() && !s.matchesEntry(e) {
+	if !s.inProgress() && !s.matchesEntry(e) {
 		s.known = false
 	}
 	endpoint := *e
@@ -109,7 +111,7 @@
 // changes nothing if the report may be older than the latest order, or if the endpoint
 // is busy with an order of another sender.
 func (s *endpointState) applyReport(r rlbdeployment.Report, now time.Time) bool {
-	if r.Sequence < s.sequence && now.Sub(s.lastAccepted) < maxReportLag || r.Busy && !s.busy() {
+	if r.Sequence < s.sequence && now.Sub(s.lastAccepted) < maxReportLag || r.Busy && !s.inProgress() {
 		return false
 	}
 	old := s.models
@@ -129,10 +131,13 @@
 	return true
 }
 
-// newModelState returns the state of a model in a report. It keeps the use times of
-// the adapters in old, which may be nil.
+// newModelState returns the state of a model in a report. It keeps an announced unload and
+// the use times of the adapters in old, which may be nil.
 func newModelState(h rlbdeployment.LoadedModel, old *modelState) *modelState {
 	m := &modelState{adapters: map[string]*adapterState{}}
+	if old != nil {
+		m.unloadAt, m.unloadFor = old.unloadAt, old.unloadFor
+	}
 	for _, name := range h.Adapters {
 		m.adapters[name] = &adapterState{}
 		if old != nil && old.adapters[name] != nil {
@@ -170,8 +175,8 @@
 	return b
 }
 
-// busy reports whether a model is being loaded or unloaded.
-func (s *endpointState) busy() bool {
+// inProgress reports whether a model is being loaded or unloaded.
+func (s *endpointState) inProgress() bool {
 	for _, m := range s.models {
 		if m.unloading || !m.readyAt.IsZero() {
 			return true
@@ -180,6 +185,16 @@
 	return false
 }
 
+// busy reports whether a model is being loaded or unloaded or its unload is announced.
+func (s *endpointState) busy() bool {
+	for _, m := range s.models {
+		if !m.unloadAt.IsZero() {
+			return true
+		}
+	}
+	return s.inProgress()
+}
+
 // overdue reports whether a load or unload should be complete by now.
 func (s *endpointState) overdue(now time.Time) bool {
 	for _, m := range s.models {
@@ -190,10 +205,10 @@
 	return false
 }
 
-// canServe reports whether a model is loaded and not being unloaded.
+// canServe reports whether a model is loaded and not being unloaded, now or soon.
 func (s *endpointState) canServe(name string) bool {
 	m := s.models[name]
-	return m != nil && !m.unloading && m.readyAt.IsZero()
+	return m != nil && !m.unloading && m.unloadAt.IsZero() && m.readyAt.IsZero()
 }
 
 // usedMemory returns the memory of all models, including those being loaded or
@@ -267,6 +282,7 @@
 		s.models[o.Model] = &modelState{readyAt: now.Add(s.loadTime(spec) + loadTimeMargin), adapters: map[string]*adapterState{}}
 	default:
 		s.models[o.Model].unloading, s.models[o.Model].readyAt = true, now.Add(loadTimeMargin)
+		s.models[o.Model].unloadAt = time.Time{}
 	}
 }
 
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -38,6 +38,7 @@
 		}
 		states := s.serviceStates(snapshot, name)
 		s.refreshStates(ctx, snapshot, states)
+		s.orderDueUnloads(ctx, snapshot, service.Engine, states)
 		input := s.planInput(snapshot, service.Engine, states, demand)
 		for _, proposal := range rlbplacement.Plan(input, planOpts(service.Engine)) {
 			s.executeProposal(ctx, states, service.Engine, proposal)
@@ -135,7 +136,7 @@
 
 func phase(m *modelState) rlbengine.Phase {
 	switch {
-	case m.unloading:
+	case m.unloading, !m.unloadAt.IsZero():
 		return rlbengine.PhaseUnloading
 	case !m.readyAt.IsZero():
 		return rlbengine.PhaseLoading
@@ -144,9 +145,9 @@
 	}
 }
 
-// executeProposal sends the order of a proposal in the background. It sends none if the
-// order would unload the last ready replica of a listed model, or if the endpoint's
-// state or the load limit does not allow it.
+// executeProposal sends the order of a proposal in the background, or announces it if it
+// is an unload. It does neither if the order would unload the last ready replica of a listed
+// model, or if the endpoint's state or the load limit does not allow it.
 func (s *Scheduler) executeProposal(ctx context.Context, states []*endpointState, engine *rlbdeployment.Engine, p rlbplacement.Proposal) {
 	i := slices.IndexFunc(states, func(state *endpointState) bool { return state.incarnation.ID == p.Endpoint })
 	if i < 0 {
@@ -165,10 +166,7 @@
 			return
 		}
 		if p.Action == rlbengine.ActionUnload {
-			if state.canServe(p.Name) {
-				s.Limits.Charge(state.endpoint.ID, controlRank)
-				s.sendOrder(ctx, state, engine, rlbdeployment.Order{Action: rlbdeployment.ActionUnload, Model: p.Name}, p.Reason)
-			}
+			s.announceUnload(state, p.Name, p.Reason)
 			return
 		}
 		if !state.fits(engine, p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(s.now(), engine.LoadsPerSecond) {
