Balancer: the prefill rate of engines is measured, not assumed

Cause: the expected wait counted unread prompt tokens at 19 a millisecond, the rate of one site's engines.

Ruled out: a larger constant (wrong for the others); the mean of tokens by time (the constant part of a time to the first event is as long as a short prompt's).

--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -25,11 +25,12 @@
 	loadVersion  uint64                    // increases with each change of the load
 	stats        map[string]*endpointStats // by endpoint ID
 	serviceTimes map[string]time.Duration  // mean time of a request, by service
+	prefillRates map[string]*prefillRate   // by service
 }
 
 // New returns a balancer without any load.
 func New() *Balancer {
-	return &Balancer{stats: map[string]*endpointStats{}, serviceTimes: map[string]time.Duration{}}
+	return &Balancer{stats: map[string]*endpointStats{}, serviceTimes: map[string]time.Duration{}, prefillRates: map[string]*prefillRate{}}
 }
 
 // Begin records that a request is sent to an endpoint. The returned function
@@ -154,7 +155,26 @@
 	default:
 		serviceTime = initialPlainServiceTime
 	}
-	return Capacity{Slots: e.Slots, ServiceTime: serviceTime, Engine: engine}
+	return Capacity{Slots: e.Slots, ServiceTime: serviceTime, Engine: engine, PrefillRate: b.prefillRate(e.Service).tokensPerMS()}
+}
+
+// prefillRate returns the prefill rate of the engines of a service. b.mu is held.
+func (b *Balancer) prefillRate(service string) *prefillRate {
+	r := b.prefillRates[service]
+	if r == nil {
+		r = &prefillRate{}
+		b.prefillRates[service] = r
+	}
+	return r
+}
+
+// RecordPrefill records how long the first event of an answer took, and how many prompt
+// tokens the engine had to read before it, with those of the request itself. Answers that
+// had to wait for a slot must not be recorded.
+func (b *Balancer) RecordPrefill(service string, tokens int, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.prefillRate(service).record(tokens, took)
 }
 
 // LoadVersion returns a number that increases with each change of this instance's load.
--- a/lib/pkg/rlbbalancer/balancer_test.go
+++ b/lib/pkg/rlbbalancer/balancer_test.go
@@ -108,7 +108,7 @@
 }
 
 func TestWait(t *testing.T) {
-	engine, plain := Capacity{Slots: 4, ServiceTime: 2 * time.Second, Engine: true}, Capacity{Slots: 4, ServiceTime: 40 * time.Millisecond}
+	engine, plain := Capacity{Slots: 4, ServiceTime: 2 * time.Second, Engine: true, PrefillRate: 19}, Capacity{Slots: 4, ServiceTime: 40 * time.Millisecond}
 	for _, c := range []struct {
 		load     Load
 		capacity Capacity
@@ -119,8 +119,8 @@
 		{Load{InFlight: 3}, engine, false, 0},
 		{Load{InFlight: 5}, engine, false, time.Second},
 		{Load{InFlight: 5}, engine, true, 0},
-		{Load{InFlight: 9}, Capacity{Slots: 12, ServiceTime: 2400 * time.Millisecond, Engine: true}, false, 0},
-		{Load{InFlight: 10}, Capacity{Slots: 12, ServiceTime: 2400 * time.Millisecond, Engine: true}, false, 200 * time.Millisecond},
+		{Load{InFlight: 9}, Capacity{Slots: 12, ServiceTime: 2400 * time.Millisecond, Engine: true, PrefillRate: 19}, false, 0},
+		{Load{InFlight: 10}, Capacity{Slots: 12, ServiceTime: 2400 * time.Millisecond, Engine: true, PrefillRate: 19}, false, 200 * time.Millisecond},
 		{Load{InFlight: 9, Urgent: 4}, engine, true, 500 * time.Millisecond},
 		{Load{UnreadTokens: 1900}, engine, true, 100 * time.Millisecond},
 		{Load{InFlight: 5, UnreadTokens: 1900}, plain, false, 20 * time.Millisecond},
@@ -135,7 +135,7 @@
 func TestCapacity(t *testing.T) {
 	Convey("the service time is a moving average over successful requests, by service", t, func() {
 		balancer, e := New(), &rlbdeployment.Endpoint{ID: "e", Service: "s", Slots: 12}
-		So(balancer.Capacity(e, true), ShouldResemble, Capacity{Slots: 12, ServiceTime: initialEngineServiceTime, Engine: true})
+		So(balancer.Capacity(e, true), ShouldResemble, Capacity{Slots: 12, ServiceTime: initialEngineServiceTime, Engine: true, PrefillRate: initialPrefillRate})
 		So(balancer.Capacity(e, false).ServiceTime, ShouldEqual, initialPlainServiceTime)
 		end := func(outcome Outcome, took time.Duration) {
 			balancer.Begin(e, RequestLoad{})
--- a/lib/pkg/rlbbalancer/load.go
+++ b/lib/pkg/rlbbalancer/load.go
@@ -6,7 +6,6 @@
 
 // Parameters of the cost estimate.
 const (
-	prefillTokensPerMS   = 19                     // prompt tokens that an engine prefills in a millisecond
 	crossDomainCost      = 30 * time.Millisecond  // cost of an endpoint in another failure domain
 	costPerRequest       = 4 * time.Millisecond   // slowdown that each request in flight causes for the others
 	prefillDelay         = 300 * time.Millisecond // stream delay caused by prefill at an endpoint all of whose streams pause
@@ -33,6 +32,7 @@
 	Slots       int
 	ServiceTime time.Duration // mean time of a request
 	Engine      bool          // a model engine, which prefills the prompt before the answer begins
+	PrefillRate float64       // of an engine, in prompt tokens per millisecond
 }
 
 // Add returns the sum of two loads.
@@ -66,7 +66,7 @@
 	queued := max(ahead-c.Slots+1, 0)
 	wait := time.Duration(queued) * c.ServiceTime / time.Duration(max(c.Slots, 1))
 	if c.Engine {
-		wait += time.Duration(l.UnreadTokens) * time.Millisecond / prefillTokensPerMS
+		wait += time.Duration(float64(l.UnreadTokens) / c.PrefillRate * float64(time.Millisecond))
 	}
 	return wait
 }
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -42,6 +42,8 @@
 type Choice struct {
 	Endpoint  *rlbdeployment.Endpoint // nil if none fits
 	Wait      time.Duration           // expected time until the answer begins
+	Ahead     int                     // prompt tokens of other requests that are unread at the endpoint
+	Queued    bool                    // the request must wait for a slot
 	Unhealthy bool                    // only unhealthy endpoints fit
 	// HeldOffUntil is the soonest time at which an endpoint that fits wants requests again,
 	// if Endpoint is nil because each of them is held off; zero otherwise.
@@ -68,7 +70,7 @@
 		}
 		load := stats.load().Add(req.OtherLoad(e.ID))
 		capacity := b.capacity(e, req.Model != "")
-		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
+		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Ahead: load.UnreadTokens, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
 		cost := load.Cost(capacity, e.Domain == req.Domain) + rand.N(tieBreakJitter)
 		if req.ExtraCost != nil {
 			cost += req.ExtraCost(e.ID)
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -43,6 +43,8 @@
 	busy          bool          // not admitted: the expected wait is too long
 	heldOffUntil  time.Time     // the soonest end if all endpoints that are left want no requests for a while; zero: not so
 	expectedWait  time.Duration // expected wait for the answer to start at the endpoint chosen last
+	tokensAhead   int           // unread prompt tokens of other requests at that endpoint
+	queued        bool          // the request had to wait for a slot there
 	attemptStart  time.Time     // of the latest attempt
 	timeToFirst   time.Duration // from attemptStart to the first event
 	firstEventAt  time.Time     // time at which the first event of the latest attempt that brought one was relayed
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -62,6 +62,9 @@
 	}
 	req.started = true
 	req.timeToFirst = s.Now().Sub(req.attemptStart)
+	if !req.queued {
+		s.Balancer.RecordPrefill(req.service, req.tokensAhead+req.promptTokens, req.timeToFirst)
+	}
 	req.exchange.MarkAnswering()
 	copyHeader(w.Header(), in.Header)
 	w.WriteHeader(in.StatusCode)
