Summaries between failure domains are compressed

It grows with the square of the domains and with the endpoints that have load.

Ruled out: fewer summaries (loads would be older); changes only (a lost datagram needs another protocol).

Change: flate, with reused compressors (a new one takes some hundred kilobytes), for summaries to other domains; relayed ones within a domain and digests stay as they are. An instance of an earlier build logs such a datagram as one that it cannot decode; until it is replaced its domain gets summaries by relay only if its delegate is of this build.

--- a/rlb-node/pkg/rlbpeer/fuzz_test.go
+++ b/rlb-node/pkg/rlbpeer/fuzz_test.go
@@ -17,7 +17,7 @@
 		{Digest: &Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 1, Loads: loads, Limits: limits, DrainingEndpoints: []uint64{7}, LeaseHolder: &LeaseHolder{Name: "b", Fence: 3, LoadAges: []uint16{5}}}},
 		{Summary: &Summary{Domain: "y", From: "c", Incarnation: 1, Sequence: 1, Members: 4, Loads: loads, Limits: limits, Demand: map[string]float32{"m": 2}}},
 	} {
-		data, err := msgpack.Marshal(&p)
+		data, err := encodePacket(p)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -26,8 +26,8 @@
 	f.Add([]byte("\x81\xa1d\xdf\xff\xff\xff\xff"))
 	now := time.Unix(1000, 0)
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		var p packet
-		if rlbmsgpack.Unmarshal(data, &p) != nil {
+		p, err := decodePacket(data)
+		if err != nil {
 			return
 		}
 		fleet, crashes := NewFleet("a", "x"), rlbcrash.New(rlbcrash.Opts{Instance: "a", Now: func() time.Time { return now }})
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -9,9 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmsgpack"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Limits of a link.
@@ -156,9 +154,9 @@
 // send sends a datagram to all targets except one. It returns the number of bytes for
 // all targets.
 func (l *Link) send(p packet, targets []string, except string) int {
-	encoded, err := msgpack.Marshal(&p)
-	if err != nil || len(encoded) > maxDatagram {
-		l.log.WithFields(log.Fields{"bytes": len(encoded), "error": err}).Error("failed to encode a message to other instances")
+	encoded, err := encodePacket(p)
+	if err != nil {
+		l.log.WithError(err).Error("failed to encode a message to other instances")
 		return 0
 	}
 	for _, target := range targets {
@@ -188,8 +186,8 @@
 			l.log.WithError(err).Warn("failed to receive a message from another instance")
 			continue
 		}
-		var p packet
-		if err := rlbmsgpack.Unmarshal(buffer[:n], &p); err != nil {
+		p, err := decodePacket(buffer[:n])
+		if err != nil {
 			l.log.WithError(err).Warn("failed to decode a message from another instance")
 			continue
 		}
