Soak: endpoints that state that they leave or refuse with Retry-After, and odd entries

Three kinds of fault with their checks: no run at an endpoint longer than the drain time after an instance passed on that it leaves; at most two requests of an instance before the end of a Retry-After; entries of another writer (a number, another type, nested 5,000 deep, slots and a port out of range) beside the others.

--- a/rlb-load/pkg/rlbsoak/check.go
+++ b/rlb-load/pkg/rlbsoak/check.go
@@ -198,6 +198,7 @@
 	for _, x := range s.exchanges {
 		s.checkExchange(x, runs[x.id])
 	}
+	s.checkStatements(runs)
 }
 
 // endpointRun is a run and the endpoint that ran it.
--- a/rlb-load/pkg/rlbsoak/deployment.go
+++ b/rlb-load/pkg/rlbsoak/deployment.go
@@ -44,6 +44,7 @@
 	mu                sync.Mutex
 	state             string  // state in its entry; empty: no entry
 	drains            spans   // each from the acknowledged draining entry until the endpoint is ready again
+	statements        spans   // each from its first answer that states that the endpoint leaves until its end
 	lossShare         float64 // share of answers dropped after the run
 	failShare         float64 // share of requests answered with 500
 	misdeliveredShare float64 // share of answers with the id of another request
--- a/rlb-load/pkg/rlbsoak/faults.go
+++ b/rlb-load/pkg/rlbsoak/faults.go
@@ -42,6 +42,9 @@
 	{"endpoint-crash", 3, (*injector).endpointCrash},
 	{"endpoint-leaves", 3, (*injector).endpointLeaves},
 	{"spoil", 3, (*injector).spoil},
+	{"endpoint-says-leaving", 2, (*injector).endpointSaysLeaving},
+	{"endpoint-refuses", 2, (*injector).endpointRefuses},
+	{"odd-entry", 2, (*injector).oddEntry},
 }
 
 // FaultKinds returns the names of all kinds of fault.
--- a/rlb-standin/pkg/rlbfakedeployment/replica.go
+++ b/rlb-standin/pkg/rlbfakedeployment/replica.go
@@ -48,6 +48,12 @@
 	Aborted     bool      // the replica restarted or the sender disconnected before the end
 }
 
+// Refusal is a request that the replica refused with a Retry-After.
+type Refusal struct {
+	ID string
+	At time.Time
+}
+
 // AcceptedOrder is an order that the replica accepted.
 type AcceptedOrder struct {
 	Holder      string
@@ -77,7 +83,7 @@
 	restarted      chan struct{} // closed when the incarnation ends
 	leaving        bool          // its answers state that it leaves
 	retryAfter     string        // in the refusals of all requests; empty: they are not refused
-	refusals       []time.Time   // when requests were refused with retryAfter
+	refusals       []Refusal     // of requests that were refused with retryAfter
 }
 
 // NewReplica returns a replica in its first incarnation.
@@ -127,8 +133,8 @@
 	r.retryAfter = retryAfter
 }
 
-// Refusals returns when requests were refused with a Retry-After.
-func (r *Replica) Refusals() []time.Time {
+// Refusals returns the refusals with a Retry-After so far.
+func (r *Replica) Refusals() []Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.refusals)
@@ -142,13 +148,13 @@
 }
 
 // refuse refuses a request if Refuse asks for it, and reports whether it did.
-func (r *Replica) refuse(w http.ResponseWriter) bool {
+func (r *Replica) refuse(w http.ResponseWriter, id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.retryAfter == "" {
 		return false
 	}
-	r.refusals = append(r.refusals, time.Now())
+	r.refusals = append(r.refusals, Refusal{id, time.Now()})
 	w.Header().Set("Retry-After", r.retryAfter)
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -318,7 +324,7 @@
 	}
 	id := req.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if r.refuse(w) {
+	if r.refuse(w, id) {
 		return
 	}
 	if status := r.admit(req); status != http.StatusOK {
