Adapters of a model that is being unloaded are asked for elsewhere at once

Cause: since requests avoid replicas that are being unloaded, a cached answer that names only such endpoints left a request for an adapter with nothing to try: refused as not run, for up to two seconds. Before, it was refused by the endpoint and the second attempt asked for another one.

Ruled out: no cache for adapters (a query for each request). Change: if no endpoint of an answer still serves the model, the query is repeated without them. The lease holder builds its changes when they change, and keeps them as other instances do. Test: "another endpoint is asked for" of TestRequestsAvoidReplicasThatAreBeingUnloaded (503 before).

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -236,7 +236,7 @@
 // modelChanges returns the changes that the lease holder, which may be this instance, knows.
 func (a *app) modelChanges() rlbpeer.ModelChanges {
 	if a.scheduler.Fence() > 0 {
-		return rlbpeer.NewModelChanges(a.scheduler.ModelChanges())
+		return a.scheduler.ModelChanges()
 	}
 	return a.fleet.ModelChanges(rlbclock.Now())
 }
@@ -259,7 +259,7 @@
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
-		d.LeaseHolder.Unloaded, d.LeaseHolder.Loaded = a.scheduler.ModelChanges()
+		d.LeaseHolder.Unloaded, d.LeaseHolder.Loaded = a.scheduler.ModelChanges().Keys()
 	}
 	a.balancer.Loads(rlbclock.Now(), func(id string, load rlbbalancer.Load) { d.Loads[rlbpeer.EndpointKey(id)] = rlbpeer.NewLoad(load) })
 	for _, r := range a.limiter.Reports() {
--- a/rlb-node/pkg/rlbpeer/model_changes.go
+++ b/rlb-node/pkg/rlbpeer/model_changes.go
@@ -1,6 +1,8 @@
 package rlbpeer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
@@ -17,6 +19,11 @@
 	return ModelChanges{keySet(unloaded), keySet(loaded)}
 }
 
+// Keys returns the keys of the models, for a message.
+func (c ModelChanges) Keys() (unloaded, loaded []uint64) {
+	return slices.Sorted(maps.Keys(c.unloaded)), slices.Sorted(maps.Keys(c.loaded))
+}
+
 func keySet(keys []uint64) map[uint64]bool {
 	if len(keys) == 0 {
 		return nil
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -132,6 +132,9 @@
 	}
 	avoid := slices.Concat(req.tried, req.limited, s.Balancer.HeldOffEndpoints(s.Now()))
 	endpoints, reason := s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, avoid)
+	if len(endpoints) > 0 && !s.anyServes(endpoints, req.model) { // a cached answer, from before they unload the model
+		endpoints, reason = s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, slices.Concat(avoid, endpoints))
+	}
 	if len(endpoints) == 0 {
 		req.reason = reason
 		return nil, false
@@ -139,6 +142,15 @@
 	return endpoints, true
 }
 
+// anyServes reports whether one of the endpoints still serves a model.
+func (s *Server) anyServes(endpoints []string, model string) bool {
+	changes, snapshot := s.ModelChanges(), s.View.Snapshot()
+	return slices.ContainsFunc(endpoints, func(id string) bool {
+		e := snapshot.ByID[id]
+		return e != nil && changes.Serves(e, model)
+	})
+}
+
 // finish ends a request that gets no further attempt: it sends the final answer, or
 // breaks off a stream that has started.
 func (s *Server) finish(w http.ResponseWriter, req *request, outcome rlbroute.Outcome, fault rlbroute.Fault) {
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -98,6 +98,8 @@
 	adapterLocks map[string]chan struct{} // by SERVICE/MODEL/ADAPTER
 	adapterCache map[string]cacheEntry
 	changes      map[string]modelChanges // by endpoint, of those that differ from their entries
+	// publishedChanges are the changes of all endpoints.
+	publishedChanges rlbpeer.ModelChanges
 
 	shuttingDown atomic.Bool
 	holderSince  atomic.Int64 // when this instance became the lease holder, in Unix nanoseconds; 0 if it must not send orders
@@ -266,6 +268,7 @@
 	if s.holderSince.Load() == 0 {
 		s.holderSince.Store(s.now().UnixNano())
 		clear(s.changes)
+		s.publishChanges()
 		clear(s.states) // another holder may have sent orders in the meantime
 		lastSeen, starts := s.Fleet.HolderLoads(s.now())
 		s.loadLimiter.takeOver(s.now(), lastSeen, starts)
@@ -286,7 +289,7 @@
 		if snapshot.ByID[id] == nil {
 			delete(s.states, id)
 			delete(s.lastDescribed, id)
-			delete(s.changes, id)
+			delete(s.changes, id) // published until the next change, which harms nobody
 		}
 	}
 	return true
--- a/rlb-standin/pkg/rlbfakedeployment/replica.go
+++ b/rlb-standin/pkg/rlbfakedeployment/replica.go
@@ -118,6 +118,13 @@
 	r.leaving, r.retryAfter = false, ""
 }
 
+// Load makes an adapter of a model resident at once, without an order.
+func (r *Replica) Load(model, adapter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resident[model] = append(r.resident[model], adapter)
+}
+
 // SetLeaving makes all answers of the replica state that it leaves.
 func (r *Replica) SetLeaving() {
 	r.mu.Lock()
