Balancer: prompts of nearly the same length say nothing about the prefill rate

Cause: the slope of a regression is noise where the tokens hardly differ. With prompts of 1,000 to 1,004 tokens and times that happen to rise with them by 8 ms each, the estimate fell to its least (5 a millisecond). Ruled out: no estimate below a spread (it would jump). Change: the initial rate always counts for a spread of 200 tokens. Test: "Prompts of nearly the same length ..." of TestPrefillRate, failed before.

--- a/lib/pkg/rlbbalancer/prefill_rate.go
+++ b/lib/pkg/rlbbalancer/prefill_rate.go
@@ -13,6 +13,9 @@
 	// priorSpread is the spread of unread tokens in the answers that the initial rate stands
 	// for.
 	priorSpread = 1500.0
+	// leastSpread is the spread for which the initial rate always counts: prompts of about the
+	// same length tell nothing about the rate.
+	leastSpread = 200.0
 )
 
 // prefillRate estimates how fast the engines of a service prefill prompts, by a linear
@@ -45,11 +48,10 @@
 
 // tokensPerMS returns the estimate.
 func (r *prefillRate) tokensPerMS() float64 {
-	if r.weight == 0 {
-		return initialPrefillRate
-	}
-	if r.covariance <= r.variance/maxPrefillRate {
+	variance := r.variance + leastSpread*leastSpread
+	covariance := r.covariance + leastSpread*leastSpread/initialPrefillRate
+	if covariance <= variance/maxPrefillRate {
 		return maxPrefillRate
 	}
-	return max(r.variance/r.covariance, minPrefillRate)
+	return max(variance/covariance, minPrefillRate)
 }
--- a/lib/pkg/rlbbalancer/prefill_rate_test.go
+++ b/lib/pkg/rlbbalancer/prefill_rate_test.go
@@ -33,6 +33,13 @@
 		observe(b, 150, 5)
 		So(b.Capacity(e, true).PrefillRate, ShouldBeBetween, initialPrefillRate*0.9, initialPrefillRate*1.2)
 	})
+	Convey("Prompts of nearly the same length leave the initial rate", t, func() {
+		b := New()
+		for n := range 3000 {
+			b.RecordPrefill("s", 1000+n%5, time.Duration(30+n%5*8)*time.Millisecond)
+		}
+		So(b.Capacity(e, true).PrefillRate, ShouldAlmostEqual, initialPrefillRate, 1)
+	})
 	Convey("Times that do not depend on the tokens give a bounded rate", t, func() {
 		b := New()
 		for n := range 2000 {
