Log restores of the object API, expired watches and ignored entries

The logs of the incident could not tell entries that are ignored as outdated from removals that get lost between instances: neither an ignored entry nor a watch whose history is gone nor a restore left a line. They now do, bounded by one line per answer. Logic is unchanged.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
@@ -55,6 +56,7 @@
 	registry        metrics.Registry
 	api             rlbobject.API
 	staleAPI        rlbobject.API // the same with reads that may return data that is seconds old
+	apiEra          func() uint64 // number of the latest restore of the object API
 	view            *rlbdiscovery.View
 	fleet           *rlbpeer.Fleet
 	link            *rlbpeer.Link
@@ -133,6 +135,7 @@
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
 	a.api, a.staleAPI = countedObjects{objects, a.registry, ""}, countedObjects{objects.WithStaleReads(), a.registry, "stale_"}
+	a.apiEra = objects.Era
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
@@ -201,7 +204,9 @@
 }
 
 func (a *app) sweep(ctx context.Context) {
+	var era uint64
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
+		era = a.logEra(era)
 		a.view.Sweep()
 		a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(rlbclock.Now()), sourcePeer)
 		a.catchUp.step(ctx)
@@ -211,6 +216,15 @@
 	}
 }
 
+// logEra logs that the object API names another era than the known one. It returns the era.
+func (a *app) logEra(known uint64) uint64 {
+	era := a.apiEra()
+	if era != known {
+		a.Log.WithFields(log.Fields{"previous": known, "era": era}).Info("object API names another era; each restore from a copy begins one")
+	}
+	return era
+}
+
 func (a *app) demand() map[string]float32 { return a.proxy.Demand().Read() }
 
 // peerLoad returns the load of the other instances at an endpoint.
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -114,10 +114,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	listed := map[string]bool{}
+	outdated := 0
 	for _, o := range objects {
 		listed[o.Name] = true
-		v.applyEntry(o)
+		if !v.applyEntry(o) {
+			outdated++
+		}
 	}
+	v.logOutdated(outdated, revision)
 	for id, e := range v.entries {
 		if !listed[id] && e.dropAt.IsZero() && e.version <= revision {
 			v.recordRemoval(id, revision, afterOutage)
@@ -131,19 +135,33 @@
 func (v *View) ApplyChanges(objects []rlbobject.Object, afterOutage bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	outdated, newest := 0, rlbobject.Version(0)
 	for _, o := range objects {
+		newest = max(newest, o.Version)
 		if !o.Deleted {
-			v.applyEntry(o)
+			if !v.applyEntry(o) {
+				outdated++
+			}
 			continue
 		}
 		if e, known := v.entries[o.Name]; known && o.Version >= e.version {
 			v.recordRemoval(o.Name, o.Version, afterOutage)
 			v.scheduleDrop(o.Name, e, afterOutage)
+		} else if known {
+			outdated++
 		}
 	}
+	v.logOutdated(outdated, newest)
 	v.publish()
 }
 
+// logOutdated logs that entries were ignored because newer ones are known.
+func (v *View) logOutdated(entries int, newest rlbobject.Version) {
+	if entries > 0 {
+		v.log.WithFields(log.Fields{"entries": entries, "revision": uint64(newest), "known": uint64(v.revision)}).Info("ignored entries that are older than the known ones")
+	}
+}
+
 func (v *View) recordRemoval(name string, version rlbobject.Version, lapsed bool) {
 	v.removals = append(v.removals, removal{name, version, lapsed})
 	if len(v.removals) > maxRemovals {
@@ -169,10 +187,15 @@
 	}
 }
 
-func (v *View) applyEntry(o rlbobject.Object) {
+// applyEntry applies an entry unless it is the known one or older. It reports false if it is
+// older. v.mu is held.
+func (v *View) applyEntry(o rlbobject.Object) bool {
 	old, known := v.entries[o.Name]
-	if known && (o.Version < old.version || o.Version == old.version && old.dropAt.IsZero()) {
-		return
+	if known && o.Version < old.version {
+		return false
+	}
+	if known && o.Version == old.version && old.dropAt.IsZero() {
+		return true
 	}
 	next := &entry{raw: o.Value, version: o.Version}
 	decoded, err := v.decoder.Endpoint(o.Name, o.Value)
@@ -186,6 +209,7 @@
 	v.entries[o.Name] = next
 	v.revision = max(v.revision, o.Version)
 	v.logEntry(o.Name, old, next)
+	return true
 }
 
 func (v *View) logEntry(id string, old, next *entry) {
--- a/rlb-node/pkg/rlbdiscovery/watcher.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher.go
@@ -114,7 +114,12 @@
 	defer cancel()
 	w.cancelWatch.Store(&cancel)
 	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(watchTimeout))
-	if triggered := w.cancelWatch.Swap(nil) == nil; triggered && err != nil || rlbobject.Is(err, rlbobject.KindExpired) {
+	triggered := w.cancelWatch.Swap(nil) == nil
+	expired := rlbobject.Is(err, rlbobject.KindExpired)
+	if expired {
+		w.Log.WithFields(log.Fields{"kind": w.Kind, "revision": uint64(w.revision)}).Info("the history since the revision of the watch is gone; reading the list again")
+	}
+	if triggered && err != nil || expired {
 		w.revision = 0
 		return nil
 	}
