Reproduce what a restore of the object API breaks; known red until mended

They run the product's client against the stand-in store, which can now be restored from a copy and names its era in each answer.

--- /dev/null
+++ b/rlb-node/pkg/rlbdiscovery/restored_api_test.go
@@ -0,0 +1,144 @@
+package rlbdiscovery
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// storeFixture is an object API that can be restored from a copy, and an instance that
+// watches its configs and entries.
+type storeFixture struct {
+	*rlbfakedeployment.Store
+	now      time.Time
+	view     *View
+	watchers []*Watcher
+}
+
+func newStoreFixture(t *testing.T) *storeFixture {
+	t.Helper()
+	f := &storeFixture{Store: rlbfakedeployment.NewStore(), now: time.Unix(1000, 0)}
+	server := httptest.NewServer(f.Store)
+	t.Cleanup(server.Close)
+	api := rlbplatform.NewObjects(strings.TrimPrefix(server.URL, "http://"), server.Client())
+	clock := func() time.Time { return f.now }
+	f.view = New(quiet, plainDecoder{}, clock)
+	watch := func(kind string, sink Sink) {
+		f.watchers = append(f.watchers, &Watcher{API: api, FirstAPI: api, Kind: kind, Sink: sink, Log: quiet, Now: clock, lastAnswer: f.now})
+	}
+	watch(rlbplatform.ObjectKindEndpoints, f.view)
+	watch(rlbplatform.ObjectKindConfig, ConfigSink{View: f.view, Name: rlbplatform.ConfigName})
+	return f
+}
+
+func (f *storeFixture) setEntry(id, state string) { f.Set(rlbplatform.ObjectKindEndpoints, id, state) }
+
+func (f *storeFixture) setConfig(version int) {
+	f.Set(rlbplatform.ObjectKindConfig, rlbplatform.ConfigName, version)
+}
+
+// writeOthers makes n changes to objects of other kinds.
+func (f *storeFixture) writeOthers(n int) {
+	for i := range n {
+		f.Set("other", "o", i)
+	}
+}
+
+// poll makes each watcher read until it has all changes.
+func (f *storeFixture) poll() {
+	for _, w := range f.watchers {
+		for known := rlbobject.Version(1); w.revision != known; { // a list is followed by a watch
+			known = w.revision
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			if err := w.step(ctx); err != nil && ctx.Err() == nil {
+				So(err, ShouldBeNil)
+			}
+			cancel()
+		}
+	}
+}
+
+// wait lets time pass and applies the end of grace periods.
+func (f *storeFixture) wait(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.view.Sweep()
+}
+
+// usable reports whether new requests may go to an endpoint.
+func usable(v *View, id string) bool {
+	e := v.Snapshot().ByID[id]
+	return e != nil && !e.Draining
+}
+
+// passChanges gives a view what it lacks of another, as instances do that do not watch.
+func passChanges(to, from *View) {
+	changes := from.ChangesSince(configVersion(to.Snapshot().Config), to.Revision())
+	to.ApplyChanges(changes.Entries, false)
+	to.ApplyChanges(changes.Lapsed, true)
+}
+
+func configVersion(c *rlbdeployment.Config) uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
+func TestEndpointThatLeavesAfterRestoreGetsNoRequests(t *testing.T) {
+	Convey("An endpoint that drains after the object API was restored is not used", t, func() {
+		f := newStoreFixture(t)
+		f.setEntry("a", "ready")
+		older := f.Copy()
+		f.writeOthers(20)
+		f.setEntry("a", "ready")
+		f.poll()
+		f.Restore(older)
+		f.setEntry("a", "leaving")
+		f.poll()
+		So(usable(f.view, "a"), ShouldBeFalse)
+	})
+}
+
+func TestRemovalAfterRestoreReachesOtherInstances(t *testing.T) {
+	Convey("An instance that does not watch learns that an endpoint was removed after a restore", t, func() {
+		f := newStoreFixture(t)
+		f.setEntry("a", "ready")
+		older := f.Copy()
+		f.writeOthers(20)
+		f.setEntry("b", "ready")
+		f.poll()
+		other := New(quiet, plainDecoder{}, func() time.Time { return f.now })
+		passChanges(other, f.view)
+		f.Restore(older)
+		f.setEntry("b", "ready")
+		f.Remove(rlbplatform.ObjectKindEndpoints, "a")
+		f.poll()
+		passChanges(other, f.view)
+		f.now = f.now.Add(outageGrace)
+		other.Sweep()
+		So(usable(other, "a"), ShouldBeFalse)
+	})
+}
+
+func TestConfigPublishedAfterRestoreIsInForce(t *testing.T) {
+	Convey("A config is in force although the revisions have passed that of the watch before it goes on", t, func() {
+		f := newStoreFixture(t)
+		f.setConfig(7)
+		older := f.Copy()
+		f.writeOthers(20)
+		f.poll()
+		f.Restore(older)
+		f.setConfig(8)
+		f.writeOthers(40)
+		f.poll()
+		So(configVersion(f.view.Snapshot().Config), ShouldEqual, 8)
+	})
+}
--- a/rlb-standin/pkg/rlbfakedeployment/store.go
+++ b/rlb-standin/pkg/rlbfakedeployment/store.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,7 @@
 	pageSize     = 50 // objects in one answer to a list call
 	maxWatchWait = 30 * time.Second
 	pathPrefix   = "/-/objects/"
+	headerEra    = "Store-Era"
 )
 
 // Metadata identifies an object and its revision and tracks its deletion.
@@ -43,9 +45,10 @@
 	kind    string
 }
 
-// Store is the object store. Refuse, LoseAnswers and Compact inject faults.
+// Store is the object store. Refuse, LoseAnswers, Compact and Restore inject faults.
 type Store struct {
 	mu                sync.Mutex
+	era               uint64 // one more than the number of restores
 	revision          uint64
 	compactedRevision uint64 // the history up to this revision is dropped
 	objects           map[string]map[string]Object
@@ -58,7 +61,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{})}
+	return &Store{era: 1, revision: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{})}
 }
 
 // Refuse makes the store answer every call with an HTTP status; 0 ends this.
@@ -84,6 +87,39 @@
 	s.notifyWatchers()
 }
 
+// Copy is a copy of the objects of a store.
+type Copy struct {
+	revision uint64
+	objects  map[string]map[string]Object
+}
+
+// Copy returns a copy of the objects.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, cloneObjects(s.objects)}
+}
+
+// Restore replaces the objects and the revision by those of a copy. Watches from a later
+// revision end with status 410 Gone.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = c.revision, cloneObjects(c.objects)
+	s.compactedRevision = min(s.compactedRevision, s.revision)
+	s.events = slices.DeleteFunc(s.events, func(e event) bool { return e.Object.Metadata.Revision > s.revision })
+	s.notifyWatchers()
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	cloned := map[string]map[string]Object{}
+	for kind, byName := range objects {
+		cloned[kind] = maps.Clone(byName)
+	}
+	return cloned
+}
+
 // Calls returns the number of calls received so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -153,6 +189,7 @@
 	s.mu.Lock()
 	s.calls++
 	refuse := s.refuseStatus
+	w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if refuse != 0 {
 		w.WriteHeader(refuse)
@@ -206,9 +243,11 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		compacted, events, revision, changed := after < s.compactedRevision, s.eventsAfter(kind, after), s.revision, s.changed
+		gone := after < s.compactedRevision || after > s.revision
+		events, revision, changed := s.eventsAfter(kind, after), s.revision, s.changed
+		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
-		if compacted {
+		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
