Entries and configs are compared over restores of the object API

Cause: revisions were compared as if they only rose. After a restore from an older copy they go back and are given out again. The view ignored what had a lower revision than it knew, instances did not ask each other for it, and a watch from a revision that was given out again went on past the changes before it. The class of fault is a number compared outside the scope in which it orders anything.

Now a version consists of the era that the object API names in each answer and the revision within it, so that every comparison of versions, in the view, in digests and in queries between instances, holds over a restore. The client calls a watch that is answered in another era expired, a write that expects a version of another era unknown (it may have replaced another write with the same revision), and a list whose pages are of two eras failed. The first watch after a failed call does not wait, and a watch of an era that is over is cancelled.

The three tests that were known red pass; with them on the code before, they fail.

--- a/lib/pkg/rlbobject/api.go
+++ b/lib/pkg/rlbobject/api.go
@@ -18,10 +18,6 @@
 // MaxValueBytes is the maximum length of a value.
 const MaxValueBytes = 1 * rlbunit.MiB
 
-// Version is the revision of the platform at the latest write of an object; 0
-// means that the object does not exist.
-type Version uint64
-
 // Key identifies an object.
 type Key struct {
 	Kind string
@@ -50,12 +46,15 @@
 }
 
 // API is the object API. Errors are of type *Error. After an error of KindUnknown
-// a write may have taken effect; after any other kind it has not.
+// a write may have taken effect; after any other kind it has not. A write that expects a
+// version of another era than the one in which it is answered has an unknown outcome,
+// since revisions are given out again.
 type API interface {
-	// Get returns the object.
+	// Get returns the object. With an error of KindNotFound it returns an object whose
+	// version names the era, if the API has eras.
 	Get(ctx context.Context, key Key) (Object, error)
-	// Put writes value if the version of the object is still the expected one. The
-	// expected version 0 creates the object.
+	// Put writes value if the version of the object is still the expected one. An
+	// expected version without revision creates the object; 0 does so in any era.
 	Put(ctx context.Context, key Key, value []byte, expected Version) (Version, error)
 	// Delete removes the object if its version is still the expected one.
 	Delete(ctx context.Context, key Key, expected Version) error
@@ -76,7 +75,7 @@
 	KindUnavailable      // refused or not reachable: a write had no effect
 	KindUnknown          // no response: a write may have taken effect
 	KindTooLarge         // the value is longer than MaxValueBytes
-	KindExpired          // the revision of a watch is too old: list again
+	KindExpired          // the history since the version of a watch is gone: list again
 	KindInvalid          // the platform rejected the call
 )
 
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -206,7 +206,7 @@
 func (a *app) sweep(ctx context.Context) {
 	var era uint64
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
-		era = a.logEra(era)
+		era = a.checkEra(era)
 		a.view.Sweep()
 		a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(rlbclock.Now()), sourcePeer)
 		a.catchUp.step(ctx)
@@ -216,12 +216,15 @@
 	}
 }
 
-// logEra logs that the object API names another era than the known one. It returns the era.
-func (a *app) logEra(known uint64) uint64 {
+// checkEra logs that the object API names another era than the known one, and makes watches
+// of an earlier era list again. It returns the era.
+func (a *app) checkEra(known uint64) uint64 {
 	era := a.apiEra()
 	if era != known {
 		a.Log.WithFields(log.Fields{"previous": known, "era": era}).Info("object API names another era; each restore from a copy begins one")
 	}
+	a.catchUp.configWatcher.CheckEra(era)
+	a.catchUp.endpointWatcher.CheckEra(era)
 	return era
 }
 
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -22,6 +22,7 @@
 	queryTimeout         = time.Second
 	configReadDelay      = time.Second // after which an outdated config is read from the object API
 	sourcePeer           = "another instance"
+	behindPeers          = "other instances have newer objects"
 )
 
 // catchUp keeps the config and entries of an instance as new as those of the other
@@ -130,8 +131,8 @@
 	}
 	if watcher && !c.unavailable() && c.app.configVersion() > 0 {
 		if c.stepsBehind++; c.stepsBehind%stepsUntilList == 0 {
-			c.configWatcher.TriggerList()
-			c.endpointWatcher.TriggerList()
+			c.configWatcher.TriggerList(behindPeers)
+			c.endpointWatcher.TriggerList(behindPeers)
 		}
 		return
 	}
@@ -185,7 +186,7 @@
 	}
 	a.view.ApplyChanges(objects, false)
 	a.view.ApplyChanges(lapsed, true)
-	a.Log.WithFields(log.Fields{"peer": from.name, "entries": len(reply.Entries), "revision": uint64(a.view.Revision())}).Debug("applied changes from another instance")
+	a.Log.WithFields(log.Fields{"peer": from.name, "entries": len(reply.Entries), "revision": a.view.Revision().String()}).Debug("applied changes from another instance")
 }
 
 func (c *catchUp) applyPeerConfig(compressed []byte, from source) {
--- a/rlb-node/pkg/rlbdiscovery/draining.go
+++ b/rlb-node/pkg/rlbdiscovery/draining.go
@@ -73,7 +73,7 @@
 		marked.Draining = true
 		entry.endpoint, entry.markedDraining = &marked, true
 		changed = true
-		v.log.WithFields(log.Fields{"endpoint": id, "source": source, "revision": uint64(entry.version)}).Info("endpoint states that it drains, before its entry does")
+		v.log.WithFields(log.Fields{"endpoint": id, "source": source, "revision": entry.version.String()}).Info("endpoint states that it drains, before its entry does")
 	}
 	return changed
 }
--- a/rlb-node/pkg/rlbdiscovery/restored_api_test.go
+++ b/rlb-node/pkg/rlbdiscovery/restored_api_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -66,10 +67,19 @@
 	}
 }
 
-// wait lets time pass and applies the end of grace periods.
-func (f *storeFixture) wait(d time.Duration) {
+// fail makes the next call of each watcher fail, as the outage that a restore comes with does.
+func (f *storeFixture) fail() {
+	f.Refuse(http.StatusServiceUnavailable)
+	defer f.Refuse(0)
+	for _, w := range f.watchers {
+		w.recordFailure(w.step(context.Background()))
+	}
+}
+
+// wait lets time pass and applies the end of grace periods in a view.
+func (f *storeFixture) wait(d time.Duration, v *View) {
 	f.now = f.now.Add(d)
-	f.view.Sweep()
+	v.Sweep()
 }
 
 // usable reports whether new requests may go to an endpoint.
@@ -100,6 +110,7 @@
 		f.writeOthers(20)
 		f.setEntry("a", "ready")
 		f.poll()
+		f.fail()
 		f.Restore(older)
 		f.setEntry("a", "leaving")
 		f.poll()
@@ -117,13 +128,13 @@
 		f.poll()
 		other := New(quiet, plainDecoder{}, func() time.Time { return f.now })
 		passChanges(other, f.view)
+		f.fail()
 		f.Restore(older)
 		f.setEntry("b", "ready")
 		f.Remove(rlbplatform.ObjectKindEndpoints, "a")
 		f.poll()
 		passChanges(other, f.view)
-		f.now = f.now.Add(outageGrace)
-		other.Sweep()
+		f.wait(outageGrace, other)
 		So(usable(other, "a"), ShouldBeFalse)
 	})
 }
@@ -135,6 +146,7 @@
 		older := f.Copy()
 		f.writeOthers(20)
 		f.poll()
+		f.fail()
 		f.Restore(older)
 		f.setConfig(8)
 		f.writeOthers(40)
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -158,7 +158,7 @@
 // logOutdated logs that entries were ignored because newer ones are known.
 func (v *View) logOutdated(entries int, newest rlbobject.Version) {
 	if entries > 0 {
-		v.log.WithFields(log.Fields{"entries": entries, "revision": uint64(newest), "known": uint64(v.revision)}).Info("ignored entries that are older than the known ones")
+		v.log.WithFields(log.Fields{"entries": entries, "revision": newest.String(), "known": v.revision.String()}).Info("ignored entries that are older than the known ones")
 	}
 }
 
@@ -219,7 +219,7 @@
 	if old == nil || old.endpoint == nil || !old.endpoint.SameIncarnation(next.endpoint) || old.endpoint.Draining != next.endpoint.Draining {
 		v.log.WithFields(log.Fields{
 			"endpoint": id, "address": next.endpoint.Address, "leaving": next.endpoint.Draining,
-			"revision": uint64(next.version), "holds": next.endpoint.LoadedModels,
+			"revision": next.version.String(), "holds": next.endpoint.LoadedModels,
 		}).Info("endpoint discovered or updated")
 	}
 }
--- a/rlb-node/pkg/rlbdiscovery/watcher.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher.go
@@ -51,6 +51,7 @@
 
 	listed      bool                               // the first list has been tried
 	cancelWatch atomic.Pointer[context.CancelFunc] // cancels the current watch call
+	watchedEra  atomic.Uint64                      // era of the current watch call; 0: there is none
 	failures    int                                // consecutive failed calls
 	revision    rlbobject.Version                  // 0: a list call is needed
 	lastAnswer  time.Time                          // time of the latest answer, or of the latest check while not active
@@ -69,8 +70,7 @@
 		}
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			w.recordFailure(err)
-			rlbcommon.Sleep(ctx, min(minBackoff<<min(w.failures, 8), maxBackoff))
-			w.failures++
+			rlbcommon.Sleep(ctx, min(minBackoff<<min(w.failures-1, 8), maxBackoff))
 		}
 	}
 }
@@ -113,11 +113,13 @@
 	call, cancel := context.WithTimeout(ctx, watchTimeout+watchSlack)
 	defer cancel()
 	w.cancelWatch.Store(&cancel)
-	changes, err := w.API.Watch(call, w.Kind, w.revision, time.Now().Add(watchTimeout))
+	w.watchedEra.Store(w.revision.Era())
+	changes, err := w.API.Watch(call, w.Kind, w.revision, w.watchDeadline())
+	w.watchedEra.Store(0)
 	triggered := w.cancelWatch.Swap(nil) == nil
 	expired := rlbobject.Is(err, rlbobject.KindExpired)
 	if expired {
-		w.Log.WithFields(log.Fields{"kind": w.Kind, "revision": uint64(w.revision)}).Info("the history since the revision of the watch is gone; reading the list again")
+		w.Log.WithFields(log.Fields{"kind": w.Kind, "revision": w.revision.String()}).Info("the history since the revision of the watch is gone; reading the list again")
 	}
 	if triggered && err != nil || expired {
 		w.revision = 0
@@ -135,23 +137,40 @@
 	return nil
 }
 
+// watchDeadline returns until when a watch call waits for changes. The first one after a
+// failure does not wait: the object API may have been restored, which only an answer shows.
+func (w *Watcher) watchDeadline() time.Time {
+	if w.failures > 0 {
+		return time.Now()
+	}
+	return time.Now().Add(watchTimeout)
+}
+
 // logUndecodable logs objects that the object API returned and that cannot be decoded. A
 // watch returns each of them once.
 func (w *Watcher) logUndecodable(c rlbobject.Changes) {
 	if c.Undecodable > 0 {
-		w.Log.WithFields(log.Fields{"kind": w.Kind, "objects": c.Undecodable, "revision": uint64(c.Revision)}).Warn("failed to decode objects of another writer; they are not used")
+		w.Log.WithFields(log.Fields{"kind": w.Kind, "objects": c.Undecodable, "revision": c.Revision.String()}).Warn("failed to decode objects of another writer; they are not used")
 	}
 }
 
-// TriggerList cancels a call that waits for changes and makes the watcher read the
-// list: another instance has changes that the call should have returned.
-func (w *Watcher) TriggerList() {
+// TriggerList cancels a call that waits for changes and makes the watcher read the list,
+// because the call should have returned changes that are known from elsewhere.
+func (w *Watcher) TriggerList(reason string) {
 	if cancel := w.cancelWatch.Swap(nil); cancel != nil {
-		w.Log.WithField("kind", w.Kind).Info("other instances have newer objects; reading the list again")
+		w.Log.WithFields(log.Fields{"kind": w.Kind, "reason": reason}).Info("reading the list again")
 		(*cancel)()
 	}
 }
 
+// CheckEra makes the watcher read the list if its current call watches in an earlier era
+// than the one the object API is known to be in.
+func (w *Watcher) CheckEra(era uint64) {
+	if watched := w.watchedEra.Load(); watched != 0 && watched < era {
+		w.TriggerList("the object API was restored from a copy")
+	}
+}
+
 // recordSuccess records an answer. It reports whether entries may be missing because
 // they lapsed in an outage that has just ended.
 func (w *Watcher) recordSuccess() bool {
@@ -169,6 +188,7 @@
 
 func (w *Watcher) recordFailure(err error) {
 	w.available.Store(false)
+	w.failures++
 	if !w.unavailable.Swap(true) {
 		w.Log.WithError(err).WithField("kind", w.Kind).Warn("object API unavailable")
 	}
--- a/rlb-node/pkg/rlbdiscovery/watcher_test.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	lists   []answer
 	watches []answer
 	calls   []string
+	waits   []time.Duration // how long each watch call may wait
 }
 
 type answer struct {
@@ -39,8 +41,9 @@
 	return respond(ctx, nextAnswer(&s.lists))
 }
 
-func (s *scriptedAPI) Watch(ctx context.Context, _ string, _ rlbobject.Version, _ time.Time) (rlbobject.Changes, error) {
+func (s *scriptedAPI) Watch(ctx context.Context, _ string, _ rlbobject.Version, deadline time.Time) (rlbobject.Changes, error) {
 	s.calls = append(s.calls, "watch")
+	s.waits = append(s.waits, time.Until(deadline))
 	return respond(ctx, nextAnswer(&s.watches))
 }
 
@@ -96,6 +99,14 @@
 	return answer{changes: rlbobject.Changes{Revision: rlbobject.Version(revision)}}
 }
 
+func versionAnswer(era, revision uint64) answer {
+	version, err := rlbobject.NewVersion(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return answer{changes: rlbobject.Changes{Revision: version}}
+}
+
 func expired() answer {
 	return answer{err: rlberror.New("watch", rlbobject.KindExpired, nil)}
 }
@@ -127,7 +138,18 @@
 	})
 	t.Run("TriggerList cancels a silent call and lists again", func(t *testing.T) {
 		api := &scriptedAPI{lists: []answer{revisionAnswer(1), revisionAnswer(2)}, watches: []answer{{silent: true}}}
-		shouldReceive(t, runWatcher(t, api, true, time.Second, (*Watcher).TriggerList), "reset", "reset")
+		shouldReceive(t, runWatcher(t, api, true, time.Second, func(w *Watcher) { w.TriggerList("test") }), "reset", "reset")
+	})
+	t.Run("CheckEra cancels a silent call of an earlier era and lists again", func(t *testing.T) {
+		api := &scriptedAPI{lists: []answer{versionAnswer(1, 5), versionAnswer(2, 3)}, watches: []answer{{silent: true}}}
+		shouldReceive(t, runWatcher(t, api, true, time.Second, func(w *Watcher) { w.CheckEra(1); w.CheckEra(2) }), "reset", "reset")
+	})
+	t.Run("does not wait for changes right after a failure", func(t *testing.T) {
+		api := &scriptedAPI{lists: []answer{revisionAnswer(1)}, watches: []answer{{err: rlberror.New("watch", rlbobject.KindUnavailable, nil)}, revisionAnswer(2), {silent: true}}}
+		runWatcher(t, api, true, time.Second, nil)
+		if want := []time.Duration{watchTimeout, 0, watchTimeout}; !slices.Equal(api.waits, want) {
+			t.Errorf("watch calls wait %v, want %v", api.waits, want)
+		}
 	})
 	t.Run("makes no call but the first list while not active", func(t *testing.T) {
 		api := &scriptedAPI{lists: []answer{revisionAnswer(1), revisionAnswer(2)}, watches: []answer{revisionAnswer(3)}}
