Endpoints that do not answer no longer hold up the reports of the others

A model without a replica then waits for a further plan.

Cause: at most 32 reports are read at once, in random order, and an endpoint that does not answer keeps its place for 250 ms, five times as long as a plan waits. With more silent endpoints than places, a plan may see no endpoint at all. The test sometimes gets by with one plan, sometimes it has two.

A call now counts for 10 ms, so that a plan gets through five times as many endpoints. The test is unchanged.

--- a/rlb-node/pkg/rlbscheduler/refresh.go
+++ b/rlb-node/pkg/rlbscheduler/refresh.go
@@ -14,6 +14,9 @@
 	// frozen in it.
 	reportWait           = 50 * time.Millisecond
 	maxConcurrentReports = 32
+	// promptReport is how long a call counts as one of maxConcurrentReports. Endpoints that
+	// do not answer must not keep a plan from reading the reports of the others.
+	promptReport = 10 * time.Millisecond
 )
 
 // refreshStates reads the reports of the endpoints whose state is not known, at the same
@@ -56,7 +59,12 @@
 // readReport reads the report of an endpoint once a slot is free.
 func (s *Scheduler) readReport(ctx context.Context, state *endpointState, slots chan struct{}) {
 	slots <- struct{}{}
-	defer func() { <-slots }()
+	late := time.AfterFunc(promptReport, func() { <-slots })
+	defer func() {
+		if late.Stop() {
+			<-slots
+		}
+	}()
 	if !state.mu.TryLock() {
 		return
 	}
