No fencing number is given out twice when the object API is restored

Cause: the fencing number was one more than the number in the object, and a restore takes the object back, number included. Whoever took the lease next got a number that was out already. Besides, the record names a holder of earlier: it may be released or missing while another instance still uses the lease.

A fencing number now follows the version that the holder's first write replaced: no two writes replace the same one, and a version of a later era is higher. A record of an earlier era makes nobody a holder. Others wait for the TTL, after which no lease of an earlier era can still be in use; the instance that knows that it holds the lease takes it over at once.

Ruled out: a counter within the era, max(number, start of era)+1. A late write of an earlier era may hit the same revision again, and the number of a holder in between would be given out again.

--- a/lib/pkg/rlblease/lease.go
+++ b/lib/pkg/rlblease/lease.go
@@ -2,6 +2,11 @@
 // one object. It needs no shared clock: a contender takes the lease over when the
 // object has not changed for the lease's TTL on the contender's own clock, and a
 // holder counts its deadline from just before it sends a renewal. It does no I/O.
+//
+// The fencing number of a holder follows the version that its first write replaced, which
+// no other write replaces. After a restore of the object API the object does not show who
+// held the lease last: nobody may hold it any more by a record of an earlier era, and it is
+// taken over after the TTL with a number of the new era, which is higher than all before.
 package rlblease
 
 import (
@@ -20,7 +25,7 @@
 // Record is the value of a lease's object.
 type Record struct {
 	Holder  string `json:"holder"`  // empty: released
-	Fence   uint64 `json:"fence"`   // increases with each change of holder
+	Fence   uint64 `json:"fence"`   // an rlbobject.Version; increases with each change of holder
 	Renewal uint64 `json:"renewal"` // number of the holder's write; makes all writes distinct
 }
 
@@ -39,6 +44,7 @@
 	known          bool          // record and version were read
 	lastChange     time.Time     // when the version was first read or written
 	deadline       time.Time     // until which this process holds the lease; zero if it does not
+	fence          uint64        // with which this process holds the lease until deadline
 	pendingWrite   *pendingWrite // the last write, until its outcome is known
 	writes         uint64        // started by this process
 	awaitingAnswer bool          // the answer to pendingWrite is outstanding
@@ -69,7 +75,7 @@
 	if !now.Before(l.deadline.Add(-l.opts.Margin)) {
 		return 0, false
 	}
-	return l.record.Fence, true
+	return l.fence, true
 }
 
 // Holder returns the lease holder according to the latest record; empty if there is
@@ -83,31 +89,58 @@
 	if l.awaitingAnswer || now.Before(l.nextStep) {
 		return StepNone, nil, 0, nil
 	}
-	holding := l.known && l.record.Holder == l.opts.Holder
+	holding := l.known && l.record.Holder == l.opts.Holder && !l.outdated()
 	switch {
-	case !l.known && !contend && l.pendingWrite == nil:
-		return StepNone, nil, 0, nil // nothing to release
+	case !contend:
+		return l.giveUp(now, holding)
 	case !l.known:
-		l.nextStep = now.Add(l.opts.TTL / renewalsPerTTL)
-		return StepRead, nil, 0, nil
-	case holding && contend:
-		return l.write(now, Record{Holder: l.opts.Holder, Fence: l.record.Fence})
+		return l.read(now)
 	case holding:
-		return l.write(now, Record{Fence: l.record.Fence})
-	case contend && l.expired(now):
-		return l.write(now, Record{Holder: l.opts.Holder, Fence: l.record.Fence + 1})
-	case contend:
-		l.nextStep = now.Add(l.opts.TTL / renewalsPerTTL)
-		return StepRead, nil, 0, nil
+		return l.write(now, Record{Holder: l.opts.Holder, Fence: l.record.Fence})
+	case l.mayTakeOver(now):
+		return l.write(now, Record{Holder: l.opts.Holder, Fence: uint64(l.version) + 1})
 	default:
-		return StepNone, nil, 0, nil
+		return l.read(now)
+	}
+}
+
+// giveUp returns the step of a process that does not contend: it releases what it holds, and
+// finds out about a write in doubt.
+func (l *Lease) giveUp(now time.Time, holding bool) (Step, []byte, rlbobject.Version, error) {
+	if holding {
+		return l.write(now, Record{Fence: l.record.Fence})
+	}
+	l.deadline = time.Time{}
+	if !l.known && l.pendingWrite != nil {
+		return l.read(now)
 	}
+	return StepNone, nil, 0, nil
+}
+
+func (l *Lease) read(now time.Time) (Step, []byte, rlbobject.Version, error) {
+	l.nextStep = now.Add(l.opts.TTL / renewalsPerTTL)
+	return StepRead, nil, 0, nil
+}
+
+// mayTakeOver reports whether no other process can hold the lease.
+func (l *Lease) mayTakeOver(now time.Time) bool {
+	if l.outdated() && now.Before(l.deadline) {
+		return true // this process still holds it from before the restore
+	}
+	return l.expired(now)
 }
 
 // expired reports whether the lease has no holder or its TTL has passed since the
 // object last changed.
 func (l *Lease) expired(now time.Time) bool {
-	return l.record.Holder == "" || now.Sub(l.lastChange) >= l.opts.TTL
+	return l.record.Holder == "" && !l.outdated() || now.Sub(l.lastChange) >= l.opts.TTL
+}
+
+// outdated reports whether the object API was restored since the record was written. The
+// lease may have another holder than the record says, until its TTL has passed. So may one
+// whose object is missing, unless there was no restore yet.
+func (l *Lease) outdated() bool {
+	return l.version.Era() > max(rlbobject.Version(l.record.Fence).Era(), rlbobject.FirstEra)
 }
 
 func (l *Lease) write(now time.Time, record Record) (Step, []byte, rlbobject.Version, error) {
@@ -138,11 +171,10 @@
 
 // decodeRecord decodes the object of a version. One that cannot be decoded, as another
 // writer left it, counts as the lease of an unknown holder, so that it expires like any
-// other. Each new fencing number takes a write, so that no holder had one higher than the
-// version.
+// other. No holder has a fencing number higher than the version.
 func decodeRecord(version rlbobject.Version, value []byte) (Record, error) {
 	var record Record
-	if version == 0 {
+	if !version.Exists() {
 		return record, nil
 	}
 	err := json.Unmarshal(value, &record)
@@ -155,8 +187,8 @@
 	return record, nil
 }
 
-// OnRead applies the object as read at now. Version 0 means that the object does not
-// exist. It returns an error if the object cannot be decoded; the lease then counts as
+// OnRead applies the object as read at now. A version without revision means that the
+// object does not exist. It returns an error if the object cannot be decoded; the lease then counts as
 // held by someone else.
 func (l *Lease) OnRead(now time.Time, version rlbobject.Version, value []byte) error {
 	record, err := decodeRecord(version, value)
@@ -173,6 +205,8 @@
 	l.pendingWrite = nil
 	l.record, l.version, l.known = record, version, true
 	switch {
+	case l.outdated():
+		// no other process takes the lease over before the deadline of this one
 	case record.Holder != l.opts.Holder:
 		l.deadline = time.Time{}
 	case w != nil && record == w.record:
@@ -185,7 +219,7 @@
 // lease.
 func (l *Lease) extendDeadline(w *pendingWrite) {
 	if w.record.Holder == l.opts.Holder {
-		l.deadline = w.sent.Add(l.opts.TTL)
+		l.deadline, l.fence = w.sent.Add(l.opts.TTL), w.record.Fence
 	}
 }
 
--- a/lib/pkg/rlblease/model_test.go
+++ b/lib/pkg/rlblease/model_test.go
@@ -14,8 +14,9 @@
 )
 
 // The model check has two processes that compete for one lease. Reads and writes may
-// be late, their answers may be lost, and a process may be paused for any time. Time
-// passes in units; a paused process takes no step.
+// be late, their answers may be lost, and a process may be paused for any time. The object
+// API may be restored to one of its latest states. Time passes in units; a paused process
+// takes no step.
 const (
 	unit = time.Second
 	ttl  = 2 * unit
@@ -30,25 +31,45 @@
 	processed bool // the call took effect; its answer is in flight
 	version   rlbobject.Version
 	refused   bool
+	inDoubt   bool // the write took effect in another era than it expected
 }
 
 // bounds are the limits of one exploration.
-type bounds struct{ units, faults int }
+type bounds struct{ units, faults, restores int }
 
-type model struct {
-	now     int
-	leases  [2]Lease
+// stored is a state of the object; a version without revision means that it does not exist.
+type stored struct {
 	version rlbobject.Version
 	value   string
-	calls   []call
-	faults  int // lost answers and late writes so far
-	bounds  bounds
+}
+
+// maxCopies is the number of earlier states of the object that it can be restored to.
+const maxCopies = 2
+
+type model struct {
+	now    int
+	leases [2]Lease
+	stored
+	copies   []stored // the latest earlier states
+	calls    []call
+	faults   int // lost answers and late writes so far
+	restores int
+	bounds   bounds
+}
+
+func versionOf(era, revision uint64) rlbobject.Version {
+	v, err := rlbobject.NewVersion(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return v
 }
 
 func (m model) clock() time.Time { return time.Unix(0, 0).Add(time.Duration(m.now) * unit) }
 
 func (m model) clone() model {
 	m.calls = append([]call(nil), m.calls...)
+	m.copies = append([]stored(nil), m.copies...)
 	for i := range m.leases {
 		if f := m.leases[i].pendingWrite; f != nil {
 			copied := *f
@@ -75,6 +96,10 @@
 		return r
 	}
 	addRecord(m.value)
+	for _, c := range m.copies {
+		addRecord(c.value)
+		versions[uint64(c.version)] = 0
+	}
 	for _, c := range m.calls {
 		addRecord(c.value)
 		versions[uint64(c.ifVersion)], versions[uint64(c.version)] = 0, 0
@@ -89,13 +114,19 @@
 	versions.rank()
 	renewals.rank()
 	fences.rank()
-	show := func(r Record) string { return fmt.Sprint(r.Holder, fences[r.Fence], renewals[r.Renewal]) }
-	key := fmt.Sprint(m.now, m.faults, "|", versions[uint64(m.version)], show(records[0]))
+	show := func(r Record) string {
+		return fmt.Sprint(r.Holder, rlbobject.Version(r.Fence).Era(), " ", fences[r.Fence], renewals[r.Renewal])
+	}
+	showVersion := func(v rlbobject.Version) string { return fmt.Sprint(v.Era(), "/", versions[uint64(v)], v.Exists()) }
+	key := fmt.Sprint(m.now, m.faults, m.restores, "|", showVersion(m.version), show(records[0]))
+	for i, c := range m.copies {
+		key += fmt.Sprint("c", showVersion(c.version), show(records[i+1]))
+	}
 	for i, a := range m.calls {
-		key += fmt.Sprint("|", a.process, a.write, show(records[i+1]), versions[uint64(a.ifVersion)], a.awaited, a.processed, versions[uint64(a.version)], a.refused)
+		key += fmt.Sprint("|", a.process, a.write, show(records[len(m.copies)+i+1]), showVersion(a.ifVersion), a.awaited, a.processed, showVersion(a.version), a.refused, a.inDoubt)
 	}
 	for _, l := range m.leases {
-		key += fmt.Sprint("|", versions[uint64(l.version)], l.known, m.remaining(l.deadline), l.awaitingAnswer)
+		key += fmt.Sprint("|", showVersion(l.version), l.known, m.remaining(l.deadline), l.awaitingAnswer)
 		if l.known {
 			key += fmt.Sprint(" ", show(l.record), m.age(l.lastChange))
 		}
@@ -151,9 +182,23 @@
 	for i := range m.calls {
 		m.addCallSteps(i, add)
 	}
+	if m.restores < m.bounds.restores {
+		for _, c := range m.copies {
+			next := m.clone()
+			next.restore(c)
+			add("the object API is restored to "+c.version.String(), next)
+		}
+	}
 	return steps
 }
 
+// restore replaces the object by an earlier state, in a new era.
+func (m *model) restore(c stored) {
+	m.restores++
+	m.stored = stored{versionOf(m.version.Era()+1, c.version.Revision()), c.value}
+	m.copies = nil // the states of the era that is over are gone
+}
+
 func (m model) step(p int) (model, bool) {
 	next := m.clone()
 	step, value, ifVersion, err := next.leases[p].Next(m.clock(), true)
@@ -213,9 +258,12 @@
 	switch {
 	case !c.write:
 		c.version, c.value = m.version, m.value
-	case c.ifVersion != m.version:
+	case c.ifVersion.Revision() != m.version.Revision():
 		c.refused = true
 	default:
+		m.copies = append(m.copies, m.stored)
+		m.copies = m.copies[max(len(m.copies)-maxCopies, 0):]
+		c.inDoubt = c.ifVersion.Era() != m.version.Era()
 		m.version++
 		m.value, c.version = c.value, m.version
 	}
@@ -243,15 +291,17 @@
 		}
 	case c.refused:
 		l.OnWriteRefused(true)
+	case c.inDoubt:
+		l.OnWriteUnanswered()
 	default:
 		l.OnWritten(m.clock(), c.version)
 	}
 }
 
 func TestNeverTwoHolders(t *testing.T) {
-	for _, b := range []bounds{{units: 3, faults: 2}, {units: 4, faults: 1}} {
+	for _, b := range []bounds{{units: 3, faults: 2}, {units: 4, faults: 1}, {units: 4, restores: 1}, {units: 3, faults: 1, restores: 2}} {
 		Convey(fmt.Sprintf("at most one process holds the lease in any order of calls and pauses, %+v", b), t, func() {
-			initial := model{bounds: b}
+			initial := model{bounds: b, stored: stored{version: versionOf(rlbobject.FirstEra, 0)}}
 			for i := range initial.leases {
 				initial.leases[i] = *New(Opts{Holder: fmt.Sprint("p", i), TTL: ttl})
 			}
--- a/rlb-node/pkg/rlbscheduler/lease.go
+++ b/rlb-node/pkg/rlbscheduler/lease.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	got, err := m.api.Get(ctx, leaseKey)
 	if rlbobject.Is(err, rlbobject.KindNotFound) {
-		got, err = rlbobject.Object{}, nil
+		err = nil // the version says that there is no object
 	}
 	if err != nil {
 		m.log.WithError(err).Warn("failed to read the lease")
