Endpoints that left do not come back with a restore of the object API

An endpoint that drained, or whose entry was removed, was used again when the object API came back from a copy in which it was still ready (DRAIN).

Cause: what an entry of a later era says replaced all that was known, although that entry can be older than the knowledge. Draining was kept only for endpoints that state it in an answer, and a removal was forgotten with the entry.

An incarnation that drained stays so, whichever way it was learned, and digests tell it to the instances that have not seen it. An entry that was removed before the restore is not used until it is written once more or has outlived the time after which the platform removes silent endpoints: setting node.report_interval, four of them. To drop it for good would give up endpoints that were only cut off.

Open: an instance that starts after the restore does not know what was removed.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -63,6 +63,7 @@
 	NodeGrace          = &Key{"node", "grace", TypeDuration, "8s", "1s", "24h", "Time between the termination signal and the forced kill.", ForNode}
 	NodeLeaseTTL       = &Key{"node", "lease", TypeDuration, "3s", "500ms", "2m", "Time after which the lease for sending orders expires unless it is renewed.", ForNode}
 	NodeLoadWindow     = &Key{"node", "load_window", TypeDuration, "5s", "1s", "10m", "Time window over which loads from the weight store are counted.", ForNode}
+	NodeReportInterval = &Key{"node", "report_interval", TypeDuration, "1200ms", "10ms", "10m", "Interval at which endpoints write their entries; the platform removes an entry after three without.", ForNode}
 	NodeFencing        = &Key{"node", "fencing", TypeBool, "true", "", "", "Whether endpoints refuse orders with an outdated fencing number.", ForNode}
 
 	KeysCert = &Key{"keys", "cert", TypeText, "", "", "", "PEM file with the certificate of this instance for control links; empty for plain TCP.", ForGateway | ForController | ForCtl}
@@ -99,7 +100,7 @@
 	GatewayMaxInFlight, GatewayEndpointInFlight, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerLeaseMargin,
 	ControllerLoadRate, ControllerLoadsAtOnce, ControllerMoveWeight, ControllerReplicas, ControllerWatchers, ControllerClaimRetention, ControllerClaimCommit, ControllerClaimShards,
-	NodeCallers, NodeReadiness, NodeInternal, NodeAdvertise, NodeInternalPorts, NodeRetryRatio, NodeRetryAllowance, NodeRetryWindow, NodeGrace, NodeLeaseTTL, NodeLoadWindow, NodeFencing,
+	NodeCallers, NodeReadiness, NodeInternal, NodeAdvertise, NodeInternalPorts, NodeRetryRatio, NodeRetryAllowance, NodeRetryWindow, NodeGrace, NodeLeaseTTL, NodeLoadWindow, NodeReportInterval, NodeFencing,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefillRate, StandinStep, StandinStepPerRequest,
 	StandinPrefixes, StandinInstances, StandinListLag, StandinLoadRate, StandinLoadTime, StandinLoadsAtOnce, StandinModelMemory, StandinRecord,
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -38,6 +38,9 @@
 	maxIdleConnsPerHost = 4
 	sweepPeriod         = 250 * time.Millisecond
 	endpointTimeout     = 30 * time.Second // for an answer, if the request sets no timeout
+	// silenceIntervals is the number of report intervals within which the platform has
+	// removed the entry of an endpoint that writes none: it does so after three.
+	silenceIntervals = 4
 )
 
 // app is a running instance.
@@ -130,7 +133,7 @@
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
 	a.limiter = rlbratelimit.New(rlbratelimit.Opts{Now: rlbclock.Now, Random: rand.Float64, Peers: a.peerLimits})
-	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now)
+	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now, silenceIntervals*settings.Duration(rlbsettings.NodeReportInterval))
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
--- a/rlb-node/pkg/rlbapp/settings.go
+++ b/rlb-node/pkg/rlbapp/settings.go
@@ -77,7 +77,7 @@
 	var names []string
 	for _, key := range []*rlbsettings.Key{
 		rlbsettings.InstanceID, rlbsettings.InstanceDomain, rlbsettings.PlatformObjects, rlbsettings.NodeCallers,
-		rlbsettings.NodeReadiness, rlbsettings.NodeInternal, rlbsettings.NodeAdvertise, rlbsettings.NodeInternalPorts, rlbsettings.NodeLeaseTTL, rlbsettings.NodeLoadWindow,
+		rlbsettings.NodeReadiness, rlbsettings.NodeInternal, rlbsettings.NodeAdvertise, rlbsettings.NodeInternalPorts, rlbsettings.NodeLeaseTTL, rlbsettings.NodeLoadWindow, rlbsettings.NodeReportInterval,
 	} {
 		if settings.Text(key) != a.Settings.Text(key) {
 			names = append(names, key.Section+"."+key.Name)
--- a/rlb-node/pkg/rlbdiscovery/draining.go
+++ b/rlb-node/pkg/rlbdiscovery/draining.go
@@ -11,9 +11,10 @@
 // entry that lapsed in an outage of the object API may come back.
 const drainingTTL = 10 * time.Minute
 
-// drainingSet holds the incarnations of endpoints that stated in an answer that they
-// drain. An incarnation that drains never takes new work again, so that what its entry
-// says does not end it: the entry may be older than the answer.
+// drainingSet holds the incarnations of endpoints that stated in an answer or in their entry
+// that they drain. An incarnation that drains never takes new work again, so that what its
+// entry says later does not end it: the entry may be older than the answer, or come from a
+// copy from which the object API was restored.
 type drainingSet map[uint64]time.Time // when the entry was last known, by incarnation
 
 // contains reports whether the incarnation of an endpoint stated that it drains.
--- a/rlb-node/pkg/rlbdiscovery/restored_api_test.go
+++ b/rlb-node/pkg/rlbdiscovery/restored_api_test.go
@@ -15,6 +15,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// testSilence is the time after which the platform removes the entry of a silent endpoint.
+const testSilence = 4 * time.Second
+
 // storeFixture is an object API that can be restored from a copy, and an instance that
 // watches its configs and entries.
 type storeFixture struct {
@@ -31,7 +34,7 @@
 	t.Cleanup(server.Close)
 	api := rlbplatform.NewObjects(strings.TrimPrefix(server.URL, "http://"), server.Client())
 	clock := func() time.Time { return f.now }
-	f.view = New(quiet, plainDecoder{}, clock)
+	f.view = New(quiet, plainDecoder{}, clock, testSilence)
 	watch := func(kind string, sink Sink) {
 		f.watchers = append(f.watchers, &Watcher{API: api, FirstAPI: api, Kind: kind, Sink: sink, Log: quiet, Now: clock, lastAnswer: f.now})
 	}
@@ -126,7 +129,7 @@
 		f.writeOthers(20)
 		f.setEntry("b", "ready")
 		f.poll()
-		other := New(quiet, plainDecoder{}, func() time.Time { return f.now })
+		other := New(quiet, plainDecoder{}, func() time.Time { return f.now }, testSilence)
 		passChanges(other, f.view)
 		f.fail()
 		f.Restore(older)
@@ -154,3 +157,67 @@
 		So(configVersion(f.view.Snapshot().Config), ShouldEqual, 8)
 	})
 }
+
+func TestEndpointThatLeftDoesNotComeBackWithARestore(t *testing.T) {
+	// leave makes an endpoint leave, after the copy that is restored.
+	play := func(leave func(f *storeFixture)) *storeFixture {
+		f := newStoreFixture(t)
+		f.setEntry("a", "ready")
+		f.setEntry("b", "ready")
+		older := f.Copy()
+		f.poll()
+		leave(f)
+		f.poll()
+		f.fail()
+		f.Restore(older)
+		f.poll()
+		return f
+	}
+	drain := func(f *storeFixture) { f.setEntry("a", "leaving") }
+	remove := func(f *storeFixture) { f.Remove(rlbplatform.ObjectKindEndpoints, "a") }
+	Convey("An endpoint that drained is not used, and other instances learn it", t, func() {
+		f := play(drain)
+		So(usable(f.view, "a"), ShouldBeFalse)
+		So(usable(f.view, "b"), ShouldBeTrue)
+		So(f.view.MarkedDraining(), ShouldHaveLength, 1)
+		f.wait(time.Minute, f.view)
+		So(usable(f.view, "a"), ShouldBeFalse)
+	})
+	Convey("An endpoint that drained and was removed is not used", t, func() {
+		f := play(func(f *storeFixture) { drain(f); f.poll(); remove(f) })
+		So(usable(f.view, "a"), ShouldBeFalse)
+	})
+	Convey("An endpoint that was removed is not used before its entry has outlived a silent endpoint", t, func() {
+		f := play(func(f *storeFixture) { remove(f); f.poll(); f.wait(removalGrace, f.view) })
+		So(usable(f.view, "a"), ShouldBeFalse)
+		So(usable(f.view, "b"), ShouldBeTrue)
+		f.wait(testSilence-time.Millisecond, f.view)
+		So(usable(f.view, "a"), ShouldBeFalse)
+		f.wait(time.Millisecond, f.view)
+		So(usable(f.view, "a"), ShouldBeTrue)
+	})
+	Convey("The same holds for one whose entry lapsed in an outage and did not come back", t, func() {
+		f := play(func(f *storeFixture) {
+			remove(f)
+			f.watchers[0].outageEnd = f.now
+			f.poll()
+			f.wait(outageGrace, f.view)
+		})
+		So(usable(f.view, "a"), ShouldBeFalse)
+	})
+	Convey("The same holds within the grace period after its removal", t, func() {
+		f := play(remove)
+		So(usable(f.view, "a"), ShouldBeFalse)
+	})
+	Convey("An endpoint whose entry comes back without a restore is used at once", t, func() {
+		f := newStoreFixture(t)
+		f.setEntry("a", "ready")
+		f.poll()
+		f.Remove(rlbplatform.ObjectKindEndpoints, "a")
+		f.poll()
+		f.wait(removalGrace, f.view)
+		f.setEntry("a", "ready")
+		f.poll()
+		So(usable(f.view, "a"), ShouldBeTrue)
+	})
+}
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -41,6 +41,8 @@
 	log     log.Interface
 	decoder Decoder
 	now     func() time.Time
+	// silence is the time after which the platform removes the entry of a silent endpoint.
+	silence time.Duration
 
 	mu               sync.Mutex
 	config           *rlbdeployment.Config
@@ -49,6 +51,7 @@
 	revision         rlbobject.Version // newest version of an entry or removal
 	removals         []removal         // the latest ones, at most maxRemovals
 	draining         drainingSet
+	removed          removedSet
 
 	snapshot atomic.Pointer[Snapshot]
 }
@@ -61,6 +64,9 @@
 	// markedDraining reports that the endpoint counts as draining because it stated so in
 	// an answer, not because its entry does.
 	markedDraining bool
+	// unusedUntil is when the endpoint may be used; zero: now. It is set if the entry may be
+	// back only because the object API was restored.
+	unusedUntil time.Time
 }
 
 // removal records that an entry was removed.
@@ -73,9 +79,9 @@
 // maxRemovals is how many removals are kept for instances that catch up.
 const maxRemovals = 256
 
-// New returns an empty view.
-func New(logger log.Interface, decoder Decoder, now func() time.Time) *View {
-	v := &View{log: logger, decoder: decoder, now: now, entries: map[string]*entry{}, draining: drainingSet{}}
+// New returns an empty view. The platform removes the entry of an endpoint after silence.
+func New(logger log.Interface, decoder Decoder, now func() time.Time, silence time.Duration) *View {
+	v := &View{log: logger, decoder: decoder, now: now, silence: silence, entries: map[string]*entry{}, draining: drainingSet{}, removed: removedSet{}}
 	v.snapshot.Store(&Snapshot{})
 	return v
 }
@@ -124,7 +130,7 @@
 	v.logOutdated(outdated, revision)
 	for id, e := range v.entries {
 		if !listed[id] && e.dropAt.IsZero() && e.version <= revision {
-			v.recordRemoval(id, revision, afterOutage)
+			v.recordRemoval(id, e, revision, afterOutage)
 			v.scheduleDrop(id, e, afterOutage)
 		}
 	}
@@ -145,7 +151,7 @@
 			continue
 		}
 		if e, known := v.entries[o.Name]; known && o.Version >= e.version {
-			v.recordRemoval(o.Name, o.Version, afterOutage)
+			v.recordRemoval(o.Name, e, o.Version, afterOutage)
 			v.scheduleDrop(o.Name, e, afterOutage)
 		} else if known {
 			outdated++
@@ -162,7 +168,10 @@
 	}
 }
 
-func (v *View) recordRemoval(name string, version rlbobject.Version, lapsed bool) {
+func (v *View) recordRemoval(name string, e *entry, version rlbobject.Version, lapsed bool) {
+	if e.endpoint != nil && !lapsed {
+		v.removed.add(e.endpoint, version.Era(), v.now())
+	}
 	v.removals = append(v.removals, removal{name, version, lapsed})
 	if len(v.removals) > maxRemovals {
 		v.removals = v.removals[len(v.removals)-maxRemovals:]
@@ -182,7 +191,8 @@
 		}
 	}
 	v.expireDraining()
-	if dropped {
+	v.removed.expire(now)
+	if v.useBroughtBack() || dropped {
 		v.publish()
 	}
 }
@@ -203,8 +213,7 @@
 		next.raw = nil // of any size; other instances need to know only that there is no endpoint
 		v.log.WithError(err).WithField("endpoint", o.Name).Warn("failed to decode the entry of an endpoint; the endpoint is not used")
 	} else {
-		next.endpoint, next.markedDraining = decoded, !decoded.Draining && v.draining.contains(decoded)
-		decoded.Draining = decoded.Draining || next.markedDraining
+		v.applyEndpoint(next, decoded)
 	}
 	v.entries[o.Name] = next
 	v.revision = max(v.revision, o.Version)
@@ -212,6 +221,21 @@
 	return true
 }
 
+// applyEndpoint sets the endpoint of an entry. What is known to drain, or to be gone, is not
+// used because an older entry says otherwise.
+func (v *View) applyEndpoint(e *entry, endpoint *rlbdeployment.Endpoint) {
+	e.endpoint = endpoint
+	if endpoint.Draining {
+		v.draining[endpoint.IncarnationKey()] = v.now()
+	}
+	e.markedDraining = !endpoint.Draining && v.draining.contains(endpoint)
+	endpoint.Draining = endpoint.Draining || e.markedDraining
+	if v.removed.broughtBack(endpoint, e.version) {
+		e.unusedUntil = v.now().Add(v.silence)
+		v.log.WithFields(log.Fields{"endpoint": endpoint.ID, "revision": e.version.String()}).Info("entry of a removed endpoint is back after a restore of the object API; it is not used yet")
+	}
+}
+
 func (v *View) logEntry(id string, old, next *entry) {
 	if next.endpoint == nil {
 		return
@@ -241,6 +265,9 @@
 }
 
 func (v *View) dropEntry(id, reason string) {
+	if e := v.entries[id]; e.endpoint != nil {
+		v.removed.add(e.endpoint, v.revision.Era(), v.now())
+	}
 	delete(v.entries, id)
 	v.log.WithFields(log.Fields{"endpoint": id, "reason": reason}).Info("endpoint removed")
 }
@@ -249,7 +276,7 @@
 func (v *View) publish() {
 	s := &Snapshot{Config: v.config, ByID: map[string]*rlbdeployment.Endpoint{}, ByService: map[string][]*rlbdeployment.Endpoint{}}
 	for id, e := range v.entries {
-		if e.endpoint == nil {
+		if e.endpoint == nil || !e.unusedUntil.IsZero() {
 			continue
 		}
 		s.ByID[id] = e.endpoint
--- a/rlb-node/pkg/rlbdiscovery/view_test.go
+++ b/rlb-node/pkg/rlbdiscovery/view_test.go
@@ -47,7 +47,7 @@
 func TestView(t *testing.T) {
 	Convey("Given a view of two endpoints and a config", t, func() {
 		now := time.Unix(1000, 0)
-		v := New(quiet, plainDecoder{}, func() time.Time { return now })
+		v := New(quiet, plainDecoder{}, func() time.Time { return now }, testSilence)
 		v.ApplyConfig([]byte("7"), "test")
 		v.ApplyList([]rlbobject.Object{ready("a", 1), ready("b", 2)}, 9, false)
 		state := func() string {
@@ -140,7 +140,7 @@
 func TestIncarnationThatStatedThatItDrains(t *testing.T) {
 	Convey("Given an endpoint that stated in an answer that it drains", t, func() {
 		now := time.Unix(1000, 0)
-		v := New(quiet, startDecoder{}, func() time.Time { return now })
+		v := New(quiet, startDecoder{}, func() time.Time { return now }, testSilence)
 		v.ApplyList(startEntry(1, "5 ready"), 9, false)
 		So(v.MarkDraining(v.Snapshot().ByID["a"], "test"), ShouldBeTrue)
 		So(v.Snapshot().ByID["a"].Draining, ShouldBeTrue)
@@ -177,7 +177,7 @@
 		})
 	})
 	Convey("A statement that another instance passed on counts before the entry is known", t, func() {
-		v := New(quiet, startDecoder{}, time.Now)
+		v := New(quiet, startDecoder{}, time.Now, testSilence)
 		e := rlbdeployment.Endpoint{ID: "a", StartedAt: time.UnixMilli(5)}
 		v.MarkDrainingIncarnations([]uint64{e.IncarnationKey()}, "test")
 		v.ApplyList(startEntry(1, "5 ready"), 9, false)
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -72,7 +72,7 @@
 	t.Helper()
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	f := &fixture{replicas: map[string]*rlbfakedeployment.Replica{}}
-	f.view = rlbdiscovery.New(quiet, decoder{}, f.now)
+	f.view = rlbdiscovery.New(quiet, decoder{}, f.now, time.Second)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(time.Minute), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute,
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -203,7 +203,7 @@
 // start runs an instance until ctx ends.
 func (f *testFleet) start(ctx context.Context, name string) *Scheduler {
 	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	view := rlbdiscovery.New(logger, fakeDecoder{}, time.Now)
+	view := rlbdiscovery.New(logger, fakeDecoder{}, time.Now, time.Second)
 	view.ApplyConfig(nil, "test")
 	var entries []rlbobject.Object
 	for id := range f.engines.endpoints {
