Endpoints whose entries a restore has lost get the time to write them again

An endpoint that had registered after the copy was made was dropped 0.9 s after the object API came back from it, and its callers were refused, although it lives and writes its entry again within about two seconds.

Cause: missing from a list counts as removed, and only an outage of more than 2.8 s as a reason why an entry may be missing and come back. The first list of a later era now counts as one after an outage: 1.7 s, and other instances are told that the entry lapsed. An outage is no condition, a restore can be shorter.

--- a/rlb-node/pkg/rlbdiscovery/restored_api_test.go
+++ b/rlb-node/pkg/rlbdiscovery/restored_api_test.go
@@ -221,3 +221,35 @@
 		So(usable(f.view, "a"), ShouldBeTrue)
 	})
 }
+
+func TestEndpointMissingFromTheRestoredCopyStaysInUse(t *testing.T) {
+	Convey("Given an endpoint whose entry is newer than the copy that was restored", t, func() {
+		f := newStoreFixture(t)
+		f.setEntry("a", "ready")
+		older := f.Copy()
+		f.setEntry("b", "ready")
+		f.poll()
+		other := New(quiet, plainDecoder{}, func() time.Time { return f.now }, testSilence)
+		passChanges(other, f.view)
+		f.fail()
+		f.Restore(older)
+		f.poll()
+		passChanges(other, f.view)
+		Convey("it has as long to write its entry again as after an outage", func() {
+			f.wait(outageGrace-time.Millisecond, f.view)
+			So(usable(f.view, "b"), ShouldBeTrue)
+			other.Sweep()
+			So(usable(other, "b"), ShouldBeTrue)
+			f.setEntry("b", "ready")
+			f.poll()
+			f.wait(time.Second, f.view)
+			So(usable(f.view, "b"), ShouldBeTrue)
+		})
+		Convey("it is not used if it does not", func() {
+			f.wait(outageGrace, f.view)
+			So(usable(f.view, "b"), ShouldBeFalse)
+			other.Sweep()
+			So(usable(other, "b"), ShouldBeFalse)
+		})
+	})
+}
--- a/rlb-node/pkg/rlbdiscovery/watcher.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher.go
@@ -50,6 +50,7 @@
 	BatchDelay time.Duration
 
 	listed      bool                               // the first list has been tried
+	listedEra   uint64                             // era of the latest list; 0: there is none
 	cancelWatch atomic.Pointer[context.CancelFunc] // cancels the current watch call
 	watchedEra  atomic.Uint64                      // era of the current watch call; 0: there is none
 	failures    int                                // consecutive failed calls
@@ -104,6 +105,10 @@
 		return err
 	}
 	w.logUndecodable(all)
+	if w.listedEra != 0 && w.listedEra < all.Revision.Era() {
+		w.outageEnd = w.Now() // entries that are newer than the restored copy are missing
+	}
+	w.listedEra = all.Revision.Era()
 	w.Sink.ApplyList(all.Objects, all.Revision, w.recordSuccess())
 	w.revision = all.Revision
 	return nil
