Instances register again when a restore has lost their registration

An instance that registered after the copy was made had no registration once the object API came back, until its renewal ten minutes later: an instance that starts does not find it, and if it is the only one of its failure domain, nor that domain.

Cause: written once counts as written. The instance now also renews when the object API is in another era, as seen by itself or in what other instances tell it. That is two or three calls an instance and restore.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -59,7 +59,7 @@
 	registry        metrics.Registry
 	api             rlbobject.API
 	staleAPI        rlbobject.API // the same with reads that may return data that is seconds old
-	apiEra          func() uint64 // number of the latest restore of the object API
+	apiEra          func() uint64 // number of the latest restore of the object API that it has named to this instance
 	view            *rlbdiscovery.View
 	fleet           *rlbpeer.Fleet
 	link            *rlbpeer.Link
@@ -222,7 +222,7 @@
 // checkEra logs that the object API names another era than the known one, and makes watches
 // of an earlier era list again. It returns the era.
 func (a *app) checkEra(known uint64) uint64 {
-	era := a.apiEra()
+	era := a.era()
 	if era != known {
 		a.Log.WithFields(log.Fields{"previous": known, "era": era}).Info("object API names another era; each restore from a copy begins one")
 	}
@@ -231,6 +231,10 @@
 	return era
 }
 
+// era returns the number of the latest restore of the object API that this instance or
+// another one has seen.
+func (a *app) era() uint64 { return max(a.apiEra(), a.view.Revision().Era()) }
+
 func (a *app) demand() map[string]float32 { return a.proxy.Demand().Read() }
 
 // peerLoad returns the load of the other instances at an endpoint.
--- a/rlb-node/pkg/rlbapp/register.go
+++ b/rlb-node/pkg/rlbapp/register.go
@@ -33,21 +33,37 @@
 	Renewal uint64 `json:"renewal"` // number of the renewal by this process; it makes each renewal change the object
 }
 
+// ownRegistration is the state of this instance's registration.
+type ownRegistration struct {
+	renewal uint64 // number of the latest renewal
+	renewed time.Time
+	era     uint64 // of the object API at the latest renewal
+}
+
 // register registers this instance and discovers the others. A watcher repeats the
 // discovery while it is isolated, that is while it receives from no other instance or
-// no longer from every domain. Each instance renews its registration periodically.
+// no longer from every domain.
 func (a *app) register(ctx context.Context) {
 	stored := a.registerAtStart(ctx)
-	renewal, renewed := stored.Renewal, rlbclock.Now()
+	own := ownRegistration{stored.Renewal, rlbclock.Now(), a.era()}
 	for rlbcommon.Sleep(ctx, isolatedPollInterval) {
-		now := rlbclock.Now()
-		if a.fleet.Isolated(now) && a.isWatcher() {
+		if a.fleet.Isolated(rlbclock.Now()) && a.isWatcher() {
 			a.discoverPeers(ctx, a.api)
 		}
-		if now.Sub(renewed) > renewInterval && a.writeRegistration(ctx, renewal+1) {
-			renewal, renewed = renewal+1, now
-			a.deleteStaleRegistrations(ctx)
-		}
+		a.keepRegistered(ctx, &own)
+	}
+}
+
+// keepRegistered renews the registration periodically, and after a restore of the object
+// API, which may have lost it.
+func (a *app) keepRegistered(ctx context.Context, own *ownRegistration) {
+	now, era := rlbclock.Now(), a.era()
+	if now.Sub(own.renewed) <= renewInterval && own.era == era {
+		return
+	}
+	if a.writeRegistration(ctx, own.renewal+1) {
+		*own = ownRegistration{own.renewal + 1, now, era}
+		a.deleteStaleRegistrations(ctx)
 	}
 }
 
--- a/rlb-node/pkg/rlbapp/register_test.go
+++ b/rlb-node/pkg/rlbapp/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -10,6 +11,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -19,7 +21,9 @@
 	a := &app{
 		Common: &rlbcommon.Common{Log: log.NewEntry(&log.Logger{Handler: discard.New(), Level: log.InfoLevel})},
 		name:   name, domain: "x", address: name + ":1", api: api, staleAPI: api, fleet: rlbpeer.NewFleet(name, "x"),
+		view: rlbdiscovery.New(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, decoder{}, rlbclock.Now, time.Second),
 	}
+	a.apiEra = func() uint64 { return 0 }
 	a.holdsLease = func() bool { return holder }
 	return a
 }
