Refused requests are stored again when a restore has lost them

The lease holder counted the properties of requests that crash endpoints as stored, although the object API had come back from a copy without them. After a restart of all instances such requests crash endpoints again.

The holder reads the object again when the object API is in another era than at its latest read, merges it and writes it if it lacks what the holder knows.

--- a/rlb-node/pkg/rlbapp/crash_store.go
+++ b/rlb-node/pkg/rlbapp/crash_store.go
@@ -39,11 +39,12 @@
 	app     *app
 	stored  []rlbcrash.Property // in the object as this instance knows it
 	version rlbobject.Version   // of the object; 0: not known or no object
+	era     uint64              // of the object API when the object was read
 }
 
 // run loads the stored properties and then writes them when they change, until ctx ends.
 func (s *crashStore) run(ctx context.Context) {
-	for ctx.Err() == nil && !s.load(ctx) {
+	for ctx.Err() == nil && !s.load(ctx, s.app.staleAPI) {
 		rlbcommon.Sleep(ctx, retryDelay)
 	}
 	for rlbcommon.Sleep(ctx, crashStoreInterval) {
@@ -53,10 +54,11 @@
 
 // load merges the stored evidence into that of this instance. Its crashes count from now
 // on. It reports whether the object could be read or does not exist.
-func (s *crashStore) load(ctx context.Context) bool {
+func (s *crashStore) load(ctx context.Context, api rlbobject.API) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	causes, err := s.read(ctx, s.app.staleAPI)
+	era := s.app.era()
+	causes, err := s.read(ctx, api)
 	if err != nil {
 		s.app.Log.WithError(err).Warn("failed to read which requests crash endpoints")
 		return false
@@ -73,6 +75,7 @@
 		records = append(records, r)
 		s.stored = append(s.stored, r.Property)
 	}
+	s.era = era
 	s.app.crashes.Merge(records)
 	s.app.Log.WithField("properties", len(records)).Info("loaded which requests crash endpoints")
 	return true
@@ -82,7 +85,7 @@
 func (s *crashStore) read(ctx context.Context, api rlbobject.API) ([]storedCause, error) {
 	o, err := api.Get(ctx, crashCausesKey)
 	if rlbobject.Is(err, rlbobject.KindNotFound) {
-		s.version = 0
+		s.version = o.Version
 		return nil, nil
 	}
 	if err != nil {
@@ -103,6 +106,9 @@
 	if !s.app.holdsLease() {
 		return
 	}
+	if s.era != s.app.era() && !s.load(ctx, s.app.api) { // a restore may have lost what is stored
+		return
+	}
 	records := s.app.crashes.RefusedRecords()
 	var properties []rlbcrash.Property
 	for _, r := range records {
--- a/rlb-node/pkg/rlbapp/crash_store_test.go
+++ b/rlb-node/pkg/rlbapp/crash_store_test.go
@@ -38,24 +38,24 @@
 		Convey("a new process refuses them once it has loaded the object", func() {
 			next, loaded := start(api, false)
 			So(refuses(next), ShouldBeFalse)
-			So(loaded.load(ctx), ShouldBeTrue)
+			So(loaded.load(ctx, api), ShouldBeTrue)
 			So(refuses(next), ShouldBeTrue)
 		})
 		Convey("one that cannot read the object tries again", func() {
 			next, loaded := start(api, false)
 			api.SetDown(true)
-			So(loaded.load(ctx), ShouldBeFalse)
+			So(loaded.load(ctx, api), ShouldBeFalse)
 			api.SetDown(false)
-			So(loaded.load(ctx), ShouldBeTrue)
+			So(loaded.load(ctx, api), ShouldBeTrue)
 			So(refuses(next), ShouldBeTrue)
 		})
 		Convey("the next lease holder removes the part from the object when it is answered", func() {
 			next, loaded := start(api, true)
-			So(loaded.load(ctx), ShouldBeTrue)
+			So(loaded.load(ctx, api), ShouldBeTrue)
 			next.crashes.RecordAnswer("s", []rlbcrash.Property{part})
 			loaded.saveChanges(ctx)
 			last, reloaded := start(api, false)
-			So(reloaded.load(ctx), ShouldBeTrue)
+			So(reloaded.load(ctx, api), ShouldBeTrue)
 			So(refuses(last), ShouldBeFalse)
 		})
 		Convey("a holder that does not know the version of the object reads it and writes at its next check", func() {
@@ -64,7 +64,7 @@
 			unaware.saveChanges(ctx)
 			unaware.saveChanges(ctx)
 			last, reloaded := start(api, false)
-			So(reloaded.load(ctx), ShouldBeTrue)
+			So(reloaded.load(ctx, api), ShouldBeTrue)
 			So(refuses(last), ShouldBeFalse)
 			So(last.crashes.Refused(), ShouldEqual, 1)
 		})
@@ -73,8 +73,35 @@
 			other.crashes.RecordAnswer("s", []rlbcrash.Property{part})
 			silent.saveChanges(ctx)
 			next, loaded := start(api, false)
-			So(loaded.load(ctx), ShouldBeTrue)
+			So(loaded.load(ctx, api), ShouldBeTrue)
 			So(refuses(next), ShouldBeTrue)
 		})
 	})
 }
+
+func TestCrashCausesThatARestoreHasLostAreStoredAgain(t *testing.T) {
+	ctx := context.Background()
+	Convey("The lease holder stores again which requests it refuses", t, func() {
+		store, a := newStoreApp(t)
+		empty := store.Copy()
+		a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: "a", Now: rlbclock.Now})
+		var crashes []rlbcrash.Crash
+		for n := range uint64(3) {
+			crashes = append(crashes, rlbcrash.Crash{ID: n, Endpoint: n, At: rlbclock.Now().Add(time.Duration(n) * time.Second)})
+		}
+		a.crashes.Merge([]rlbcrash.Record{{Property: rlbcrash.Property{Kind: rlbcrash.PromptPart, ID: 7}, Crashes: crashes}})
+		stored := &crashStore{app: a}
+		So(stored.load(ctx, a.api), ShouldBeTrue)
+		stored.saveChanges(ctx)
+		causes, err := stored.read(ctx, a.api)
+		So(err, ShouldBeNil)
+		So(causes, ShouldHaveLength, 1)
+		store.Restore(empty)
+		_, done := a.discoverPeers(ctx, a.api) // any call shows the new era
+		So(done, ShouldBeTrue)
+		stored.saveChanges(ctx)
+		causes, err = stored.read(ctx, a.api)
+		So(err, ShouldBeNil)
+		So(causes, ShouldHaveLength, 1)
+	})
+}
