Log software versions and take-ups of streams

The logs of the incident could not tell streams that are resumed at another software version within one answer from those that a caller takes up again, nor why a take-up is refused. The version of an entry is decoded, and the line of a stream's end names the versions tried and what the caller stated. Logic is unchanged.

--- a/lib/pkg/rlbdeployment/endpoint.go
+++ b/lib/pkg/rlbdeployment/endpoint.go
@@ -26,6 +26,8 @@
 	LoadedModels []LoadedModel
 	InMemory     []string // models with a copy in host memory
 	OnDisk       []string // models with a copy on disk
+	// SoftwareVersion is the version of the endpoint's software. Versions have no order.
+	SoftwareVersion string
 }
 
 // HasModel reports whether a model is loaded.
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -243,7 +243,7 @@
 	if old == nil || old.endpoint == nil || !old.endpoint.SameIncarnation(next.endpoint) || old.endpoint.Draining != next.endpoint.Draining {
 		v.log.WithFields(log.Fields{
 			"endpoint": id, "address": next.endpoint.Address, "leaving": next.endpoint.Draining,
-			"revision": next.version.String(), "holds": next.endpoint.LoadedModels,
+			"revision": next.version.String(), "holds": next.endpoint.LoadedModels, "software": next.endpoint.SoftwareVersion,
 		}).Info("endpoint discovered or updated")
 	}
 }
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -37,7 +37,7 @@
 	fault := rlbroute.FaultNoEndpoint
 	if endpoint := s.chooseEndpoint(req); endpoint != nil {
 		req.exchange.Begin()
-		req.tried = append(req.tried, endpoint.ID)
+		req.tried, req.software = append(req.tried, endpoint.ID), append(req.software, endpoint.SoftwareVersion)
 		req.harmless = false
 		var passed bool
 		if fault, passed = s.send(w, req, endpoint); passed {
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 )
 
 // refusal is an answer that the instance itself gives to a caller.
@@ -87,6 +89,10 @@
 		fields["expected_ms"], fields["first_ms"], fields["tokens"] = req.expectedWait.Milliseconds(), req.timeToFirst.Milliseconds(), req.promptTokens
 		fields["pause_ms"] = req.longestPause.Milliseconds()
 	}
+	if req.route != nil && req.route.Kind == rlbdeployment.KindStream {
+		fields["software"], fields["last_event"] = req.software, req.lastEventID
+		fields["resumes"], fields["from_event"] = req.inbound.Header.Get(rlbplatform.HeaderResumes), req.inbound.Header.Get(rlbplatform.HeaderLastEventID)
+	}
 	if req.snapshot.Config != nil {
 		fields["config"] = req.snapshot.Config.Version
 	}
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -37,6 +37,7 @@
 	harmless      bool          // the latest attempt has shown that the prompt does not crash endpoints
 	quarantineEnd time.Time     // until when requests like this one are refused; zero: they are not
 	tried         []string      // IDs of the endpoints of all attempts
+	software      []string      // software versions of these
 	limited       []string      // IDs of the endpoints whose limit ruled them out for the attempt
 	unsent        int           // number of these that could not be reached
 	lastEventID   string        // last complete event sent to the caller
--- a/rlb-standin/pkg/rlbfakedeployment/replica.go
+++ b/rlb-standin/pkg/rlbfakedeployment/replica.go
@@ -1,6 +1,7 @@
 package rlbfakedeployment
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +37,7 @@
 	Fencing       bool
 	Step          time.Duration // between two events of a stream
 	Loaded        []string      // models resident at the start
+	Version       string        // of its software; empty: v1
 	PlainDuration time.Duration // duration of a request without a model
 }
 
@@ -100,7 +102,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return map[string]any{
-		"Service": r.opts.Service, "Address": r.opts.Address, "Zone": r.opts.Domain, "Version": "v1", "Slots": r.opts.Slots,
+		"Service": r.opts.Service, "Address": r.opts.Address, "Zone": r.opts.Domain, "Version": cmp.Or(r.opts.Version, "v1"), "Slots": r.opts.Slots,
 		"State": state, "ColdLeftMs": 0, "Seq": 1, "born": r.startedMs, "Stage": "both", "Models": r.modelList(),
 	}
 }
