--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -100,12 +100,18 @@
 
 // add starts a replica. A replica in the server's domain (a) is preferred.
 func (f *fixture) add(t *testing.T, id, service, domain string) *rlbfakedeployment.Replica {
+	t.Helper()
+	return f.addVersion(t, id, service, domain, "")
+}
+
+// addVersion starts a replica with a version of its software.
+func (f *fixture) addVersion(t *testing.T, id, service, domain, version string) *rlbfakedeployment.Replica {
 	t.Helper()
 	var replica *rlbfakedeployment.Replica
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { replica.ServeHTTP(w, q) }))
 	t.Cleanup(server.Close)
 	replica = rlbfakedeployment.NewReplica(rlbfakedeployment.ReplicaOpts{
-		ID: id, Service: service, Domain: domain, Slots: 4, Adapters: 2, Loaded: []string{"m"},
+		ID: id, Service: service, Domain: domain, Slots: 4, Adapters: 2, Loaded: []string{"m"}, Version: version,
 		Address: strings.TrimPrefix(server.URL, "http://"),
 	})
 	f.replicas[id] = replica
