A stream that breaks goes on at its own software version only

Callers got one answer joined from two software versions of an engine (ORDER): after a break the stream was resumed at any endpoint with the model.

Cause: an endpoint was taken to be any endpoint of its service. The version of the endpoint that brought the first event now binds the request, in the choice of endpoints and of those that load an adapter. Before the first event it is free.

--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -112,7 +112,7 @@
 func (s *Server) pickEndpoint(req *request, withAdapter []string) rlbbalancer.Choice {
 	changes := s.ModelChanges()
 	fits := func(e *rlbdeployment.Endpoint) bool {
-		if slices.Contains(req.tried, e.ID) || slices.Contains(req.limited, e.ID) {
+		if slices.Contains(req.tried, e.ID) || slices.Contains(req.limited, e.ID) || !req.mayRunAt(e) {
 			return false
 		}
 		if req.adapter != "" && !slices.Contains(withAdapter, e.ID) {
@@ -130,7 +130,7 @@
 	if req.adapter == "" {
 		return nil, true
 	}
-	avoid := slices.Concat(req.tried, req.limited, s.Balancer.HeldOffEndpoints(s.Now()))
+	avoid := slices.Concat(req.tried, req.limited, s.Balancer.HeldOffEndpoints(s.Now()), s.otherVersions(req))
 	endpoints, reason := s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, avoid)
 	if len(endpoints) > 0 && !s.anyServes(endpoints, req.model) { // a cached answer, from before they unload the model
 		endpoints, reason = s.Adapters.Find(req.inbound.Context(), req.service, req.model, req.adapter, slices.Concat(avoid, endpoints))
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -38,6 +38,8 @@
 	quarantineEnd time.Time     // until when requests like this one are refused; zero: they are not
 	tried         []string      // IDs of the endpoints of all attempts
 	software      []string      // software versions of these
+	begun         bool          // the caller has a part of the stream, which only endpoints of beganAt may go on with
+	beganAt       string        // software version of the endpoint that began the stream
 	limited       []string      // IDs of the endpoints whose limit ruled them out for the attempt
 	unsent        int           // number of these that could not be reached
 	lastEventID   string        // last complete event sent to the caller
--- a/rlb-node/pkg/rlbproxy/software_version_test.go
+++ b/rlb-node/pkg/rlbproxy/software_version_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -36,6 +37,29 @@
 	})
 }
 
+func TestBrokenStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	Convey("A stream that breaks goes on at an endpoint of the same version, although others are nearer", t, func() {
+		f := newFixture(t)
+		breakBefore(f.addVersion(t, "e1", "llm", "a", "v1"), 3)
+		other := f.addVersion(t, "e2", "llm", "a", "v2")
+		same := f.addVersion(t, "e3", "llm", "b", "v1")
+		f.server.Balancer.Begin(f.view.Snapshot().ByID["e2"], rlbbalancer.RequestLoad{}) // so that e1 is chosen first
+		got := f.sendPrompt("/talk/x")
+		So(got.err, ShouldBeNil)
+		So(got.body, ShouldEqual, events(1, 4))
+		shouldHaveRun(other, 0)
+		shouldHaveRun(same, 1)
+	})
+	Convey("A request whose first attempt brought no event may go to any version", t, func() {
+		f := newFixture(t)
+		breakBefore(f.addVersion(t, "e1", "llm", "a", "v1"), 1)
+		f.addVersion(t, "e2", "llm", "b", "v2")
+		got := f.sendPrompt("/talk/x")
+		So(got.err, ShouldBeNil)
+		So(got.body, ShouldEqual, events(1, 4))
+	})
+}
+
 func TestTakenUpStreamIsNotJoinedFromTwoSoftwareVersions(t *testing.T) {
 	Convey("A take-up is refused if only another software version could go on", t, func() {
 		f := newFixture(t)
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -61,6 +61,7 @@
 		return
 	}
 	req.started = true
+	req.begun, req.beganAt = true, req.software[len(req.software)-1]
 	req.timeToFirst = s.Now().Sub(req.attemptStart)
 	if !req.queued {
 		s.Balancer.RecordPrefill(req.service, req.tokensAhead+req.promptTokens, req.timeToFirst)
