Taken-up streams go on at the software version that began them

Cause: a take-up was routed like a new request, although what it may join with depends on where the stream began, which no instance kept. The class of fault is an answer joined from two sources that were not checked to fit.

Now an instance remembers which version brought the first event of a stream until the caller's time is over (rlborigin), and binds a take-up, which names the request in Resumes, to that version; it also goes to the service where that request went if a route is split.

Ways considered: asking all instances (none is left after a loss of all, and a message to each for each take-up); choosing the version by a hash of the request (ties the load to versions while a release moves it); refusing all take-ups while there are two versions (LOST).

Ruled out: the origin in an answer's header or event; callers do not return headers, and answers must stay as they are.

--- a/lib/pkg/rlbdeployment/config.go
+++ b/lib/pkg/rlbdeployment/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -145,6 +146,19 @@
 	return nil, false
 }
 
+// AllRoutes returns the routes, in no order.
+func (c *Config) AllRoutes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, all := range c.byHost {
+			for _, r := range all {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Routes returns the number of routes.
 func (c *Config) Routes() int {
 	n := 0
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -70,6 +70,7 @@
 	scheduler       *rlbscheduler.Scheduler
 	holdsLease      func() bool // reports whether this instance holds the lease for orders
 	catchUp         *catchUp
+	origins         *streamOrigins
 	// registrations are those in the latest list that this instance read as the lease
 	// holder, by name.
 	registrations map[string]observedRegistration
@@ -155,9 +156,10 @@
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
+	a.origins = newStreamOrigins(a)
 	a.proxy = rlbproxy.New(rlbproxy.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
-		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler,
+		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
 		Limiter: a.limiter, ModelChanges: a.modelChanges,
 		RetryBudget: retryBudgetLimits(settings),
 		Metrics:     a.registry, Now: rlbclock.Now,
@@ -201,6 +203,7 @@
 	go a.catchUp.endpointWatcher.Run(ctx)
 	go a.register(ctx)
 	go (&crashStore{app: a}).run(ctx)
+	go a.origins.run(ctx)
 	go a.link.Run(ctx)
 	go a.scheduler.Run(ctx)
 	go a.sweep(ctx)
--- /dev/null
+++ b/rlb-node/pkg/rlbapp/stream_origins_test.go
@@ -0,0 +1,142 @@
+package rlbapp
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
+	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var olderVersion, newerVersion = rlborigin.Origin{Service: "llm", Version: "v1"}, rlborigin.Origin{Service: "llm", Version: "v2"}
+
+// talkDecoder decodes every config as one with a route whose streams may be taken up again.
+type talkDecoder struct{ decoder }
+
+func (talkDecoder) Config([]byte) (*rlbdeployment.Config, error) {
+	route := rlbdeployment.Route{Kind: rlbdeployment.KindStream, Resumable: true, Timeout: time.Minute, Shares: []rlbdeployment.Share{{Service: "llm", Weight: 1}}}
+	return rlbdeployment.NewConfig(1, []rlbdeployment.Route{route}, nil, rlbdeployment.Limits{}), nil
+}
+
+// originFixture is an object API through which instances share the origins of streams.
+type originFixture struct {
+	store *rlbfakedeployment.Store
+	api   func() *rlbplatform.Objects
+}
+
+func newOriginFixture(t *testing.T) *originFixture {
+	t.Helper()
+	store := rlbfakedeployment.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return &originFixture{store, func() *rlbplatform.Objects {
+		return rlbplatform.NewObjects(strings.TrimPrefix(server.URL, "http://"), server.Client())
+	}}
+}
+
+// start returns the origins of a new process of an instance that sees some versions serve.
+func (f *originFixture) start(name string, serving ...rlborigin.Origin) *streamOrigins {
+	api := f.api()
+	a := newTestApp(name, api, false)
+	a.apiEra = api.Era
+	a.view = rlbdiscovery.New(a.Log, talkDecoder{}, rlbclock.Now, time.Second)
+	a.view.ApplyConfig(nil, "test")
+	o := newStreamOrigins(a)
+	o.Observe(serving, time.Minute)
+	return o
+}
+
+// saveAll saves until all is stored: the first call may only read, and the second find an
+// object of a predecessor.
+func saveAll(o *streamOrigins) {
+	for range 3 {
+		So(o.save(context.Background()), ShouldBeTrue)
+	}
+}
+
+func shouldFind(o *streamOrigins, request, version string, verdict rlborigin.Verdict) {
+	gotVersion, gotVerdict := o.Find(context.Background(), "llm", request)
+	So(gotVersion, ShouldEqual, version)
+	So(gotVerdict, ShouldEqual, verdict)
+}
+
+func TestOriginsOfStreamsSurviveTheLossOfAllInstances(t *testing.T) {
+	deadline := rlbclock.Now().Add(time.Minute)
+	Convey("Given two instances that relay streams of two versions and are lost", t, func() {
+		f := newOriginFixture(t)
+		a, b := f.start("a", olderVersion, newerVersion), f.start("b", olderVersion, newerVersion)
+		a.Began("x", olderVersion, deadline)
+		b.Began("y", newerVersion, deadline)
+		saveAll(a)
+		saveAll(b)
+		Convey("a new process knows where each stream began, also if the version has left", func() {
+			next := f.start("a", newerVersion)
+			shouldFind(next, "x", "v1", rlborigin.Known)
+			shouldFind(next, "y", "v2", rlborigin.Known)
+			shouldFind(next, "unknown", "", rlborigin.Unknown)
+		})
+		Convey("what a process stores keeps what its predecessor stored", func() {
+			next := f.start("a", newerVersion)
+			next.Began("z", newerVersion, deadline)
+			saveAll(next)
+			shouldFind(f.start("c", newerVersion), "x", "v1", rlborigin.Known)
+			shouldFind(f.start("c", newerVersion), "z", "v2", rlborigin.Known)
+		})
+		Convey("while the object API is unavailable a stream that is not known is refused at once", func() {
+			next := f.start("a", newerVersion)
+			f.store.Refuse(http.StatusServiceUnavailable)
+			shouldFind(next, "x", "", rlborigin.Unknown)
+		})
+	})
+	Convey("Given an instance of a deployment with one version that is lost", t, func() {
+		f := newOriginFixture(t)
+		a := f.start("a", olderVersion)
+		a.Began("x", olderVersion, deadline)
+		saveAll(a)
+		Convey("a new process lets each stream go on", func() {
+			shouldFind(f.start("a", olderVersion), "x", "v1", rlborigin.Known)
+			shouldFind(f.start("a", olderVersion), "unknown", "v1", rlborigin.Known)
+		})
+		Convey("a stream that begins or ends causes no write", func() {
+			calls := f.store.Calls()
+			a.Began("y", olderVersion, deadline)
+			a.Ended("x")
+			saveAll(a)
+			So(f.store.Calls(), ShouldEqual, calls)
+		})
+		Convey("the streams of before are stored once a second version serves", func() {
+			a.Observe([]rlborigin.Origin{newerVersion}, time.Minute)
+			saveAll(a)
+			shouldFind(f.start("b", newerVersion), "x", "v1", rlborigin.Known)
+		})
+	})
+}
+
+func TestOriginThatAnotherInstanceStoresSoonIsWaitedFor(t *testing.T) {
+	Convey("A take-up that comes before the record of its stream finds it", t, func() {
+		f := newOriginFixture(t)
+		a, b := f.start("a", olderVersion, newerVersion), f.start("b", olderVersion, newerVersion)
+		saveAll(b)
+		found := make(chan string)
+		go func() {
+			version, _ := b.Find(context.Background(), "llm", "x")
+			found <- version
+		}()
+		calls := f.store.Calls()
+		for f.store.Calls() == calls { // until b has read once
+			time.Sleep(time.Millisecond)
+		}
+		a.Began("x", olderVersion, rlbclock.Now().Add(time.Minute))
+		saveAll(a)
+		So(<-found, ShouldEqual, "v1")
+	})
+}
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -21,6 +21,10 @@
 		s.refuse(w, req, s.quarantineRefusal(req))
 		return
 	}
+	if refusal := s.bindToVersion(req); refusal != nil {
+		s.refuse(w, req, refusal)
+		return
+	}
 	if req.model != "" {
 		s.demand.begin(req.model)
 		defer func() { s.demand.end(req.model, len(req.tried) == 0) }()
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
@@ -57,6 +58,13 @@
 	return ids, "no endpoint in the fake"
 }
 
+// fakeOrigins knows the origins of the streams that the server relays.
+type fakeOrigins struct{ *rlborigin.Registry }
+
+func (o *fakeOrigins) Find(_ context.Context, service, request string) (string, rlborigin.Verdict) {
+	return o.Check(service, request)
+}
+
 // fixture runs a server between a caller and replicas on loopback.
 type fixture struct {
 	server     *Server
@@ -65,6 +73,7 @@
 	replicas   map[string]*rlbfakedeployment.Replica
 	entries    []rlbobject.Object
 	changes    rlbpeer.ModelChanges
+	origins    *fakeOrigins
 	clockAhead atomic.Int64 // nanoseconds that the server's clock is ahead of the process clock
 }
 
@@ -78,9 +87,10 @@
 		Dial: rlbdispatch.DialTCP(time.Minute), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute,
 	})
 	t.Cleanup(closeDispatcher)
+	f.origins = &fakeOrigins{rlborigin.New(f.now)}
 	f.server = New(Opts{
 		Log: quiet, Domain: "a", View: f.view, Balancer: rlbbalancer.New(), PeerLoad: func(string) rlbbalancer.Load { return rlbbalancer.Load{} },
-		Crashes: rlbcrash.New(rlbcrash.Opts{Instance: "i1", Now: f.now}), Instances: func() int { return 1 }, Dispatcher: dispatcher, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
+		Crashes: rlbcrash.New(rlbcrash.Opts{Instance: "i1", Now: f.now}), Instances: func() int { return 1 }, Dispatcher: dispatcher, Origins: f.origins, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
 		Limiter: rlbratelimit.New(rlbratelimit.Opts{
 			Now: f.now, Random: func() float64 { return 0 }, Peers: func(string) rlbratelimit.Peers { return rlbratelimit.Peers{} },
 		}),
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -48,6 +48,7 @@
 	refuseHeldOff        = &refusal{http.StatusServiceUnavailable, retryLater, "all endpoints want no requests for a while"}
 	refuseEndpointsFull  = &refusal{http.StatusServiceUnavailable, retryLater, "endpoints are full"}
 	refuseQuarantined    = &refusal{http.StatusServiceUnavailable, retryLater, "requests like this one crashed endpoints"}
+	refuseUnknownOrigin  = &refusal{http.StatusServiceUnavailable, retrySoon, "it is not known which software version began the stream"}
 	refuseNoTime         = &refusal{http.StatusServiceUnavailable, retrySoon, "no time left"}
 	failInDoubt          = &refusal{http.StatusBadGateway, 0, "an endpoint may have run it, its answer is lost"}
 	failEndpoint         = &refusal{http.StatusBadGateway, 0, "an endpoint failed"}
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -86,7 +86,7 @@
 		return req, refuseNoRoute
 	}
 	req.route = route
-	req.service = route.PickService(xxhash.Sum64String(req.id))
+	req.service = route.PickService(xxhash.Sum64String(req.streamID()))
 	if refusal := s.readBody(w, req); refusal != nil {
 		return req, refusal
 	}
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbretrybudget"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -26,6 +27,18 @@
 	Find(ctx context.Context, service, model, adapter string, avoid []string) (endpoints []string, reason string)
 }
 
+// Origins remembers which software version began which stream.
+type Origins interface {
+	// Began records that the first event of the stream that a request began came from an
+	// endpoint of origin. The caller may take the stream up until deadline.
+	Began(request string, origin rlborigin.Origin, deadline time.Time)
+	// Ended records that the stream was relayed to its end.
+	Ended(request string)
+	// Find returns the version that began the stream of a request. It may ask for what
+	// other instances know.
+	Find(ctx context.Context, service, request string) (version string, verdict rlborigin.Verdict)
+}
+
 // Opts are the dependencies and settings of a server.
 type Opts struct {
 	Log        log.Interface
@@ -37,6 +50,7 @@
 	Instances  func() int                             // number of instances that share the retry budget
 	Dispatcher *rlbdispatch.Dispatcher
 	Adapters   Adapters
+	Origins    Origins
 	Limiter    *rlbratelimit.Limiter // limits that endpoints state
 	// ModelChanges returns which models endpoints serve other than their entries say.
 	ModelChanges func() rlbpeer.ModelChanges
--- a/rlb-node/pkg/rlbproxy/software_version.go
+++ b/rlb-node/pkg/rlbproxy/software_version.go
@@ -1,6 +1,13 @@
 package rlbproxy
 
-import "github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+import (
+	"cmp"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
+	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+)
 
 // mayRunAt reports whether the software version of an endpoint allows it to run the
 // request. What two versions write for one request does not fit together, and endpoints do
@@ -23,3 +30,49 @@
 	}
 	return others
 }
+
+// takesUp reports whether the caller takes a stream up again that it has a part of.
+func (req *request) takesUp() bool {
+	return req.route.Kind == rlbdeployment.KindStream && req.route.Resumable && req.inbound.Header.Get(rlbplatform.HeaderLastEventID) != ""
+}
+
+// streamID returns the ID of the request that began the stream: an earlier one if the caller
+// takes the stream up again, and states it.
+func (req *request) streamID() string {
+	if !req.takesUp() {
+		return req.id
+	}
+	return cmp.Or(req.inbound.Header.Get(rlbplatform.HeaderResumes), req.id)
+}
+
+// bindToVersion binds a request that takes a stream up again to the software version that
+// began it. It returns a refusal if that version is not known.
+func (s *Server) bindToVersion(req *request) *refusal {
+	if !req.takesUp() {
+		return nil
+	}
+	version, verdict := s.Origins.Find(req.inbound.Context(), req.service, req.streamID())
+	switch verdict {
+	case rlborigin.Unknown:
+		return refuseUnknownOrigin
+	case rlborigin.Known:
+		req.begun, req.beganAt = true, version
+	}
+	return nil
+}
+
+// recordOrigin records which software version the stream began at, so that the caller can
+// take it up again, which it does within the time that it is willing to wait.
+func (s *Server) recordOrigin(req *request) {
+	if !req.route.Resumable {
+		return
+	}
+	wait := req.route.Timeout
+	if left, stated := rlbplatform.TimeLeft(req.inbound.Header); stated {
+		wait = max(wait, min(left, maxTakeUpWait))
+	}
+	s.Origins.Began(req.streamID(), rlborigin.Origin{Service: req.service, Version: req.beganAt}, req.arrived.Add(wait))
+}
+
+// maxTakeUpWait limits for how long a stream can be taken up again.
+const maxTakeUpWait = 5 * time.Minute
--- a/rlb-node/pkg/rlbproxy/software_version_test.go
+++ b/rlb-node/pkg/rlbproxy/software_version_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -70,3 +75,70 @@
 		So(f.takeUp(firstRequest).status, ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
+
+func TestTakenUpStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	Convey("Given a stream that began at one of two versions and broke off", t, func() {
+		f := newFixture(t)
+		first := f.addVersion(t, "e1", "llm", "a", "v1")
+		breakBefore(first, 3)
+		f.sendPrompt("/talk/x")
+		other := f.addVersion(t, "e2", "llm", "a", "v2")
+		same := f.addVersion(t, "e3", "llm", "b", "v1")
+		f.drain("e1")
+		f.origins.Observe([]rlborigin.Origin{{Service: "llm", Version: "v1"}, {Service: "llm", Version: "v2"}}, time.Minute)
+		f.origins.MarkComplete()
+		Convey("it goes on at an endpoint of its version", func() {
+			got := f.takeUp(firstRequest)
+			So(got.status, ShouldEqual, http.StatusOK)
+			So(got.header.Get("X-Server-Stamp"), ShouldEqual, "e3.1")
+		})
+		Convey("a second take-up names the request that began it as well", func() {
+			breakBefore(same, 4)
+			So(f.takeUp(firstRequest).status, ShouldEqual, http.StatusOK)
+			So(f.takeUp(firstRequest).status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(other, 0)
+			shouldHaveRun(same, 2)
+		})
+		Convey("a take-up of a stream that nobody knows is refused as not run", func() {
+			for _, resumes := range []string{"", "unknown"} {
+				So(f.takeUp(resumes).status, ShouldEqual, http.StatusServiceUnavailable)
+			}
+			shouldHaveRun(other, 0)
+			shouldHaveRun(same, 0)
+		})
+		Convey("an adapter is not asked for at another version", func() {
+			f.server.Adapters = fakeAdapters{"llm/m/a1": {"e2"}}
+			got := f.send(http.MethodPost, "/talk/x", "prompt", map[string]string{"X-Model": "m/a1", "X-Token-Count": "10,4", "Last-Event-Id": "2", "Resumes": firstRequest})
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			shouldHaveRun(other, 0)
+		})
+	})
+	Convey("A stream of a service that has one version goes on, whoever began it", t, func() {
+		f := newFixture(t)
+		f.addVersion(t, "e1", "llm", "a", "v1")
+		f.origins.Observe([]rlborigin.Origin{{Service: "llm", Version: "v1"}}, time.Minute)
+		f.origins.MarkComplete()
+		got := f.takeUp("unknown")
+		So(got.status, ShouldEqual, http.StatusOK)
+		So(got.body, ShouldContainSubstring, "id: 3")
+	})
+}
+
+func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	Convey("A route that is split between services sends a take-up where the first request went", t, func() {
+		config := rlbdeployment.NewConfig(1, []rlbdeployment.Route{{
+			Host: "h.example", PathPrefix: "/", Kind: rlbdeployment.KindStream, Resumable: true, Timeout: time.Minute,
+			Shares: []rlbdeployment.Share{{Service: "one", Weight: 1}, {Service: "two", Weight: 1}},
+		}}, nil, rlbdeployment.Limits{})
+		route, _ := config.Route("h.example", "/x")
+		serviceOf := func(id string, header http.Header) string {
+			req := &request{id: id, route: route, inbound: &http.Request{Header: header}}
+			return route.PickService(xxhash.Sum64String(req.streamID()))
+		}
+		for n := range 20 {
+			first := strconv.Itoa(n)
+			takeUp := http.Header{"Last-Event-Id": {"2"}, "Resumes": {first}}
+			So(serviceOf("other", takeUp), ShouldEqual, serviceOf(first, http.Header{}))
+		}
+	})
+}
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -62,6 +62,7 @@
 	}
 	req.started = true
 	req.begun, req.beganAt = true, req.software[len(req.software)-1]
+	s.recordOrigin(req)
 	req.timeToFirst = s.Now().Sub(req.attemptStart)
 	if !req.queued {
 		s.Balancer.RecordPrefill(req.service, req.tokensAhead+req.promptTokens, req.timeToFirst)
@@ -109,6 +110,7 @@
 	status := in.StatusCode
 	s.startStream(w, req, in)
 	in.Done()
+	s.Origins.Ended(req.streamID())
 	if e := s.View.Snapshot().ByID[req.tried[len(req.tried)-1]]; e != nil {
 		s.Balancer.RecordStream(e, req.route.MaxEventGap > 0 && req.longestPause > req.route.MaxEventGap)
 	}
