Callers that take a stream up are admitted whatever the expected wait

Cause: a take-up was admitted like a new request, by the time it would wait against the target for a first event. Its caller has had that event and part of the work is done; what it needs is the rest. Streams that break within an answer were admitted always; a take-up of a known origin now is, too.

The test fails on the code before.

--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -100,9 +100,10 @@
 
 // admits reports whether a request may be sent to the chosen endpoint. It is not
 // admitted if it would wait there for too long to meet its target latency. A
-// request whose answer has partly reached the caller is always admitted.
+// request whose answer has partly reached the caller, with an earlier request or with this
+// one, is always admitted.
 func (s *Server) admits(req *request, c rlbbalancer.Choice) bool {
-	return req.model == "" || req.started || c.Wait <= s.maxWait(req)
+	return req.model == "" || req.begun || c.Wait <= s.maxWait(req)
 }
 
 // maxWait returns the longest expected wait with which a request is admitted.
--- a/rlb-node/pkg/rlbproxy/software_version_test.go
+++ b/rlb-node/pkg/rlbproxy/software_version_test.go
@@ -142,3 +142,19 @@
 		}
 	})
 }
+
+func TestTakenUpStreamIsNotRefusedForTheWaitThatANewRequestWouldHave(t *testing.T) {
+	Convey("Given endpoints at which a new request would wait too long", t, func() {
+		f := newFixture(t)
+		f.addVersion(t, "e1", "llm", "a", "v1")
+		f.origins.Observe([]rlborigin.Origin{{Service: "llm", Version: "v1"}}, time.Minute)
+		f.origins.MarkComplete()
+		for range 1000 {
+			f.server.Balancer.Begin(f.view.Snapshot().ByID["e1"], rlbbalancer.RequestLoad{PromptTokens: 100_000})
+		}
+		So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusServiceUnavailable)
+		Convey("a take-up is sent, as its caller has a part of the answer", func() {
+			So(f.takeUp(firstRequest).status, ShouldEqual, http.StatusOK)
+		})
+	})
+}
