New streams prefer software versions at which they can go on

While several versions serve, an endpoint that is the only one of its version with the model now costs a resumable stream as much as two more failure domains. It is still used when the others are busy.

Not tried: to keep two replicas of a model in each version, which takes memory from models that have no replica.

--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -126,7 +126,14 @@
 		return req.model == "" || changes.Serves(e, req.model)
 	}
 	all := s.View.Snapshot().ByService[req.service]
-	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: s.Limiter.Cost})
+	lone := loneOfTheirVersion(all, func(e *rlbdeployment.Endpoint) bool { return !e.Draining && changes.Serves(e, req.model) })
+	cost := func(id string) time.Duration {
+		if slices.Contains(lone, id) && !req.begun && req.route.Resumable {
+			return s.Limiter.Cost(id) + loneVersionCost
+		}
+		return s.Limiter.Cost(id)
+	}
+	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: cost})
 }
 
 // endpointsWithAdapter returns the endpoints on which the request's adapter is loaded.
--- a/rlb-node/pkg/rlbproxy/software_version.go
+++ b/rlb-node/pkg/rlbproxy/software_version.go
@@ -76,3 +76,38 @@
 
 // maxTakeUpWait limits for how long a stream can be taken up again.
 const maxTakeUpWait = 5 * time.Minute
+
+// loneVersionCost is added to the cost of an endpoint that no other one of its version can
+// stand in for: a stream that breaks there cannot go on.
+const loneVersionCost = 60 * time.Millisecond
+
+// loneOfTheirVersion returns the IDs of the endpoints that are the only one of their
+// software version that serves a request, if there are several versions.
+func loneOfTheirVersion(all []*rlbdeployment.Endpoint, serves func(*rlbdeployment.Endpoint) bool) []string {
+	if !severalVersions(all) {
+		return nil
+	}
+	byVersion := map[string][]string{}
+	for _, e := range all {
+		if serves(e) {
+			byVersion[e.SoftwareVersion] = append(byVersion[e.SoftwareVersion], e.ID)
+		}
+	}
+	var lone []string
+	for _, ids := range byVersion {
+		if len(ids) == 1 {
+			lone = append(lone, ids...)
+		}
+	}
+	return lone
+}
+
+// severalVersions reports whether the software versions of endpoints differ.
+func severalVersions(all []*rlbdeployment.Endpoint) bool {
+	for _, e := range all {
+		if e.SoftwareVersion != all[0].SoftwareVersion {
+			return true
+		}
+	}
+	return false
+}
--- a/rlb-node/pkg/rlbproxy/software_version_test.go
+++ b/rlb-node/pkg/rlbproxy/software_version_test.go
@@ -158,3 +158,26 @@
 		})
 	})
 }
+
+func TestNewStreamsPreferVersionsWithAnotherEndpointToGoOnAt(t *testing.T) {
+	Convey("Given an endpoint that is alone with its version, and two of another one farther away", t, func() {
+		f := newFixture(t)
+		lone := f.addVersion(t, "e1", "llm", "a", "v1")
+		f.addVersion(t, "e2", "llm", "b", "v2")
+		f.addVersion(t, "e3", "llm", "b", "v2")
+		Convey("a stream that can be resumed begins at the others", func() {
+			So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(lone, 0)
+		})
+		Convey("one that cannot be resumed begins at the nearest", func() {
+			So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(lone, 1)
+		})
+		Convey("the endpoint is used when it is the only one left", func() {
+			f.drain("e2")
+			f.drain("e3")
+			So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(lone, 1)
+		})
+	})
+}
