An answer that is no stream does not go on with one

A stream had begun and broke off; if the next endpoint answered with an error text as a success, callers found it in the middle of their stream, and with an empty text the stream ended as if it were complete. An event without an ID was passed on as well.

Cause: two answers were joined by the first one's head alone. What goes on with a stream must now state that it is a stream of events, and once an event had a number, each further one must have the next, except for comments.

--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -203,6 +203,11 @@
 		return rlbroute.FaultMalformed, false, nil
 	}
 	if req.route.Kind == rlbdeployment.KindStream && in.StatusCode/100 == 2 {
+		if req.begun && !isEventStream(in.Header) {
+			in.Abort()
+			req.reason = "answer is no stream, but " + strconv.Quote(in.Header.Get("Content-Type"))
+			return rlbroute.FaultMalformed, false, nil
+		}
 		return s.relayStream(w, req, in)
 	}
 	return s.relayWhole(w, req, in)
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -1,8 +1,11 @@
 package rlbproxy
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync"
@@ -34,7 +37,7 @@
 			return in.Fault(err), false, err
 		}
 		in.RecordProgress()
-		switch isNext, err := isNextEvent(req.lastEventID, event.ID); {
+		switch isNext, err := isNextEvent(req.lastEventID, event); {
 		case err != nil:
 			s.flushEvents(req, flusher)
 			in.Abort()
@@ -48,7 +51,9 @@
 			in.Abort()
 			return rlbroute.FaultCallerDisconnected, false, err
 		}
-		req.lastEventID = string(event.ID)
+		if len(event.ID) > 0 {
+			req.lastEventID = string(event.ID)
+		}
 		s.recordPause(req)
 		s.recordHarmless(req)
 	}
@@ -118,23 +123,38 @@
 	return 0, true, nil
 }
 
-// isNextEvent reports whether id directly follows the event last. It returns false
-// if the caller already has the event, and an error if events are missing between
-// the two. IDs that are not numbers are not checked.
-func isNextEvent(last string, id []byte) (bool, error) {
-	if last == "" || len(id) == 0 {
-		return true, nil
-	}
+// isEventStream reports whether the header of an answer states that a stream of events
+// follows.
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// isNextEvent reports whether an event directly follows the one with the ID last. It returns
+// false if the caller already has the event, and an error if events are missing between
+// the two, or if the event is none of the stream: once an event had a number, all have one.
+// Comments are not events.
+func isNextEvent(last string, event rlbrelay.Event) (bool, error) {
 	previous, err := strconv.ParseUint(last, 10, 64)
-	if err != nil {
+	if err != nil || isComment(event.Raw) {
 		return true, nil
 	}
-	current, err := strconv.ParseUint(string(id), 10, 64)
+	current, err := strconv.ParseUint(string(event.ID), 10, 64)
 	if err != nil {
-		return true, nil
+		return false, fmt.Errorf("event %.40q without a number follows event %s", event.ID, last)
 	}
 	if current > previous+1 {
-		return false, errors.New("event " + string(id) + " follows event " + last)
+		return false, fmt.Errorf("event %d follows event %s", current, last)
 	}
 	return current == previous+1, nil
 }
+
+// isComment reports whether all lines of an event are comments.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
