What departed instances stored about streams is deleted

Each instance keeps an object with the streams that it relays; nothing in the object API expires by itself, so those of instances that were replaced would stay, and a process that starts would count their versions as serving for the time of a request. The lease holder now deletes the object with the registration of a departed instance. The test fails without it.

--- a/rlb-node/pkg/rlbapp/register.go
+++ b/rlb-node/pkg/rlbapp/register.go
@@ -149,6 +149,7 @@
 		if s.unchangedLists++; s.unchangedLists > maxUnchangedLists {
 			err := a.api.Delete(ctx, rlbobject.Key{Kind: kindInstances, Name: o.Name}, o.Version)
 			a.Log.WithFields(log.Fields{"object": o.Name, "error": err}).Info("deleting the registration of a departed instance")
+			a.deleteStreams(ctx, o.Name)
 			continue
 		}
 		observed[o.Name] = s
@@ -156,6 +157,18 @@
 	a.registrations = observed
 }
 
+// deleteStreams deletes what a departed instance stored about its streams.
+func (a *app) deleteStreams(ctx context.Context, instance string) {
+	key := rlbobject.Key{Kind: kindStreams, Name: instance}
+	stored, err := a.api.Get(ctx, key)
+	if err == nil {
+		err = a.api.Delete(ctx, key, stored.Version)
+	}
+	if err != nil && !rlbobject.Is(err, rlbobject.KindNotFound) {
+		a.Log.WithError(err).WithField("object", instance).Warn("failed to delete the streams of a departed instance")
+	}
+}
+
 // observedRegistration is the version of a registration in the lists that the lease
 // holder read.
 type observedRegistration struct {
--- a/rlb-node/pkg/rlbapp/register_test.go
+++ b/rlb-node/pkg/rlbapp/register_test.go
@@ -51,6 +51,10 @@
 			So(own, ShouldResemble, []string{"b:1"})
 		})
 		Convey("a renewed registration stays, one that is not renewed is deleted after maxUnchangedLists lists", func() {
+			for _, instance := range []string{"a", "b"} {
+				_, err := api.Put(ctx, rlbobject.Key{Kind: kindStreams, Name: instance}, []byte("[]"), 0)
+				So(err, ShouldBeNil)
+			}
 			for n := uint64(1); n <= maxUnchangedLists+1; n++ {
 				So(names(api), ShouldHaveLength, 2)
 				So(holder.writeRegistration(ctx, n), ShouldBeTrue)
@@ -58,6 +62,9 @@
 				holder.deleteStaleRegistrations(ctx)
 			}
 			So(names(api), ShouldResemble, []string{"a"})
+			streams, err := api.List(ctx, kindStreams)
+			So(err, ShouldBeNil)
+			So(streams.Objects, ShouldHaveLength, 1)
 		})
 		Convey("nothing is deleted while the list cannot be read", func() {
 			api.SetDown(true)
