Soak: the store comes back from an older copy

A new kind of fault, store-restored: the store is away for up to 2 s and comes back from a copy of up to 10 s before; the operator writes its config again at once, endpoints their entries within a second, and entries of endpoints that have left go after three. The existing checks then see orders, configs or leaving endpoints that go back.

--- a/rlb-load/pkg/rlbsoak/deployment.go
+++ b/rlb-load/pkg/rlbsoak/deployment.go
@@ -223,12 +223,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configVersion++
+	d.writeConfig()
+	d.acknowledgedAt[d.configVersion] = time.Now()
+}
+
+// restore replaces the objects of the store by those of a copy. The operator writes its
+// config again at once; endpoints write their entries again at the next refresh.
+func (d *deployment) restore(older rlbfakedeployment.Copy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.store.Restore(older)
+	d.writeConfig()
+}
+
+// writeConfig writes the current version of the config. d.mu is held.
+func (d *deployment) writeConfig() {
 	var probes []string
 	for v := max(d.configVersion, 2) - 1; v <= d.configVersion; v++ {
 		probes = append(probes, probePath(v))
 	}
 	d.store.Set("config", "main", rlbfakedeployment.Config(rlbfakedeployment.ConfigOpts{Version: d.configVersion, MemoryMb: engineMemory, AdapterSlots: adapterSlots, ExtraPaths: probes}))
-	d.acknowledgedAt[d.configVersion] = time.Now()
 }
 
 // probePath is the path prefix of the route added by a config version.
@@ -241,6 +255,16 @@
 	return d.configVersion, d.acknowledgedAt[d.configVersion]
 }
 
+// removeEntries removes the entries of endpoints that have left, as the platform does after
+// it was restored from a copy that has them.
+func (d *deployment) removeEntries() {
+	for _, e := range d.endpoints() {
+		if e.currentState() == "" {
+			e.setState(d.store, "")
+		}
+	}
+}
+
 // refresh rewrites the entries of all endpoints that have one, with their current
 // state.
 func (d *deployment) refresh() {
--- a/rlb-load/pkg/rlbsoak/faults.go
+++ b/rlb-load/pkg/rlbsoak/faults.go
@@ -35,6 +35,7 @@
 	{"store-slow", 1, (*injector).storeSlow},
 	{"store-lost", 2, (*injector).storeLost},
 	{"store-compact", 2, (*injector).storeCompact},
+	{"store-restored", 2, (*injector).storeRestored},
 	{"config", 4, (*injector).config},
 	{"endpoint-link", 3, (*injector).endpointLink},
 	{"endpoint-silent", 2, (*injector).endpointSilent},
@@ -273,6 +274,25 @@
 	return nil
 }
 
+// storeRestored brings the store back from a copy some seconds old, after a short outage.
+func (inj *injector) storeRestored() error {
+	if !inj.restoring.TryLock() {
+		return nil
+	}
+	defer inj.restoring.Unlock()
+	older := inj.deployment.store.Copy()
+	time.Sleep(inj.randomDuration(time.Second, 8*time.Second))
+	outage := inj.randomDuration(100*time.Millisecond, 2*time.Second)
+	inj.deployment.storeDisturbances.disturb(time.Now(), time.Now().Add(outage+entryExpiry))
+	inj.deployment.store.Refuse(http.StatusServiceUnavailable)
+	time.Sleep(outage)
+	inj.deployment.restore(older)
+	inj.deployment.store.Refuse(0)
+	time.Sleep(entryExpiry)
+	inj.deployment.removeEntries()
+	return nil
+}
+
 func (inj *injector) config() error {
 	for range 1 + inj.rng.IntN(4) {
 		inj.deployment.publishConfig()
--- a/rlb-load/pkg/rlbsoak/soak.go
+++ b/rlb-load/pkg/rlbsoak/soak.go
@@ -61,6 +61,7 @@
 	began      time.Time
 	pollClient *http.Client
 	closers    []func()
+	restoring  sync.Mutex // held while the store is restored from a copy
 
 	mu           sync.Mutex
 	exchanges    []exchange
