--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -33,6 +33,7 @@
 type streamOrigins struct {
 	*rlborigin.Registry
 	app         *app
+	now         func() time.Time
 	version     rlbobject.Version // of this instance's object; 0: not known or no object
 	fingerprint uint64            // of the record in it
 	era         uint64            // of the object API when it was written
@@ -42,7 +43,7 @@
 }
 
 func newStreamOrigins(a *app) *streamOrigins {
-	o := &streamOrigins{Registry: rlborigin.New(rlbclock.Now), app: a}
+	o := &streamOrigins{Registry: rlborigin.New(rlbclock.Now), app: a, now: rlbclock.Now}
 	_, o.fingerprint, _ = o.Record() // an empty record is not stored
 	return o
 }
@@ -112,7 +113,7 @@
 		return true
 	}
 	if !o.Complete() {
-		return o.read(ctx, rlbclock.Now()) // the next call writes
+		return o.read(ctx, o.now()) // the next call writes
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -144,8 +145,8 @@
 // Find returns the version that began the stream of a request, see rlborigin.Registry.Check.
 // If this instance does not know it, it reads what the others have stored.
 func (o *streamOrigins) Find(ctx context.Context, service, request string) (version string, verdict rlborigin.Verdict) {
-	for giveUp := rlbclock.Now().Add(originWait); ; {
-		asked := rlbclock.Now()
+	for giveUp := o.now().Add(originWait); ; {
+		asked := o.now()
 		version, verdict = o.Check(service, request)
 		if verdict != rlborigin.Unknown || !asked.Before(giveUp) || !o.read(ctx, asked) {
 			return version, verdict
@@ -169,7 +170,7 @@
 	if o.lastRead.After(asked) {
 		return true
 	}
-	began := rlbclock.Now()
+	began := o.now()
 	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
 	defer cancel()
 	all, err := o.app.api.List(ctx, kindStreams)
--- a/rlb-node/pkg/rlbapp/stream_origins_test.go
+++ b/rlb-node/pkg/rlbapp/stream_origins_test.go
@@ -126,6 +126,8 @@
 		f := newOriginFixture(t)
 		a, b := f.start("a", olderVersion, newerVersion), f.start("b", olderVersion, newerVersion)
 		saveAll(b)
+		stopped := rlbclock.Now()
+		b.now = func() time.Time { return stopped } // the wait does not end by itself
 		found := make(chan string)
 		go func() {
 			version, _ := b.Find(context.Background(), "llm", "x")
