Large fleets store the origins of streams less often

While two software versions serve, each instance wrote where its streams began every 0.4 s.

Cause: a rate for each instance where the limit is one for all. The interval now grows with the instances that are known, so that all together write at most every 12 ms; up to 33 instances nothing changes. The test fails on the code before.

--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -19,8 +19,9 @@
 
 // Timing of storing and reading the origins of streams.
 const (
-	originStoreInterval = 400 * time.Millisecond
-	originStorePause    = time.Second // after a failed write
+	originStoreInterval = 400 * time.Millisecond // shortest
+	originStoreSpacing  = 12 * time.Millisecond  // mean time between writes of all instances together
+	originStorePause    = time.Second            // after a failed write
 	originReadTimeout   = 300 * time.Millisecond
 	originRetryDelay    = 250 * time.Millisecond
 	// originWait is how long a request that takes up a stream waits for the instance that
@@ -50,7 +51,7 @@
 
 // run stores the origins when they change, until ctx ends.
 func (o *streamOrigins) run(ctx context.Context) {
-	for rlbcommon.Sleep(ctx, originStoreInterval) {
+	for rlbcommon.Sleep(ctx, o.storeInterval()) {
 		o.observe()
 		o.Expire()
 		if !o.save(ctx) {
@@ -59,6 +60,12 @@
 	}
 }
 
+// storeInterval returns the interval between two writes of this instance. It grows with the
+// fleet, as the rate of writes that the object API takes does not.
+func (o *streamOrigins) storeInterval() time.Duration {
+	return max(originStoreInterval, time.Duration(o.app.fleet.KnownInstances(o.now()))*originStoreSpacing)
+}
+
 // observe records which versions serve now.
 func (o *streamOrigins) observe() {
 	snapshot := o.app.view.Snapshot()
--- a/rlb-node/pkg/rlbapp/stream_origins_test.go
+++ b/rlb-node/pkg/rlbapp/stream_origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -142,3 +144,16 @@
 		So(<-found, ShouldEqual, "v1")
 	})
 }
+
+func TestOriginsOfALargeFleetDoNotFloodTheObjectAPI(t *testing.T) {
+	for _, instances := range []int{1, 6, 87, 195, 720} {
+		Convey(fmt.Sprintf("%d instances together write at most every originStoreSpacing", instances), t, func() {
+			o := newOriginFixture(t).start("i0")
+			for n := 1; n < instances; n++ {
+				o.app.fleet.ApplyDigest(rlbclock.Now(), rlbpeer.Digest{Name: fmt.Sprint("i", n), Domain: "x", Sequence: 1})
+			}
+			So(o.storeInterval(), ShouldBeGreaterThanOrEqualTo, originStoreInterval)
+			So(o.storeInterval()/time.Duration(instances), ShouldBeGreaterThanOrEqualTo, originStoreSpacing)
+		})
+	}
+}
