--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,7 @@
 	"os"
 )
 
-var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){"hang": hang, "order": order, "path": path, "twice": twice, "lost": lost}
+var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){"hang": hang, "order": order, "path": path, "twice": twice, "lost": lost, "lone": lone}
 
 // main plays a case: standin NAME RECORD. It exits with 1 if the rule was broken, 0 if it
 // held, and 2 if the case could not run.
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -38,14 +38,18 @@
 	if err := f.startReplicas(); err != nil {
 		return f, err
 	}
+	return f, f.startTwoNodesPerZone()
+}
+
+func (f *fleet) startTwoNodesPerZone() error {
 	for _, zone := range zones {
 		for i := range nodesPerZone {
 			if _, err := f.addNode(fmt.Sprintf("front-%s-%d", zone, i+1), zone); err != nil {
-				return f, err
+				return err
 			}
 		}
 	}
-	return f, f.startNodes()
+	return f.startNodes()
 }
 
 // addVersion adds a replica of a software version, without starting it.
