Streams are not taken for the only version that an instance has heard of

Cause: rlborigin.Registry.Check concluded from one observed version that no other had begun streams. An instance may hear of a version after others have begun streams there: it is late, cut off, stood still or has just started.

Evidence: TestInstanceThatHasNotHeardOfAVersionDoesNotGuess, on: Expected "" Actual "v1" (a stream of v2 that is not stored yet) Expected "v2" Actual "v1" (one that is stored) Expected "" Actual "v1" (cut off from the object API) There is no time in it, so that the delay of the news is not the cause, only its occasion. Ruled out: a wrong record (each endpoint has an ID of its own), a view that knows more than the registry (the test has no view of the version).

Change: a stream that can be taken up begins only at a version in the stored record of its instance (MayBegin). An instance that does not remember a stream reads what all have stored after the take-up came; only if that names one version is it the one. Records of the era before a restore count as incomplete for as long as streams last. Class: the verdict "any" (nobody has begun it) sent a take-up to every version and is gone; a read of the records that fails is shared by all who wait, as they queued behind each other's timeouts on a lock that is held over the call.

Why it works: whatever began before the take-up was stored before that, so that a read after it must name its version.

Tests replaced, by stricter ones: the verdict Any became Unknown (refused); "versions in the records of others count only for a process that starts" was the fault itself and became "count for as long as these are stored".

Costs: one write an instance when a version appears, which it did before at the next 0.4 s, and a read for take-ups that nobody remembers.

--- a/lib/pkg/rlborigin/record.go
+++ b/lib/pkg/rlborigin/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -32,41 +33,77 @@
 type storedOrigin struct {
 	Service string         `json:"service"`
 	Version string         `json:"version"`
+	Era     uint64         `json:"era,omitempty"` // of the object API when the record was written
 	Streams []storedStream `json:"streams,omitempty"`
 }
 
+func (o storedOrigin) origin() Origin { return Origin{o.Service, o.Version} }
+
 // storedStream is the key of a stream, and for how long it may be taken up, in leftUnit. Times
 // are relative, as clocks of processes differ.
 type storedStream [2]uint64
 
-// Record encodes what other processes need to know after the loss of this one, and returns
-// a number that changes with it. Passing time alone does not change the number, and a stream
-// that begins or ends only while its service has several versions.
-func (r *Registry) Record() (value []byte, fingerprint uint64, err error) {
+// Record is what other processes need to know after the loss of this one.
+type Record struct {
+	Value []byte
+	// Fingerprint changes with the value, but not as time alone passes, and as a stream begins
+	// or ends only while its service has several versions.
+	Fingerprint uint64
+	origins     []Origin
+}
+
+// Record returns the record of this process as of now, to be stored in an era.
+func (r *Registry) Record(era uint64) (Record, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var record Record
 	origins := []storedOrigin{}
 	now, digest := r.now(), xxhash.New()
 	for _, origin := range slices.SortedFunc(maps.Keys(r.serving), compareOrigins) {
 		if !now.Before(r.serving[origin]) {
 			continue
 		}
-		stored := storedOrigin{Service: origin.Service, Version: origin.Version}
-		if len(r.versionsOf(origin.Service)) > 1 {
+		stored := storedOrigin{Service: origin.Service, Version: origin.Version, Era: era}
+		if len(r.servingVersions(origin.Service)) > 1 {
 			stored.Streams = r.ownStreams(origin)
 		}
-		origins = append(origins, stored)
+		origins, record.origins = append(origins, stored), append(record.origins, origin)
 		stored.addTo(digest)
 	}
-	if value, err = json.Marshal(origins); err != nil {
-		return nil, 0, rlberror.New("encode origins", KindEncoding, err)
+	value, err := json.Marshal(origins)
+	if err != nil {
+		return Record{}, rlberror.New("encode origins", KindEncoding, err)
+	}
+	record.Value, record.Fingerprint = value, digest.Sum64()
+	return record, nil
+}
+
+// Storing records that a record is about to replace the stored one: until Stored is called,
+// streams may begin only at what is in both.
+func (r *Registry) Storing(record Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for origin := range r.stored {
+		if !slices.Contains(record.origins, origin) {
+			delete(r.stored, origin)
+		}
+	}
+}
+
+// Stored records that a record is stored.
+func (r *Registry) Stored(record Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = map[Origin]bool{}
+	for _, origin := range record.origins {
+		r.stored[origin] = true
 	}
-	return value, digest.Sum64(), nil
 }
 
 // addTo adds all but the times to a digest.
 func (o storedOrigin) addTo(digest *xxhash.Digest) {
 	_, _ = digest.WriteString(o.Service + "\x00" + o.Version + "\x00")
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, o.Era))
 	for _, s := range o.Streams {
 		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, s[0]))
 	}
@@ -89,26 +126,57 @@
 	return all
 }
 
-// Merge adds a record. Own reports that a process of this one's name stored it. The
-// versions in records count once, see MarkComplete: what serves later is observed.
-func (r *Registry) Merge(value []byte, own bool, longestRequest time.Duration) error {
-	var origins []storedOrigin
-	if err := json.Unmarshal(value, &origins); err != nil {
-		return rlberror.New("decode origins", KindEncoding, err)
-	}
+// StoredRecord is the record of an instance as it was read.
+type StoredRecord struct {
+	Value []byte
+	Own   bool // stored by this process or by its predecessor of the same name
+}
+
+// Merge merges the records of all instances, which were read together in an era. It returns
+// an error for those that cannot be decoded; what is unknown then stays so. A process
+// continues the record of its predecessor, whose streams can be taken up for as long as a
+// request lasts at most.
+//
+// A record of an earlier era may be a copy without what its instance stored last, for as long
+// as streams of before the restore can be taken up.
+func (r *Registry) Merge(records []StoredRecord, era uint64, longestRequest time.Duration) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	if era != r.era || r.eraSeenAt.IsZero() {
+		r.era, r.eraSeenAt = era, r.now()
+	}
+	restoredLately := r.now().Sub(r.eraSeenAt) < longestRequest
+	var failed []error
+	r.recorded, r.complete = map[Origin]bool{}, true
+	for _, record := range records {
+		var origins []storedOrigin
+		if err := json.Unmarshal(record.Value, &origins); err != nil {
+			failed = append(failed, rlberror.New("decode origins", KindEncoding, err))
+			r.complete = false
+			continue
+		}
+		if restoredLately && slices.ContainsFunc(origins, func(o storedOrigin) bool { return o.Era < era }) {
+			r.complete = false
+		}
+		r.mergeOrigins(origins, record.Own, longestRequest)
+	}
+	r.merged = true
+	return errors.Join(failed...)
+}
+
+// mergeOrigins merges what a record contains. r.mu is held.
+func (r *Registry) mergeOrigins(origins []storedOrigin, own bool, longestRequest time.Duration) {
+	now, ofPredecessor := r.now(), own && !r.merged
 	for _, o := range origins {
-		origin := Origin{o.Service, o.Version}
-		if !r.complete {
-			r.extend(origin, now.Add(longestRequest))
+		r.recorded[o.origin()] = true
+		if ofPredecessor {
+			r.stored[o.origin()] = true
+			r.extend(o.origin(), now.Add(longestRequest))
 		}
 		for _, s := range o.Streams {
-			r.merge(s, origin, own, now)
+			r.merge(s, o.origin(), own, now)
 		}
 	}
-	return nil
 }
 
 // merge adds a stream of a record unless it is known. r.mu is held.
@@ -119,10 +187,3 @@
 	}
 	r.streams[s[0]] = stream{origin, now.Add(time.Duration(min(s[1], maxLeft)) * leftUnit), own}
 }
-
-// MarkComplete records that all records were merged since the start of the process.
-func (r *Registry) MarkComplete() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.complete = true
-}
--- a/lib/pkg/rlborigin/registry.go
+++ b/lib/pkg/rlborigin/registry.go
@@ -1,8 +1,13 @@
 // Package rlborigin tracks which software version began which stream. What two versions
 // write for one request does not fit together, so that a stream that its caller takes up
 // again may go on only at the version that began it. The instance that relayed the
-// beginning may be gone by then: instances store what they know, see Record. This package
-// does no I/O.
+// beginning may be gone by then: instances store what they know, see Record.
+//
+// An instance that does not remember a stream must not conclude from what it has heard
+// which versions there are: it may hear of a version after others have begun streams there.
+// So a stream begins only at a version that is in the stored record of its instance, see
+// MayBegin, and a stream that nobody remembers is of the only version in all stored records,
+// if these were read after the caller took it up, see Check. This package does no I/O.
 package rlborigin
 
 import (
@@ -31,19 +36,27 @@
 
 // Verdicts.
 const (
-	Unknown Verdict = iota // it may be any of several versions
-	Any                    // no endpoint can have begun it
-	Known                  // the stream is remembered, or the service had only one version
+	Unknown Verdict = iota // it may be any of several versions, or one that nobody has named
+	Known                  // the stream is remembered, or only one version can have begun it
 )
 
+// String returns the text of the verdict for the log.
+func (v Verdict) String() string { return [...]string{"unknown", "known"}[v] }
+
 // Registry holds the origins of streams. It is safe for concurrent use.
 type Registry struct {
 	now func() time.Time
 
 	mu       sync.Mutex
 	streams  map[uint64]stream
-	serving  map[Origin]time.Time // until when streams that began there may be taken up
-	complete bool                 // the records from before the start of the process were merged
+	serving  map[Origin]time.Time // observed by this process; until when streams that began there may be taken up
+	stored   map[Origin]bool      // in the stored record of this instance
+	recorded map[Origin]bool      // in the records of all instances that were merged last
+	complete bool                 // these records contain all versions that may have begun streams
+	merged   bool                 // the records from before the start of the process were merged
+
+	era       uint64    // in which the records were read
+	eraSeenAt time.Time // when records were read in it first
 }
 
 // stream is the origin of one stream.
@@ -55,7 +68,7 @@
 
 // New returns an empty registry.
 func New(now func() time.Time) *Registry {
-	return &Registry{now: now, streams: map[uint64]stream{}, serving: map[Origin]time.Time{}}
+	return &Registry{now: now, streams: map[uint64]stream{}, serving: map[Origin]time.Time{}, stored: map[Origin]bool{}, recorded: map[Origin]bool{}}
 }
 
 func keyOf(request string) uint64 { return xxhash.Sum64String(request) }
@@ -101,28 +114,52 @@
 	}
 }
 
+// Lookup returns the version that began the stream of a request of a service, if this
+// process remembers the stream.
+func (r *Registry) Lookup(service, request string) (version string, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.streams[keyOf(request)]
+	if !known || s.origin.Service != service {
+		return "", false
+	}
+	return s.origin.Version, true
+}
+
 // Check returns what is known about the stream that a request of a service began, and its
-// version if that is known.
+// version if that is known. About a stream that is not remembered it holds only if the
+// records of all instances were merged since the caller took the stream up: other instances
+// may have begun it at a version of which this one has not heard.
 func (r *Registry) Check(service, request string) (version string, verdict Verdict) {
+	if version, known := r.Lookup(service, request); known {
+		return version, Known
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s, known := r.streams[keyOf(request)]; known && s.origin.Service == service {
-		return s.origin.Version, Known
-	}
-	versions := r.versionsOf(service)
-	switch {
-	case !r.complete || len(versions) > 1:
-		return "", Unknown
-	case len(versions) == 1:
+	if versions := r.versionsOf(service); r.complete && len(versions) == 1 {
 		return versions[0], Known
-	default:
-		return "", Any
 	}
+	return "", Unknown
 }
 
 // versionsOf returns the versions of a service that may have begun streams which can be
-// taken up now. r.mu is held.
+// taken up now: those that this process has observed, and those that any instance has
+// stored. r.mu is held.
 func (r *Registry) versionsOf(service string) []string {
+	var versions []string
+	for origin := range r.recorded {
+		if origin.Service == service {
+			versions = append(versions, origin.Version)
+		}
+	}
+	versions = append(versions, r.servingVersions(service)...)
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// servingVersions returns the versions of a service that this process has observed and
+// whose streams can be taken up now. r.mu is held.
+func (r *Registry) servingVersions(service string) []string {
 	now := r.now()
 	var versions []string
 	for origin, until := range r.serving {
@@ -130,15 +167,22 @@
 			versions = append(versions, origin.Version)
 		}
 	}
-	slices.Sort(versions)
 	return versions
 }
 
-// Complete reports whether the records from before the start of the process were merged.
-func (r *Registry) Complete() bool {
+// MayBegin reports whether a stream may begin at an origin: it is in the stored record of
+// this instance, so that every process learns of it, whatever happens to this one.
+func (r *Registry) MayBegin(origin Origin) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stored[origin]
+}
+
+// Merged reports whether the records from before the start of the process were merged.
+func (r *Registry) Merged() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.complete
+	return r.merged
 }
 
 // Expire forgets streams that can no longer be taken up.
--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
@@ -20,10 +23,13 @@
 // Timing of storing and reading the origins of streams.
 const (
 	originStoreInterval = 400 * time.Millisecond // shortest
+	originStartInterval = 50 * time.Millisecond  // until the records from before the start are merged
 	originStoreSpacing  = 12 * time.Millisecond  // mean time between writes of all instances together
 	originStorePause    = time.Second            // after a failed write
 	originReadTimeout   = 300 * time.Millisecond
 	originRetryDelay    = 250 * time.Millisecond
+	originReadSpacing   = 50 * time.Millisecond // shortest time between the beginnings of two reads
+	originWriteSpread   = 2 * time.Millisecond  // for each instance; they all store a new version at once
 	// originWait is how long a request that takes up a stream waits for the instance that
 	// relayed its beginning to store it.
 	originWait = originStoreInterval + originReadTimeout
@@ -37,21 +43,27 @@
 	now         func() time.Time
 	version     rlbobject.Version // of this instance's object; 0: not known or no object
 	fingerprint uint64            // of the record in it
-	era         uint64            // of the object API when it was written
+	storeNow    chan struct{}     // holds an element if a version waits to be stored
+	readFailed  atomic.Bool       // a read of the records has failed since the start of the process
 
-	mu       sync.Mutex // held while the objects are read
-	lastRead time.Time  // when the latest successful read began
+	mu       sync.Mutex // held while the objects are read, which takes no longer than originReadTimeout
+	lastRead time.Time  // when the latest read began
+	readDone bool       // it succeeded
 }
 
 func newStreamOrigins(a *app) *streamOrigins {
-	o := &streamOrigins{Registry: rlborigin.New(rlbclock.Now), app: a, now: rlbclock.Now}
-	_, o.fingerprint, _ = o.Record() // an empty record is not stored
+	o := &streamOrigins{Registry: rlborigin.New(rlbclock.Now), app: a, now: rlbclock.Now, storeNow: make(chan struct{}, 1)}
+	empty, _ := o.Record(0) // not stored
+	o.fingerprint = empty.Fingerprint
 	return o
 }
 
 // run stores the origins when they change, until ctx ends.
 func (o *streamOrigins) run(ctx context.Context) {
-	for rlbcommon.Sleep(ctx, o.storeInterval()) {
+	for o.waitForWork(ctx) {
+		if o.app.view.Snapshot().Config == nil {
+			continue
+		}
 		o.observe()
 		o.Expire()
 		if !o.save(ctx) {
@@ -60,6 +72,44 @@
 	}
 }
 
+// waitForWork waits for the next interval, or until a version must be stored before streams
+// may begin there. It returns false if ctx ends.
+func (o *streamOrigins) waitForWork(ctx context.Context) bool {
+	wait := o.storeInterval()
+	if !o.Merged() {
+		wait = originStartInterval // no stream may begin yet
+	}
+	interval := time.NewTimer(wait)
+	defer interval.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-interval.C:
+		return true
+	case <-o.storeNow:
+		spread := time.Duration(o.app.fleet.KnownInstances(o.now())-1) * originWriteSpread
+		return rlbcommon.Sleep(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
+	}
+}
+
+// MayBegin reports whether a stream may begin at an origin: only once this instance has
+// stored that version, so that an instance that has not heard of it cannot take a stream for
+// one of another version. A process that could not read the records since its start, because
+// the object API is away, cannot store any; it serves all the same.
+func (o *streamOrigins) MayBegin(origin rlborigin.Origin) bool {
+	if o.Registry.MayBegin(origin) || o.unreadable() {
+		return true
+	}
+	select {
+	case o.storeNow <- struct{}{}:
+	default: // it is about to be stored
+	}
+	return false
+}
+
+// unreadable reports whether this process has tried to read the records and never could.
+func (o *streamOrigins) unreadable() bool { return !o.Merged() && o.readFailed.Load() }
+
 // storeInterval returns the interval between two writes of this instance. It grows with the
 // fleet, as the rate of writes that the object API takes does not.
 func (o *streamOrigins) storeInterval() time.Duration {
@@ -110,26 +160,27 @@
 // lost it. What the object API has is read before the first write, so that what a
 // predecessor stored is kept. It reports false if that failed.
 func (o *streamOrigins) save(ctx context.Context) bool {
-	value, fingerprint, err := o.Record()
+	if !o.Merged() && !o.read(ctx, o.now()) {
+		return false
+	}
+	record, err := o.Record(o.app.era())
 	if err != nil {
 		o.app.Log.WithError(err).Error("failed to encode where streams began")
 		return false
 	}
-	era := o.app.era()
-	if fingerprint == o.fingerprint && (era == o.era || !o.version.Exists()) {
+	if record.Fingerprint == o.fingerprint {
 		return true
 	}
-	if !o.Complete() {
-		return o.read(ctx, o.now()) // the next call writes
-	}
+	o.Storing(record)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	version, err := o.app.api.Put(ctx, o.key(), value, o.version)
+	version, err := o.app.api.Put(ctx, o.key(), record.Value, o.version)
 	if err != nil {
 		o.app.Log.WithError(err).Info("failed to store where streams began; trying again")
 		return o.refreshVersion(ctx)
 	}
-	o.version, o.fingerprint, o.era = version, fingerprint, era
+	o.Stored(record)
+	o.version, o.fingerprint = version, record.Fingerprint
 	return true
 }
 
@@ -150,23 +201,27 @@
 }
 
 // Find returns the version that began the stream of a request, see rlborigin.Registry.Check.
-// If this instance does not know it, it reads what the others have stored.
+// If this instance does not remember the stream, it reads what all have stored since: what it
+// has not heard of is not absent.
 func (o *streamOrigins) Find(ctx context.Context, service, request string) (version string, verdict rlborigin.Verdict) {
 	for giveUp := o.now().Add(originWait); ; {
+		if version, known := o.Lookup(service, request); known {
+			return version, rlborigin.Known
+		}
 		asked := o.now()
-		version, verdict = o.Check(service, request)
-		if verdict != rlborigin.Unknown || !asked.Before(giveUp) || !o.read(ctx, asked) {
-			return version, verdict
+		if !o.read(ctx, asked) {
+			return "", rlborigin.Unknown
 		}
 		version, verdict = o.Check(service, request)
-		if verdict != rlborigin.Unknown || !rlbcommon.Sleep(ctx, originRetryDelay) {
+		o.app.Log.WithFields(log.Fields{"request": request, "service": service, "verdict": verdict.String(), "software": version}).Info("looked for the origin of a stream that is not remembered in what all instances have stored")
+		if verdict != rlborigin.Unknown || !asked.Before(giveUp) || !rlbcommon.Sleep(ctx, originRetryDelay) {
 			return version, verdict
 		}
 	}
 }
 
 // read merges what the instances have stored, unless a read has begun since asked. It
-// reports whether that is done.
+// reports whether that is done. Concurrent callers share a read, whether it succeeds or not.
 func (o *streamOrigins) read(ctx context.Context, asked time.Time) bool {
 	config := o.app.view.Snapshot().Config
 	if config == nil {
@@ -175,9 +230,19 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lastRead.After(asked) {
-		return true
+		return o.readDone
+	}
+	rlbcommon.Sleep(ctx, originReadSpacing-o.now().Sub(o.lastRead))
+	o.lastRead = o.now()
+	o.readDone = o.readAll(context.WithoutCancel(ctx), config)
+	if !o.readDone {
+		o.readFailed.Store(true)
 	}
-	began := o.now()
+	return o.readDone
+}
+
+// readAll reads and merges the records of all instances. o.mu is held.
+func (o *streamOrigins) readAll(ctx context.Context, config *rlbdeployment.Config) bool {
 	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
 	defer cancel()
 	all, err := o.app.api.List(ctx, kindStreams)
@@ -185,13 +250,16 @@
 		o.app.Log.WithError(err).Warn("failed to read where streams began")
 		return false
 	}
-	_, longest := resumableServices(config)
+	var records []rlborigin.StoredRecord
 	for _, stored := range all.Objects {
-		if err := o.Merge(stored.Value, stored.Name == o.app.name, longest); err != nil {
-			o.app.Log.WithError(err).WithField("object", stored.Name).Warn("failed to decode where streams began")
-		}
+		records = append(records, rlborigin.StoredRecord{Value: stored.Value, Own: stored.Name == o.app.name})
+	}
+	for range all.Undecodable {
+		records = append(records, rlborigin.StoredRecord{}) // of an unknown content
+	}
+	_, longest := resumableServices(config)
+	if err := o.Merge(records, all.Revision.Era(), longest); err != nil {
+		o.app.Log.WithError(err).Warn("failed to decode where streams began")
 	}
-	o.MarkComplete()
-	o.lastRead = began
 	return true
 }
--- a/rlb-node/pkg/rlbapp/stream_origins_test.go
+++ b/rlb-node/pkg/rlbapp/stream_origins_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -123,6 +124,92 @@
 	})
 }
 
+// TestInstanceThatHasNotHeardOfAVersionDoesNotGuess guards against streams joined from two
+// software versions at an instance that is late, cut off, stood still or has just started.
+func TestInstanceThatHasNotHeardOfAVersionDoesNotGuess(t *testing.T) {
+	deadline := rlbclock.Now().Add(time.Minute)
+	Convey("Given an instance that relays streams of a new version, of which another one has not heard", t, func() {
+		f := newOriginFixture(t)
+		a, late := f.start("a", olderVersion), f.start("b", olderVersion)
+		saveAll(a)
+		saveAll(late)
+		a.Observe([]rlborigin.Origin{newerVersion}, time.Minute)
+		saveAll(a)
+		a.Began("x", newerVersion, deadline)
+		Convey("a stream that is not stored yet is not taken for one of the version that it knows", func() {
+			shouldFind(late, "x", "", rlborigin.Unknown)
+		})
+		Convey("a stream that is stored is found", func() {
+			saveAll(a)
+			shouldFind(late, "x", "v2", rlborigin.Known)
+		})
+		Convey("cut off from the object API it knows no stream but its own", func() {
+			late.Began("y", olderVersion, deadline)
+			f.store.Refuse(http.StatusServiceUnavailable)
+			shouldFind(late, "x", "", rlborigin.Unknown)
+			shouldFind(late, "y", "v1", rlborigin.Known)
+		})
+		Convey("one that has just started does not know more", func() {
+			shouldFind(f.start("c", olderVersion), "x", "", rlborigin.Unknown)
+		})
+	})
+	Convey("What another instance stores while the records are read again counts", t, func() {
+		f := newOriginFixture(t)
+		a, late := f.start("a", olderVersion), f.start("b", olderVersion)
+		saveAll(a)
+		saveAll(late)
+		shouldFind(late, "x", "v1", rlborigin.Known)
+		a.Observe([]rlborigin.Origin{newerVersion}, time.Minute)
+		saveAll(a)
+		shouldFind(late, "x", "", rlborigin.Unknown)
+	})
+}
+
+// TestReadsOfOriginsAreShared guards against take-ups that wait for each other's reads while
+// the object API does not answer.
+func TestReadsOfOriginsAreShared(t *testing.T) {
+	Convey("Many take-ups at once cause few reads, also if these fail", t, func() {
+		f := newOriginFixture(t)
+		o := f.start("a", olderVersion)
+		f.store.Refuse(http.StatusServiceUnavailable)
+		calls := f.store.Calls()
+		asked := o.now()
+		var waiting sync.WaitGroup
+		for range 50 {
+			waiting.Go(func() { o.read(context.Background(), asked) })
+		}
+		waiting.Wait()
+		So(f.store.Calls()-calls, ShouldEqual, 1)
+	})
+	Convey("A caller that leaves does not end the read that others wait for", t, func() {
+		o := newOriginFixture(t).start("a", olderVersion)
+		ctx, leave := context.WithCancel(context.Background())
+		leave()
+		So(o.read(ctx, o.now()), ShouldBeTrue)
+	})
+}
+
+// TestProcessThatCannotReadTheRecordsServesAllTheSame guards against models that nobody can
+// reach after a restart while the object API is away.
+func TestProcessThatCannotReadTheRecordsServesAllTheSame(t *testing.T) {
+	Convey("Given a process that starts", t, func() {
+		f := newOriginFixture(t)
+		o := f.start("a", olderVersion)
+		So(o.MayBegin(olderVersion), ShouldBeFalse)
+		So(o.storeNow, ShouldHaveLength, 1)
+		Convey("streams may begin once its versions are stored", func() {
+			saveAll(o)
+			So(o.MayBegin(olderVersion), ShouldBeTrue)
+			So(o.MayBegin(newerVersion), ShouldBeFalse)
+		})
+		Convey("or if the object API does not answer", func() {
+			f.store.Refuse(http.StatusServiceUnavailable)
+			So(o.save(context.Background()), ShouldBeFalse)
+			So(o.MayBegin(olderVersion), ShouldBeTrue)
+		})
+	})
+}
+
 func TestOriginThatAnotherInstanceStoresSoonIsWaitedFor(t *testing.T) {
 	Convey("A take-up that comes before the record of its stream finds it", t, func() {
 		f := newOriginFixture(t)
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -115,9 +115,9 @@
 // nil if there is none. A request for an adapter goes to one of the endpoints in
 // withAdapter.
 func (s *Server) pickEndpoint(req *request, withAdapter []string) rlbbalancer.Choice {
-	changes := s.ModelChanges()
+	changes, mayRunAt := s.ModelChanges(), s.versionFilter(req)
 	fits := func(e *rlbdeployment.Endpoint) bool {
-		if slices.Contains(req.tried, e.ID) || slices.Contains(req.limited, e.ID) || !req.mayRunAt(e) {
+		if slices.Contains(req.tried, e.ID) || slices.Contains(req.limited, e.ID) || !mayRunAt(e) {
 			return false
 		}
 		if req.adapter != "" && !slices.Contains(withAdapter, e.ID) {
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -26,6 +26,7 @@
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbpeer"
 	"github.com/rhubarblb/rhubarblb/rlb-standin/pkg/rlbfakedeployment"
+	. "github.com/smartystreets/goconvey/convey"
 )
 
 const config = `{"Version":3,"Routes":[
@@ -58,13 +59,24 @@
 	return ids, "no endpoint in the fake"
 }
 
-// fakeOrigins knows the origins of the streams that the server relays.
-type fakeOrigins struct{ *rlborigin.Registry }
+// fakeOrigins knows the origins of the streams that the server relays. Streams may begin at
+// all versions but those that are not stored yet.
+type fakeOrigins struct {
+	*rlborigin.Registry
+	notStored string
+}
+
+func (o *fakeOrigins) MayBegin(origin rlborigin.Origin) bool {
+	return o.notStored == "" || origin.Version != o.notStored
+}
 
 func (o *fakeOrigins) Find(_ context.Context, service, request string) (string, rlborigin.Verdict) {
 	return o.Check(service, request)
 }
 
+// noRecordsElsewhere makes it known that no instance has stored an origin.
+func (o *fakeOrigins) noRecordsElsewhere() { So(o.Merge(nil, 0, time.Minute), ShouldBeNil) }
+
 // fixture runs a server between a caller and replicas on loopback.
 type fixture struct {
 	server     *Server
@@ -87,7 +99,7 @@
 		Dial: rlbdispatch.DialTCP(time.Minute), FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Minute,
 	})
 	t.Cleanup(closeDispatcher)
-	f.origins = &fakeOrigins{rlborigin.New(f.now)}
+	f.origins = &fakeOrigins{Registry: rlborigin.New(f.now)}
 	f.server = New(Opts{
 		Log: quiet, Domain: "a", View: f.view, Balancer: rlbbalancer.New(), PeerLoad: func(string) rlbbalancer.Load { return rlbbalancer.Load{} },
 		Crashes: rlbcrash.New(rlbcrash.Opts{Instance: "i1", Now: f.now}), Instances: func() int { return 1 }, Dispatcher: dispatcher, Origins: f.origins, Adapters: fakeAdapters{"llm/m/a1": {"e1"}},
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -29,6 +29,8 @@
 
 // Origins remembers which software version began which stream.
 type Origins interface {
+	// MayBegin reports whether a stream that its caller may take up can begin at origin now.
+	MayBegin(origin rlborigin.Origin) bool
 	// Began records that the first event of the stream that a request began came from an
 	// endpoint of origin. The caller may take the stream up until deadline.
 	Began(request string, origin rlborigin.Origin, deadline time.Time)
--- a/rlb-node/pkg/rlbproxy/software_version.go
+++ b/rlb-node/pkg/rlbproxy/software_version.go
@@ -9,31 +9,52 @@
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 )
 
-// mayRunAt reports whether the software version of an endpoint allows it to run the
-// request. What two versions write for one request does not fit together, and endpoints do
-// not check it.
-func (req *request) mayRunAt(e *rlbdeployment.Endpoint) bool {
-	return !req.begun || e.SoftwareVersion == req.beganAt
+// versionFilter returns a function that reports whether the software version of an endpoint
+// allows it to run the request. What two versions write for one request does not fit
+// together, and endpoints do not check it: a stream goes on only at the version that began
+// it, and one that may be taken up begins only at a version that other instances can learn of.
+func (s *Server) versionFilter(req *request) func(*rlbdeployment.Endpoint) bool {
+	if req.begun {
+		return func(e *rlbdeployment.Endpoint) bool { return e.SoftwareVersion == req.beganAt }
+	}
+	if !req.mayBeTakenUp() {
+		return func(*rlbdeployment.Endpoint) bool { return true }
+	}
+	allowed := map[string]bool{}
+	return func(e *rlbdeployment.Endpoint) bool {
+		may, checked := allowed[e.SoftwareVersion]
+		if !checked {
+			may = s.Origins.MayBegin(rlborigin.Origin{Service: req.service, Version: e.SoftwareVersion})
+			allowed[e.SoftwareVersion] = may
+		}
+		return may
+	}
 }
 
 // otherVersions returns the IDs of the endpoints of the request's service that may not run
 // it because of their software version.
 func (s *Server) otherVersions(req *request) []string {
-	if !req.begun {
+	if !req.begun && !req.mayBeTakenUp() {
 		return nil
 	}
+	mayRunAt := s.versionFilter(req)
 	var others []string
 	for _, e := range s.View.Snapshot().ByService[req.service] {
-		if !req.mayRunAt(e) {
+		if !mayRunAt(e) {
 			others = append(others, e.ID)
 		}
 	}
 	return others
 }
 
+// mayBeTakenUp reports whether the answer is a stream that the caller may take up again.
+func (req *request) mayBeTakenUp() bool {
+	return req.route.Kind == rlbdeployment.KindStream && req.route.Resumable
+}
+
 // takesUp reports whether the caller takes a stream up again that it has a part of.
 func (req *request) takesUp() bool {
-	return req.route.Kind == rlbdeployment.KindStream && req.route.Resumable && req.inbound.Header.Get(rlbplatform.HeaderLastEventID) != ""
+	return req.mayBeTakenUp() && req.inbound.Header.Get(rlbplatform.HeaderLastEventID) != ""
 }
 
 // streamID returns the ID of the request that began the stream: an earlier one if the caller
@@ -52,12 +73,10 @@
 		return nil
 	}
 	version, verdict := s.Origins.Find(req.inbound.Context(), req.service, req.streamID())
-	switch verdict {
-	case rlborigin.Unknown:
+	if verdict != rlborigin.Known {
 		return refuseUnknownOrigin
-	case rlborigin.Known:
-		req.begun, req.beganAt = true, version
 	}
+	req.begun, req.beganAt = true, version
 	return nil
 }
 
--- a/rlb-node/pkg/rlbproxy/software_version_test.go
+++ b/rlb-node/pkg/rlbproxy/software_version_test.go
@@ -86,7 +86,7 @@
 		same := f.addVersion(t, "e3", "llm", "b", "v1")
 		f.drain("e1")
 		f.origins.Observe([]rlborigin.Origin{{Service: "llm", Version: "v1"}, {Service: "llm", Version: "v2"}}, time.Minute)
-		f.origins.MarkComplete()
+		f.origins.noRecordsElsewhere()
 		Convey("it goes on at an endpoint of its version", func() {
 			got := f.takeUp(firstRequest)
 			So(got.status, ShouldEqual, http.StatusOK)
@@ -117,13 +117,44 @@
 		f := newFixture(t)
 		f.addVersion(t, "e1", "llm", "a", "v1")
 		f.origins.Observe([]rlborigin.Origin{{Service: "llm", Version: "v1"}}, time.Minute)
-		f.origins.MarkComplete()
+		f.origins.noRecordsElsewhere()
 		got := f.takeUp("unknown")
 		So(got.status, ShouldEqual, http.StatusOK)
 		So(got.body, ShouldContainSubstring, "id: 3")
 	})
 }
 
+// TestStreamBeginsOnlyAtAStoredVersion guards against streams joined from two software
+// versions: where a stream began must be known elsewhere before its caller has a part of it.
+func TestStreamBeginsOnlyAtAStoredVersion(t *testing.T) {
+	Convey("Given a near endpoint whose version is not stored yet, and a stored one farther away", t, func() {
+		f := newFixture(t)
+		fresh := f.addVersion(t, "e1", "llm", "a", "v2")
+		stored := f.addVersion(t, "e2", "llm", "b", "v1")
+		f.origins.notStored = "v2"
+		Convey("a stream that may be taken up begins at the stored one", func() {
+			So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(fresh, 0)
+			shouldHaveRun(stored, 1)
+		})
+		Convey("it is refused as not run if there is no other", func() {
+			f.drain("e2")
+			So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusServiceUnavailable)
+			shouldHaveRun(fresh, 0)
+		})
+		Convey("an adapter is not asked for there", func() {
+			f.server.Adapters = fakeAdapters{"llm/m/a1": {"e1"}}
+			got := f.send(http.MethodPost, "/talk/x", "prompt", map[string]string{"X-Model": "m/a1", "X-Token-Count": "10,4"})
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			shouldHaveRun(fresh, 0)
+		})
+		Convey("one that cannot be taken up begins at the nearest", func() {
+			So(f.sendPrompt("/plan/x").status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(fresh, 1)
+		})
+	})
+}
+
 func TestTakenUpStreamStaysAtItsService(t *testing.T) {
 	Convey("A route that is split between services sends a take-up where the first request went", t, func() {
 		config := rlbdeployment.NewConfig(1, []rlbdeployment.Route{{
@@ -148,7 +179,7 @@
 		f := newFixture(t)
 		f.addVersion(t, "e1", "llm", "a", "v1")
 		f.origins.Observe([]rlborigin.Origin{{Service: "llm", Version: "v1"}}, time.Minute)
-		f.origins.MarkComplete()
+		f.origins.noRecordsElsewhere()
 		for range 1000 {
 			f.server.Balancer.Begin(f.view.Snapshot().ByID["e1"], rlbbalancer.RequestLoad{PromptTokens: 100_000})
 		}
