A restart while an order is in flight does not stop the lease holder

Cause: a deadlock. syncEndpoints held Scheduler.mu and waited for the lock of a restarted endpoint's state (endpointState.restarted), which is held while an order is in flight; the accepted order waited for Scheduler.mu (recordChanges). Without the second half it is still a wait for I/O under the lock that each request for a model needs.

Evidence: TestRestartDuringAnOrderDoesNotStopTheLeaseHolder and TestInDoubtOrderToAnEarlierIncarnationBlocksTheNext apply the entry of the restarted endpoint within the order. On both: panic: test timed out after 15s with the test in syncEndpoints, waiting for a mutex, and the lease holder's loop alive. Ruled out: control calls that do not return (they end after 250 ms), a plan that does not end (requests are served from what was published last).

Change: Scheduler.mu may be taken under the lock of a state, never the other way round. The state of a restarted endpoint is replaced once no order to the earlier incarnation is in flight, a tick later, and is left out of plans until then. Replacing it at once would lose whether that order is in doubt, which must block the next incarnation (second test).

Why it works: nothing waits any more while it holds Scheduler.mu.

--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -63,10 +63,9 @@
 }
 
 // restarted returns the state of the endpoint's next incarnation. It blocks orders
-// while an order without an answer to the previous one may still arrive.
+// while an order without an answer to the previous one may still arrive. The caller holds
+// s.mu.
 func (s *endpointState) restarted(e *rlbdeployment.Endpoint) *endpointState {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	next := newEndpointState(e)
 	next.blockedUntil = s.inDoubtUntil
 	return next
--- /dev/null
+++ b/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
@@ -0,0 +1,81 @@
+package rlbscheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+)
+
+// restartDuringOrder runs a lease holder before an endpoint that restarts under its ID while
+// the first order to it is in flight. It calls check meanwhile, within the order.
+func restartDuringOrder(t *testing.T, f *testFleet, check func(s *Scheduler)) *Scheduler {
+	t.Helper()
+	var s *Scheduler
+	started := make(chan struct{})
+	f.engines.duringOrder = func(endpoint string) {
+		<-started
+		f.engines.duringOrder = nil
+		s.View.ApplyChanges([]rlbobject.Object{{Name: endpoint, Version: 10, Value: []byte("restarted")}}, false)
+		check(s)
+	}
+	s = f.start(t.Context(), "a")
+	close(started)
+	return s
+}
+
+// TestRestartDuringAnOrderDoesNotStopTheLeaseHolder guards against a deadlock after which the
+// lease holder answers no request for a model, says that it is ready and keeps the lease: the
+// entry of a restarted endpoint waited for the order in flight there, and the order for the
+// lock under which entries are applied. Then this test does not end.
+func TestRestartDuringAnOrderDoesNotStopTheLeaseHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "e1")
+		f.engines.orderDelay = orderTimeout
+		checked := false
+		s := restartDuringOrder(t, f, func(s *Scheduler) {
+			start := time.Now()
+			s.syncEndpoints()
+			s.ModelChanges()
+			s.Find(t.Context(), "s", "m", "a1", nil)
+			if took := time.Since(start); took >= orderTimeout {
+				t.Errorf("requests for a model waited %v for the order in flight", took)
+			}
+			checked = true
+		})
+		time.Sleep(time.Minute)
+		if !checked {
+			t.Error("no order was in flight")
+		}
+		if s.Fence() == 0 {
+			t.Error("the lease was lost")
+		}
+		if ids, reason := s.Find(t.Context(), "s", "m", "a1", nil); len(ids) == 0 {
+			t.Errorf("the restarted endpoint gets no orders: %s", reason)
+		}
+	})
+}
+
+// TestInDoubtOrderToAnEarlierIncarnationBlocksTheNext guards against memory that is
+// overcommitted: an order that got no answer while its endpoint restarted may still arrive.
+func TestInDoubtOrderToAnEarlierIncarnationBlocksTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "e1")
+		f.engines.orderDelay = orderTimeout
+		f.engines.dropOrders(1)
+		start := time.Now()
+		s := restartDuringOrder(t, f, func(s *Scheduler) {
+			start = time.Now()
+			s.syncEndpoints()
+		})
+		time.Sleep(inDoubtPeriod)
+		if n := len(f.engines.allOrders()); n != 1 {
+			t.Errorf("%d orders within %v of the one in doubt: %v", n, time.Since(start), f.engines.allOrders())
+		}
+		time.Sleep(time.Minute)
+		if len(f.engines.allOrders()) < 2 || s.Fence() == 0 {
+			t.Errorf("no order after the doubt has ended: %v", f.engines.allOrders())
+		}
+	})
+}
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -90,9 +90,9 @@
 
 	lastDescribed map[string]rlbplacement.Engine // last plan input by endpoint; used by the planning goroutine only
 
-	// mu is acquired before the mutex of an endpointState, never while holding it:
-	// that mutex is held while an order is in flight, and the lookup of a cached
-	// adapter, which needs only mu, must not wait for the answer.
+	// mu may be acquired while holding the mutex of an endpointState, never the other way
+	// round: that mutex is held while an order is in flight, and each request for a model,
+	// which needs mu, must not wait for the answer.
 	mu           sync.Mutex
 	states       map[string]*endpointState
 	adapterLocks map[string]chan struct{} // by SERVICE/MODEL/ADAPTER
@@ -282,7 +282,7 @@
 		case state == nil:
 			s.states[id] = newEndpointState(e)
 		case !state.sameIncarnation(e):
-			s.states[id] = state.restarted(e)
+			s.replaceState(id, state, e)
 		}
 	}
 	for id := range s.states {
@@ -295,6 +295,17 @@
 	return true
 }
 
+// replaceState replaces the state of an endpoint that has restarted. While an order to the
+// earlier incarnation is in flight it waits for the next tick, as the answer decides whether
+// that order may still arrive. s.mu is held.
+func (s *Scheduler) replaceState(id string, state *endpointState, e *rlbdeployment.Endpoint) {
+	if !state.mu.TryLock() {
+		return
+	}
+	defer state.mu.Unlock()
+	s.states[id] = state.restarted(e)
+}
+
 func (s *Scheduler) engineOf(snapshot *rlbdiscovery.Snapshot, e *rlbdeployment.Endpoint) *rlbdeployment.Engine {
 	if snapshot.Config == nil {
 		return nil
@@ -302,13 +313,14 @@
 	return snapshot.Config.Services[e.Service].Engine
 }
 
-// serviceStates returns the states of the endpoints of a service, sorted by ID.
+// serviceStates returns the states of the endpoints of a service, sorted by ID. It leaves out
+// those of an earlier incarnation, which are about to be replaced.
 func (s *Scheduler) serviceStates(snapshot *rlbdiscovery.Snapshot, service string) []*endpointState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []*endpointState
 	for id, state := range s.states {
-		if e := snapshot.ByID[id]; e != nil && e.Service == service {
+		if e := snapshot.ByID[id]; e != nil && e.Service == service && state.sameIncarnation(e) {
 			all = append(all, state)
 		}
 	}
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -30,6 +30,8 @@
 	orderDelay time.Duration   // delay before each order takes effect and is answered
 	unanswered int             // number of orders still to be dropped without effect or answer
 	dark       map[string]bool // endpoints that do not answer
+	// duringOrder is called while an order to an endpoint is in flight; nil: nothing.
+	duringOrder func(endpoint string)
 }
 
 type fakeEndpoint struct {
@@ -47,6 +49,9 @@
 }
 
 func (e *fakeEngines) SendOrder(_ context.Context, to *rlbdeployment.Endpoint, o rlbdeployment.Order) (rlbdeployment.Verdict, error) {
+	if e.duringOrder != nil {
+		e.duringOrder(to.ID)
+	}
 	time.Sleep(e.orderDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -147,15 +152,16 @@
 }
 
 // fakeDecoder decodes every config as one service with the engine of testEngine, and
-// every entry as an endpoint with the model m.
+// every entry as an endpoint with the model m. The length of an entry tells its incarnations
+// apart.
 type fakeDecoder struct{}
 
 func (fakeDecoder) Config([]byte) (*rlbdeployment.Config, error) {
 	return rlbdeployment.NewConfig(1, nil, map[string]rlbdeployment.Service{"s": {Name: "s", Engine: testEngine()}}, rlbdeployment.Limits{}), nil
 }
 
-func (fakeDecoder) Endpoint(id string, _ []byte) (*rlbdeployment.Endpoint, error) {
-	return &rlbdeployment.Endpoint{ID: id, Service: "s", Slots: 4, Domain: "a", LoadedModels: []rlbdeployment.LoadedModel{{Model: "m"}}}, nil
+func (fakeDecoder) Endpoint(id string, value []byte) (*rlbdeployment.Endpoint, error) {
+	return &rlbdeployment.Endpoint{ID: id, StartedAt: time.Unix(int64(len(value)), 0), Service: "s", Slots: 4, Domain: "a", LoadedModels: []rlbdeployment.LoadedModel{{Model: "m"}}}, nil
 }
 
 // testFleet is a set of instances that share an object API and endpoints.
