What an order to an earlier incarnation changes is not published for the next

After a restart under the same ID during an order, requests for a model that the restarted endpoint holds would go elsewhere, or be refused where no other holds it, until its next report.

Cause: recordChanges compared the state of the earlier incarnation with the latest entry, which is of the next one, and published the difference under the next one's keys.

Evidence: TestOrderToAnEarlierIncarnationIsNotPublishedForTheNext on: the restarted endpoint counts as not serving the model in its entry Ruled out: the plan's own comparison, which happens after the state is replaced.

Change: recordChanges takes state and entry and does nothing if they are of two incarnations; its four callers had the same two lines.

Why it works: each incarnation is published from its own state only.

--- a/rlb-node/pkg/rlbscheduler/model_changes.go
+++ b/rlb-node/pkg/rlbscheduler/model_changes.go
@@ -34,8 +34,14 @@
 // empty reports whether the endpoint serves what its entry says.
 func (c modelChanges) empty() bool { return len(c.unloaded) == 0 && len(c.loaded) == 0 }
 
-// recordChanges records the changes of an endpoint, for ModelChanges.
-func (s *Scheduler) recordChanges(endpoint string, c modelChanges) {
+// recordChanges records how the state of an endpoint differs from its entry, for
+// ModelChanges. An entry of a later incarnation has nothing to do with the state. The caller
+// holds state.mu and has made sure that the state is known.
+func (s *Scheduler) recordChanges(state *endpointState, entry *rlbdeployment.Endpoint) {
+	if entry == nil || !state.sameIncarnation(entry) {
+		return
+	}
+	endpoint, c := entry.ID, changesOf(state, entry)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before, known := s.changes[endpoint]
--- a/rlb-node/pkg/rlbscheduler/orders.go
+++ b/rlb-node/pkg/rlbscheduler/orders.go
@@ -77,8 +77,8 @@
 		"sequence": o.Sequence, "fence": o.Fence, "verdict": verdict.String(), "reason": reason, "error": err,
 	}).Info("sent an order to an endpoint")
 	takesEffect := s.recordVerdict(state, engine, o, verdict)
-	if entry := s.View.Snapshot().ByID[state.incarnation.ID]; takesEffect && o.Adapter == "" && entry != nil {
-		s.recordChanges(entry.ID, changesOf(state, entry))
+	if takesEffect && o.Adapter == "" {
+		s.recordChanges(state, s.View.Snapshot().ByID[state.incarnation.ID])
 	}
 	return takesEffect
 }
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -103,7 +103,7 @@
 	}
 	defer state.mu.Unlock()
 	if state.known {
-		s.recordChanges(state.incarnation.ID, changesOf(state, entry))
+		s.recordChanges(state, entry)
 	}
 	e := s.describeState(engine, state, entry)
 	s.lastDescribed[state.incarnation.ID] = e
--- a/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
+++ b/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
@@ -57,6 +57,31 @@
 	})
 }
 
+// TestOrderToAnEarlierIncarnationIsNotPublishedForTheNext guards against a model that nobody
+// can reach at a restarted endpoint, because its earlier incarnation did not hold it.
+func TestOrderToAnEarlierIncarnationIsNotPublishedForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "e1")
+		f.engines.endpoints["e1"].models = map[string]map[string]bool{}
+		s := restartDuringOrder(t, f, func(*Scheduler) {})
+		for len(f.engines.allOrders()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		synctest.Wait()
+		state := s.states["e1"]
+		if state.sameIncarnation(s.View.Snapshot().ByID["e1"]) {
+			t.Fatal("the state was replaced while the order was in flight")
+		}
+		if !s.ModelChanges().Serves(s.View.Snapshot().ByID["e1"], "m") {
+			t.Error("the restarted endpoint counts as not serving the model in its entry")
+		}
+		time.Sleep(2 * tickInterval)
+		if !s.states["e1"].sameIncarnation(s.View.Snapshot().ByID["e1"]) {
+			t.Error("the state of the earlier incarnation is still used")
+		}
+	})
+}
+
 // TestInDoubtOrderToAnEarlierIncarnationBlocksTheNext guards against memory that is
 // overcommitted: an order that got no answer while its endpoint restarted may still arrive.
 func TestInDoubtOrderToAnEarlierIncarnationBlocksTheNext(t *testing.T) {
--- a/rlb-node/pkg/rlbscheduler/unloads.go
+++ b/rlb-node/pkg/rlbscheduler/unloads.go
@@ -21,9 +21,7 @@
 	}
 	m := state.models[name]
 	m.unloadAt, m.unloadFor = s.now().Add(unloadNotice), reason
-	if entry := s.View.Snapshot().ByID[state.incarnation.ID]; entry != nil {
-		s.recordChanges(entry.ID, changesOf(state, entry))
-	}
+	s.recordChanges(state, s.View.Snapshot().ByID[state.incarnation.ID])
 }
 
 // orderDueUnloads sends the orders of announced unloads that are due, in the background. An
@@ -67,9 +65,7 @@
 	}
 	if last {
 		m.unloadAt = time.Time{}
-		if entry := snapshot.ByID[state.incarnation.ID]; entry != nil {
-			s.recordChanges(entry.ID, changesOf(state, entry))
-		}
+		s.recordChanges(state, snapshot.ByID[state.incarnation.ID])
 		return
 	}
 	s.Limits.Charge(state.endpoint.ID, controlRank)
