The origin of a stream is known elsewhere as the stream begins

Cause: a record begun only once it is needed. Origins were stored while several versions were known; of the streams that ran as the second one joined nothing was stored when their instance was lost.

Change: digests name the streams that began within the last 0.6 s, whether one version serves or several, and a stream that begins makes a digest due. The summary of a domain with one instance names them too. Rejected: to store them always, a write each 0.4 s from each instance.

Why it works: the others of the domain have the record before the second version exists, so that its arrival makes nothing unknown.

--- a/lib/pkg/rlborigin/registry.go
+++ b/lib/pkg/rlborigin/registry.go
@@ -1,7 +1,8 @@
 // Package rlborigin tracks which software version began which stream. What two versions
 // write for one request does not fit together, so that a stream that its caller takes up
 // again may go on only at the version that began it. The instance that relayed the
-// beginning may be gone by then: instances store what they know, see Record.
+// beginning may be gone by then: instances announce the streams that they begin to relay to
+// others at once, see Announcements, and store what they know, see Record.
 //
 // An instance that does not remember a stream must not conclude from what it has heard
 // which versions there are: it may hear of a version after others have begun streams there.
@@ -55,6 +56,9 @@
 	complete bool                 // these records contain all versions that may have begun streams
 	merged   bool                 // the records from before the start of the process were merged
 
+	begun      []begunStream // to be announced
+	begunCount uint64
+
 	era       uint64    // in which the records were read
 	eraSeenAt time.Time // when records were read in it first
 }
@@ -97,8 +101,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.extend(origin, deadline)
-	if len(r.streams) < maxStreams {
-		r.streams[keyOf(request)] = stream{origin, deadline, true}
+	if key := keyOf(request); len(r.streams) < maxStreams {
+		r.streams[key] = stream{origin, deadline, true}
+		r.announce(key, origin)
 	}
 }
 
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -144,7 +144,11 @@
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 	})
-	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest, LoadVersion: a.balancer.LoadVersion})
+	a.origins = newStreamOrigins(a)
+	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{
+		Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
+		Changes: func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() },
+	})
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
 	}
@@ -156,7 +160,6 @@
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
-	a.origins = newStreamOrigins(a)
 	a.proxy = rlbproxy.New(rlbproxy.Opts{
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
@@ -281,7 +284,7 @@
 		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
 		Draining: a.proxy.Draining(), APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
 		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report()),
-		DrainingEndpoints: a.view.MarkedDraining(),
+		DrainingEndpoints: a.view.MarkedDraining(), BegunStreams: rlbpeer.NewBegunStreams(a.origins.Announcements()),
 	}
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -45,6 +45,7 @@
 	fingerprint uint64            // of the record in it
 	storeNow    chan struct{}     // holds an element if a version waits to be stored
 	readFailed  atomic.Bool       // a read of the records has failed since the start of the process
+	resumable   atomic.Pointer[resumableStreams]
 
 	mu       sync.Mutex // held while the objects are read, which takes no longer than originReadTimeout
 	lastRead time.Time  // when the latest read began
@@ -122,24 +123,42 @@
 	if snapshot.Config == nil {
 		return
 	}
-	services, longest := resumableServices(snapshot.Config)
-	o.Observe(servingOrigins(snapshot, services), longest)
+	resumable := o.resumableOf(snapshot.Config)
+	o.Observe(servingOrigins(snapshot, resumable.services), resumable.longest)
 }
 
-// resumableServices returns the services of routes whose streams may be taken up again, and
-// the longest time that a request of these routes may last.
-func resumableServices(config *rlbdeployment.Config) (services map[string]bool, longest time.Duration) {
-	services = map[string]bool{}
+// learn remembers streams that other instances have begun to relay.
+func (o *streamOrigins) learn(announcements []rlborigin.Announcement) {
+	if config := o.app.view.Snapshot().Config; config != nil && len(announcements) > 0 {
+		o.Learn(announcements, o.resumableOf(config).longest)
+	}
+}
+
+// resumableStreams is what a config says about streams that may be taken up again.
+type resumableStreams struct {
+	config   *rlbdeployment.Config
+	services map[string]bool // of the routes of these streams
+	longest  time.Duration   // that a request of these routes may last
+}
+
+// resumableOf returns what a config says about streams that may be taken up again. It is
+// worked out once for each config, which may have many routes.
+func (o *streamOrigins) resumableOf(config *rlbdeployment.Config) *resumableStreams {
+	if latest := o.resumable.Load(); latest != nil && latest.config == config {
+		return latest
+	}
+	found := &resumableStreams{config: config, services: map[string]bool{}}
 	for route := range config.AllRoutes() {
 		if route.Kind != rlbdeployment.KindStream || !route.Resumable {
 			continue
 		}
-		longest = max(longest, route.Timeout)
+		found.longest = max(found.longest, route.Timeout)
 		for _, share := range route.Shares {
-			services[share.Service] = true
+			found.services[share.Service] = true
 		}
 	}
-	return services, longest
+	o.resumable.Store(found)
+	return found
 }
 
 func servingOrigins(snapshot *rlbdiscovery.Snapshot, services map[string]bool) []rlborigin.Origin {
@@ -257,8 +276,7 @@
 	for range all.Undecodable {
 		records = append(records, rlborigin.StoredRecord{}) // of an unknown content
 	}
-	_, longest := resumableServices(config)
-	if err := o.Merge(records, all.Revision.Era(), longest); err != nil {
+	if err := o.Merge(records, all.Revision.Era(), o.resumableOf(config).longest); err != nil {
 		o.app.Log.WithError(err).Warn("failed to decode where streams began")
 	}
 	return true
--- a/rlb-node/pkg/rlbapp/stream_origins_test.go
+++ b/rlb-node/pkg/rlbapp/stream_origins_test.go
@@ -165,6 +165,28 @@
 	})
 }
 
+// TestStreamsOfALostInstanceGoOnAsASecondVersionJoins guards against streams that are refused
+// when they are taken up, because their instance was lost before it had stored them.
+func TestStreamsOfALostInstanceGoOnAsASecondVersionJoins(t *testing.T) {
+	Convey("Given an instance that relays a stream while one version serves, and is lost as a second one joins", t, func() {
+		f := newOriginFixture(t)
+		lost, other := f.start("a", olderVersion), f.start("b", olderVersion)
+		saveAll(lost)
+		saveAll(other)
+		lost.Began("x", olderVersion, rlbclock.Now().Add(time.Minute))
+		other.learn(lost.Announcements())
+		other.Observe([]rlborigin.Origin{newerVersion}, time.Minute)
+		saveAll(other)
+		Convey("another one of its domain knows where the stream began", func() {
+			shouldFind(other, "x", "v1", rlborigin.Known)
+		})
+		Convey("also if the object API does not answer", func() {
+			f.store.Refuse(http.StatusServiceUnavailable)
+			shouldFind(other, "x", "v1", rlborigin.Known)
+		})
+	})
+}
+
 // TestReadsOfOriginsAreShared guards against take-ups that wait for each other's reads while
 // the object API does not answer.
 func TestReadsOfOriginsAreShared(t *testing.T) {
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -32,6 +32,7 @@
 
 	Limits            map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
 	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, see rlbdeployment.Endpoint.IncarnationKey
+	BegunStreams      []BegunStreams           `msgpack:"b,omitempty"`
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -91,6 +92,9 @@
 
 	Limits            map[uint32]EndpointLimit `msgpack:"t,omitempty"`
 	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"`
+	// BegunStreams are those of the only instance of the domain; others of a domain remember
+	// each other's.
+	BegunStreams []BegunStreams `msgpack:"b,omitempty"`
 }
 
 // packet is the content of a datagram. Exactly one field is set.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -329,8 +329,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.Limits, s.DrainingEndpoints = f.summarizeLimits(now, own), f.summarizeDraining(now, own)
-	available := false
-	for _, d := range append(f.liveDigests(now), own) {
+	available, live := false, f.liveDigests(now)
+	if len(live) == 0 {
+		s.BegunStreams = own.BegunStreams
+	}
+	for _, d := range append(live, own) {
 		s.Members++
 		s.APIUnavailable, available = s.APIUnavailable || d.APIUnavailable, available || d.APIAvailable
 		s.ConfigVersion, s.EntryRevision = max(s.ConfigVersion, d.ConfigVersion), max(s.EntryRevision, d.EntryRevision)
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -107,7 +107,7 @@
 		b, closeB, err := NewLink(LinkOpts{Log: logger, Listen: "127.0.0.1:0", Fleet: fleetB, Now: time.Now, Handler: func(_ context.Context, q Query) Reply {
 			received <- q
 			return Reply{Endpoints: []string{"e1"}}
-		}, Digest: func() Digest { return Digest{Name: "b", Domain: "x"} }, LoadVersion: func() uint64 { return 0 }})
+		}, Digest: func() Digest { return Digest{Name: "b", Domain: "x"} }, Changes: func() uint64 { return 0 }})
 		So(err, ShouldBeNil)
 		defer closeB()
 		ctx, stop := context.WithCancel(t.Context())
--- a/rlb-node/pkg/rlbpeer/fuzz_test.go
+++ b/rlb-node/pkg/rlbpeer/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmsgpack"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -14,7 +15,7 @@
 	loads := map[uint32]Load{EndpointKey("e"): {InFlight: 3, SlowPercent: 50}}
 	limits := map[uint32]EndpointLimit{EndpointKey("e"): {Limit: 2.5, Wanted: []float32{1, 2}}}
 	for _, p := range []packet{
-		{Digest: &Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 1, Loads: loads, Limits: limits, DrainingEndpoints: []uint64{7}, LeaseHolder: &LeaseHolder{Name: "b", Fence: 3, LoadAges: []uint16{5}}}},
+		{Digest: &Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 1, Loads: loads, Limits: limits, DrainingEndpoints: []uint64{7}, BegunStreams: []BegunStreams{{Service: "s", Version: "v", Streams: []uint64{1}}}, LeaseHolder: &LeaseHolder{Name: "b", Fence: 3, LoadAges: []uint16{5}}}},
 		{Summary: &Summary{Domain: "y", From: "c", Incarnation: 1, Sequence: 1, Members: 4, Loads: loads, Limits: limits, Demand: map[string]float32{"m": 2}}},
 	} {
 		data, err := encodePacket(p)
@@ -31,12 +32,15 @@
 			return
 		}
 		fleet, crashes := NewFleet("a", "x"), rlbcrash.New(rlbcrash.Opts{Instance: "a", Now: func() time.Time { return now }})
+		origins := rlborigin.New(func() time.Time { return now })
 		if p.Digest != nil {
 			crashes.Merge(decodeCrashRecords(now, p.Digest.Crashes))
+			origins.Learn(decodeBegunStreams(p.Digest.BegunStreams), time.Minute)
 			fleet.ApplyDigest(now, *p.Digest)
 		}
 		if p.Summary != nil {
 			crashes.Merge(decodeCrashRecords(now, p.Summary.Crashes))
+			origins.Learn(decodeBegunStreams(p.Summary.BegunStreams), time.Minute)
 			fleet.ApplySummary(now, *p.Summary)
 		}
 		fleet.Targets(now)
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
 )
 
@@ -72,29 +73,31 @@
 	Listen  string // IP:port for datagrams and connections
 	Address string // address at which other instances reach this one
 	Fleet   *Fleet
-	Crashes *rlbcrash.Evidence // merges the records that other instances publish
+	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
+	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
 	Now     func() time.Time
 	Handler Handler
 	// Digest returns the digest to publish. It is called once for each publication.
 	Digest func() Digest
-	// LoadVersion returns a number that increases with each change of the
-	// instance's load.
-	LoadVersion func() uint64
+	// Changes returns a number that increases with each change of the instance's load and
+	// with each stream that it begins to relay.
+	Changes func() uint64
 }
 
 // Link exchanges digests, summaries and queries with other instances.
 type Link struct {
-	log         log.Interface
-	fleet       *Fleet
-	crashes     *rlbcrash.Evidence
-	now         func() time.Time
-	address     string // address of this instance
-	packets     *net.UDPConn
-	listener    net.Listener
-	handler     Handler
-	digest      func() Digest
-	loadVersion func() uint64
-	limiter     digestLimiter
+	log      log.Interface
+	fleet    *Fleet
+	crashes  *rlbcrash.Evidence
+	learn    func([]rlborigin.Announcement)
+	now      func() time.Time
+	address  string // address of this instance
+	packets  *net.UDPConn
+	listener net.Listener
+	handler  Handler
+	digest   func() Digest
+	changes  func() uint64
+	limiter  digestLimiter
 }
 
 // NewLink listens for datagrams and connections. It returns the link and a function
@@ -112,7 +115,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, packets.Close())
 	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, loadVersion: opts.LoadVersion}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -127,7 +130,7 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
-		if l.limiter.digestDue(l.now(), l.loadVersion()) {
+		if l.limiter.digestDue(l.now(), l.changes()) {
 			l.publish()
 		}
 		select {
@@ -199,7 +202,7 @@
 // domain unless it was relayed already.
 func (l *Link) apply(p packet) {
 	now := l.now()
-	l.mergeCrashes(now, p)
+	l.mergeRecords(now, p)
 	if d := p.Digest; d != nil && l.fleet.ApplyDigest(now, *d) {
 		l.log.WithFields(log.Fields{"peer": d.Name, "address": d.Address, "life": d.Incarnation}).Info("discovered a new or restarted instance")
 	}
@@ -210,13 +213,16 @@
 	}
 }
 
-// mergeCrashes merges the crash records of a message. Outdated messages do no harm.
-func (l *Link) mergeCrashes(now time.Time, p packet) {
+// mergeRecords merges the crash records and the streams of a message. Outdated messages do no
+// harm.
+func (l *Link) mergeRecords(now time.Time, p packet) {
 	if p.Digest != nil {
 		l.crashes.Merge(decodeCrashRecords(now, p.Digest.Crashes))
+		l.learn(decodeBegunStreams(p.Digest.BegunStreams))
 	}
 	if p.Summary != nil {
 		l.crashes.Merge(decodeCrashRecords(now, p.Summary.Crashes))
+		l.learn(decodeBegunStreams(p.Summary.BegunStreams))
 	}
 }
 
