A shutdown takes only what its grace can finish, and answers what it cannot

Cause: requests were taken for 2.5 s after SIGTERM whatever the grace and their own time limit, and at the end of the grace the process left with connections open.

Change: while draining, a request that may not be repeated is taken if its time limit ends before the grace does; one that may be, if the longest of the latest such requests of its service would end. Requests are taken for at most half of the grace. At its end requests without an answer get one that says what is known: 504 in doubt, 503 not sent; streams that have started are aborted.

Why it works: what may not be repeated cannot outlast the grace, and whatever else does gets its answer within the 0.7 s that were reserved for the exit.

--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -23,6 +23,7 @@
 	drainDelay = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to exit.
 	exitMargin        = 700 * time.Millisecond
+	lastAnswerTime    = 300 * time.Millisecond // of it, to answer the requests that are ended
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -89,19 +90,41 @@
 	}
 }
 
+// shutdownPlan is when an instance that shuts down stops what.
+type shutdownPlan struct {
+	takeUntil   time.Time // takes requests that can end in time
+	requestsEnd time.Time // ends the requests in flight
+	exit        time.Time // closes all connections
+}
+
+// newShutdownPlan plans a shutdown that begins at now. Within a short grace at least half of
+// the time is for requests that were taken before.
+func newShutdownPlan(now time.Time, grace time.Duration) shutdownPlan {
+	requests := grace - exitMargin
+	return shutdownPlan{
+		takeUntil:   now.Add(min(drainDelay, requests/2)),
+		requestsEnd: now.Add(requests),
+		exit:        now.Add(requests + lastAnswerTime),
+	}
+}
+
 // shutDown serves new requests until the load balancer has detected that the instance
-// is not ready, and then waits for the requests in flight until the grace ends.
+// is not ready, and then waits for the requests in flight until the grace ends. What has no
+// answer then gets one that says what is known of it.
 func (a *app) shutDown(s *servers) error {
-	end := time.Now().Add(time.Duration(a.grace.Load()) - exitMargin)
+	plan := newShutdownPlan(rlbclock.Now(), time.Duration(a.grace.Load()))
 	a.Log.WithField("in_progress", a.proxy.InFlight()).Info("shutting down")
-	a.proxy.Drain()
+	a.proxy.Drain(plan.requestsEnd)
 	a.scheduler.StepDown()
-	time.Sleep(drainDelay)
+	time.Sleep(plan.takeUntil.Sub(rlbclock.Now()))
 	a.proxy.Close()
-	for a.proxy.InFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
+	a.waitForRequests(plan.requestsEnd)
+	if ended := a.proxy.InFlight(); ended > 0 {
+		a.Log.WithField("in_progress", ended).Warn("the grace ends; answering the requests in progress")
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	a.proxy.EndRequests()
+	a.waitForRequests(plan.exit)
+	ctx, cancel := context.WithTimeout(context.Background(), max(plan.exit.Sub(rlbclock.Now()), drainPollInterval))
 	defer cancel()
 	err := s.callers.Shutdown(ctx)
 	a.Log.WithField("in_progress", a.proxy.InFlight()).Info("stopped")
@@ -110,3 +133,10 @@
 	}
 	return err
 }
+
+// waitForRequests waits until no request is in flight, or until a time.
+func (a *app) waitForRequests(until time.Time) {
+	for a.proxy.InFlight() > 0 && rlbclock.Now().Before(until) {
+		time.Sleep(drainPollInterval)
+	}
+}
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -39,7 +39,9 @@
 // attempt makes one attempt and reports whether another one must follow.
 func (s *Server) attempt(w http.ResponseWriter, req *request) bool {
 	fault := rlbroute.FaultNoEndpoint
-	if endpoint := s.chooseEndpoint(req); endpoint != nil {
+	if endpoint := s.chooseEndpoint(req); s.requests.Err() != nil {
+		fault, req.reason = rlbroute.FaultDeadline, reasonShutdown
+	} else if endpoint != nil {
 		req.exchange.Begin()
 		req.tried, req.software = append(req.tried, endpoint.ID), append(req.software, endpoint.SoftwareVersion)
 		req.harmless = false
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -1,6 +1,7 @@
 package rlbproxy
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,6 +33,9 @@
 
 var noDeadline time.Time
 
+// reasonShutdown is why a request is not tried any further when the grace of a shutdown ends.
+const reasonShutdown = "the instance shuts down"
+
 // answer is the complete answer of an endpoint.
 type answer struct {
 	status int
@@ -42,7 +46,9 @@
 // send sends a request to an endpoint and relays the answer. Passed reports that
 // the caller has got the final answer.
 func (s *Server) send(w http.ResponseWriter, req *request, e *rlbdeployment.Endpoint) (fault rlbroute.Fault, passed bool) {
-	ctx := req.inbound.Context()
+	ctx, cancel := context.WithCancel(req.inbound.Context())
+	defer cancel()
+	defer context.AfterFunc(s.requests, cancel)()
 	outcome := rlbbalancer.OutcomeNeutral
 	req.markAnswered = s.Balancer.Begin(e, req.load())
 	start := s.Now()
@@ -60,8 +66,13 @@
 	if err != nil {
 		req.reason = err.Error()
 	}
-	if ctx.Err() != nil && !passed {
+	switch {
+	case passed:
+	case req.inbound.Context().Err() != nil:
 		return rlbroute.FaultCallerDisconnected, false
+	case s.requests.Err() != nil:
+		req.reason = reasonShutdown
+		return rlbroute.FaultDeadline, false
 	}
 	outcome = outcomeOf(fault, passed)
 	if passed || fault == rlbroute.FaultFailed {
@@ -255,7 +266,9 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	w.WriteHeader(got.status)
 	_, err := w.Write(got.body)
-	s.requestMetrics.answered(s.Now().Sub(req.arrived))
+	took := s.Now().Sub(req.arrived)
+	s.requestMetrics.answered(took)
+	s.durations.record(req, took)
 	if err != nil {
 		s.logEnd(req, got.status, "caller disconnected: "+err.Error())
 		return
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -67,18 +67,26 @@
 	budgets        *retryBudgets
 	demand         *Demand
 	requestMetrics requestMetrics
+	durations      *durations
 	draining       atomic.Bool
 	closed         atomic.Bool
+	requestEnd     atomic.Pointer[time.Time] // when the requests in flight end at the latest; nil: not draining
 	inFlight       atomic.Int64
+	requests       context.Context // ends with EndRequests
+	endRequests    context.CancelFunc
 }
 
 // New returns a server.
 func New(opts Opts) *Server {
+	requests, endRequests := context.WithCancel(context.Background())
 	return &Server{
 		Opts:           opts,
 		budgets:        newRetryBudgets(opts.RetryBudget),
 		demand:         newDemand(opts.Now),
 		requestMetrics: newRequestMetrics(opts.Metrics),
+		durations:      newDurations(),
+		requests:       requests,
+		endRequests:    endRequests,
 	}
 }
 
@@ -88,17 +96,6 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// Drain makes the server report that it is not ready, and close each connection after
-// its answer.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// Draining reports whether Drain was called: the instance is shutting down.
-func (s *Server) Draining() bool { return s.draining.Load() }
-
-// Close makes the server refuse each further request as not run, because there is
-// no time left to answer it.
-func (s *Server) Close() { s.closed.Store(true) }
-
 // Ready reports whether the instance can serve callers.
 func (s *Server) Ready() bool { return !s.draining.Load() && s.View.Snapshot().Config != nil }
 
@@ -110,7 +107,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, refusal := s.readRequest(w, r)
-	if refusal == nil && s.closed.Load() {
+	if refusal == nil && !s.takes(req) {
 		refusal = refuseShutdown
 	}
 	if refusal != nil {
--- a/rlb-node/pkg/rlbproxy/server_test.go
+++ b/rlb-node/pkg/rlbproxy/server_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
@@ -262,7 +263,7 @@
 			shouldHaveRun(first, 1)
 		})
 		Convey("a draining instance is not ready but serves requests until it is closed", func() {
-			f.server.Drain()
+			f.server.Drain(f.now().Add(2 * time.Minute))
 			So(f.server.Ready(), ShouldBeFalse)
 			So(f.sendPrompt("/talk/x").status, ShouldEqual, http.StatusOK)
 			f.server.Close()
