Test of an ended stream waits until the stream has started

The test now waits until the origin of the stream is recorded, which is when it starts; what it checks is unchanged.

--- a/rlb-node/pkg/rlbproxy/drain_test.go
+++ b/rlb-node/pkg/rlbproxy/drain_test.go
@@ -93,7 +93,12 @@
 				_ = http.NewResponseController(w).Flush()
 				return hang(w, q, run)
 			}
-			go end()
+			go func() {
+				for known := false; !known; _, known = f.origins.Lookup("llm", firstRequest) {
+					time.Sleep(time.Millisecond) // until the caller has a part of the stream
+				}
+				end()
+			}()
 			So(f.sendPrompt("/talk/x").err, ShouldNotBeNil)
 		})
 		Convey("one that comes afterwards is refused as not run", func() {
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -66,13 +66,8 @@
 	if err != nil {
 		req.reason = err.Error()
 	}
-	switch {
-	case passed:
-	case req.inbound.Context().Err() != nil:
-		return rlbroute.FaultCallerDisconnected, false
-	case s.requests.Err() != nil:
-		req.reason = reasonShutdown
-		return rlbroute.FaultDeadline, false
+	if ctx.Err() != nil && !passed {
+		return s.faultOfInterruption(req), false
 	}
 	outcome = outcomeOf(fault, passed)
 	if passed || fault == rlbroute.FaultFailed {
@@ -98,6 +93,16 @@
 	return fault, false
 }
 
+// faultOfInterruption returns the fault of an attempt that was ended here: its caller has
+// disconnected, or the instance shuts down.
+func (s *Server) faultOfInterruption(req *request) rlbroute.Fault {
+	if req.inbound.Context().Err() != nil {
+		return rlbroute.FaultCallerDisconnected
+	}
+	req.reason = reasonShutdown
+	return rlbroute.FaultDeadline
+}
+
 func outcomeOf(fault rlbroute.Fault, passed bool) rlbbalancer.Outcome {
 	switch {
 	case passed:
