Bodies of callers take a bounded memory together

Cause: each body had a limit (4 MiB unless the config names another), all together had none; an instance has 184 to 284 MB.

Evidence: TestBodiesOfCallersTakeBoundedMemoryTogether, 32 requests with bodies of 3 MiB in flight, on all 32 are taken: Expected 32 to be between 0 and 16 Ruled out: one body beyond its limit (refused with 413 as before).

Change: bodies of the requests in flight take 32 MiB together, beside 64 KiB each; beyond that a request is refused as not run with Retry-After, before its body is read to its end.

Why it works: a body counts from its first byte beyond the free ones until its request has ended.

--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -40,6 +40,7 @@
 	refuseShutdown       = &refusal{http.StatusServiceUnavailable, retryAtOnce, "the instance shuts down"}
 	refuseNoRoute        = &refusal{http.StatusNotFound, 0, "no route for this host and path"}
 	refuseBodyTooLong    = &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
+	refuseNoMemory       = &refusal{http.StatusServiceUnavailable, retryLater, "the bodies of the requests in progress take too much memory"}
 	refuseIncompleteBody = &refusal{http.StatusBadRequest, 0, "body ended before its length"}
 	refuseNotListed      = &refusal{http.StatusServiceUnavailable, retryLater, "the model or adapter is not listed"}
 	refuseNoEndpoint     = &refusal{http.StatusServiceUnavailable, retryLater, "no endpoint can run it now"}
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,12 +11,17 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
+	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
 )
 
 // defaultMaxBody is the body limit of configs that state none.
 const defaultMaxBody = 4 << 20 // bytes
 
+// maxBodies is the limit in bytes of the bodies that the requests in flight have together,
+// beside a small part of each.
+const maxBodies = 32 << 20
+
 // request is a request of a caller with its routing decisions and progress.
 type request struct {
 	id            string
@@ -61,6 +65,7 @@
 	misdirected   bool
 	failedAnswer  *answer // latest server error of an endpoint
 	releaseMemory func()  // of the latest answer that is kept
+	releaseBody   func()  // its memory
 }
 
 // modelKey returns the requested model as MODEL or MODEL/ADAPTER; empty: none.
@@ -78,7 +83,7 @@
 
 // readRequest reads a request, finds its route and sets its deadline and limits.
 func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
-	req := &request{id: r.Header.Get(rlbplatform.HeaderRequestID), inbound: r, arrived: s.Now(), snapshot: s.View.Snapshot(), releaseMemory: func() {}}
+	req := &request{id: r.Header.Get(rlbplatform.HeaderRequestID), inbound: r, arrived: s.Now(), snapshot: s.View.Snapshot(), releaseMemory: func() {}, releaseBody: func() {}}
 	if req.snapshot.Config == nil {
 		return req, refuseNoConfig
 	}
@@ -129,17 +134,23 @@
 	if limits.HeaderTimeout > 0 {
 		_ = control.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.inbound.Body, maxBody))
+	memory := s.bodies.Reserve()
+	req.releaseBody = memory.Release
+	body, err := rlbdispatch.ReadAll(http.MaxBytesReader(w, req.inbound.Body, maxBody), memory)
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		req.body = body
 		return nil
 	}
 	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
+	switch {
+	case errors.As(err, &tooLong):
 		return refuseBodyTooLong
+	case errors.Is(err, rlbdispatch.ErrMemory):
+		return refuseNoMemory
+	default:
+		return refuseIncompleteBody
 	}
-	return refuseIncompleteBody
 }
 
 // requestFingerprint returns a hash that is equal each time a caller sends the same
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -68,6 +68,7 @@
 	demand         *Demand
 	requestMetrics requestMetrics
 	durations      *durations
+	bodies         *rlbdispatch.Memory // of the requests in flight
 	draining       atomic.Bool
 	closed         atomic.Bool
 	requestEnd     atomic.Pointer[time.Time] // when the requests in flight end at the latest; nil: not draining
@@ -85,6 +86,7 @@
 		demand:         newDemand(opts.Now),
 		requestMetrics: newRequestMetrics(opts.Metrics),
 		durations:      newDurations(),
+		bodies:         rlbdispatch.NewMemory(maxBodies),
 		requests:       requests,
 		endRequests:    endRequests,
 	}
@@ -107,7 +109,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, refusal := s.readRequest(w, r)
-	defer func() { req.releaseMemory() }()
+	defer func() {
+		req.releaseMemory()
+		req.releaseBody()
+	}()
 	if refusal == nil && !s.takes(req) {
 		refusal = refuseShutdown
 	}
