An encoded slash does not select another route

Cause: readRequest selected the route by the decoded path.

Change: rlbhttp.RoutingPath decodes a path but for its slashes. The gateway selects plain services by it too (a row in its table of inputs).

Why it works: a prefix ends with a slash, which an encoded one no longer is.

--- a/rlb-gateway/pkg/rlbcaller/input_test.go
+++ b/rlb-gateway/pkg/rlbcaller/input_test.go
@@ -26,6 +26,7 @@
 	{"wrong timeout", "/v1/completions", `{"model":"draft"}`, []string{HeaderTimeout, "5"}, 400, CodeInvalidRequest, "Correct the request: X-Request-Timeout is not a duration such as 2.5s."},
 	{"key too long", "/book/x", ``, []string{keyHeader, strings.Repeat("k", 256)}, 400, CodeInvalidRequest, "Correct the request: the idempotency key is longer than 255 bytes."},
 	{"unknown path", "/nowhere", ``, nil, 404, CodeUnknownPath, "No plain service has a prefix of this path."},
+	{"encoded slash in place of that of a prefix", "/list%2Fx", ``, nil, 404, CodeUnknownPath, "No plain service has a prefix of this path."},
 }
 
 func TestBadRequests(t *testing.T) {
--- a/rlb-gateway/pkg/rlbcaller/service_request.go
+++ b/rlb-gateway/pkg/rlbcaller/service_request.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbnote"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -28,7 +29,7 @@
 
 // serveService handles a request to a plain service.
 func (s *Server) serveService(ctx context.Context, c *call) *Refusal {
-	service, found := s.Fleet.Routes().Note().ServiceFor(c.r.URL.Path)
+	service, found := s.Fleet.Routes().Note().ServiceFor(rlbhttp.RoutingPath(c.r.URL))
 	if !found {
 		return newRefusal(rlbroute.NotRun, CodeUnknownPath)
 	}
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -87,7 +88,7 @@
 	if req.snapshot.Config == nil {
 		return req, refuseNoConfig
 	}
-	route, found := req.snapshot.Config.Route(r.Host, r.URL.Path)
+	route, found := req.snapshot.Config.Route(r.Host, rlbhttp.RoutingPath(r.URL))
 	if !found {
 		return req, refuseNoRoute
 	}
