A path is sent to endpoints as its caller sent it

Cause: rlbdispatch put the path into URL.Opaque, which net/http writes with a scheme before it if it begins with two slashes. Besides, the proxy put the target together from its decoded parts.

Evidence: TestPathIsForwardedAsItWasSent on: Expected "//reserve/17" Actual "http://reserve/17" Expected "/x?" Actual "/x" Ruled out: the caller's side; the instance logs and has the path as sent.

Change: such a target is sent as a path; the target is the caller's own.

Why it works: net/http writes URL.Path and RawPath without a scheme.

--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -221,7 +223,7 @@
 func write(c *conn, address string, out *Outgoing) error {
 	target := address + out.Path
 	if out.Host != "" {
-		target = address // the path goes into URL.Opaque below, so that it is sent as the caller wrote it
+		target = address // the path is set below, so that it is sent as the caller wrote it
 	}
 	request, err := http.NewRequest(out.Method, "http://"+target, nil)
 	if err != nil {
@@ -230,7 +232,9 @@
 	request.Header = out.Header
 	if out.Host != "" {
 		request.Host = out.Host
-		request.URL.Opaque, request.URL.RawQuery, request.URL.ForceQuery = out.Path, "", false
+		if err := setTarget(request.URL, out.Path); err != nil {
+			return err
+		}
 	}
 	if len(out.Body) > 0 {
 		request.Body = io.NopCloser(&bodyReader{out.Body})
@@ -239,6 +243,21 @@
 	return request.Write(c)
 }
 
+// setTarget makes a request send its path and query as they are. As URL.Opaque a path that
+// begins with two slashes would be sent as that of another host.
+func setTarget(u *url.URL, target string) error {
+	if !strings.HasPrefix(target, "//") {
+		u.Opaque, u.RawQuery, u.ForceQuery = target, "", false
+		return nil
+	}
+	parsed, err := url.ParseRequestURI(target)
+	if err != nil {
+		return err
+	}
+	u.Path, u.RawPath, u.RawQuery, u.ForceQuery = parsed.Path, parsed.RawPath, parsed.RawQuery, parsed.ForceQuery
+	return nil
+}
+
 // bodyReader reads a request body from memory.
 type bodyReader struct{ unread []byte }
 
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -1,9 +1,12 @@
 package rlbproxy
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -200,3 +203,16 @@
 func (f *fixture) sendPrompt(path string) callerResult {
 	return f.send(http.MethodPost, path, "prompt", map[string]string{"X-Model": "m", "X-Token-Count": "10,4"})
 }
+
+// sendRaw sends a request with a target as it is, which a client might encode, and returns
+// the status line of the answer.
+func (f *fixture) sendRaw(target string) string {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.proxy.URL, "http://"))
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 9c41d07be2a35f68\r\nContent-Length: 1\r\nConnection: close\r\n\r\nb", target)
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return line
+}
--- a/rlb-node/pkg/rlbproxy/path_test.go
+++ b/rlb-node/pkg/rlbproxy/path_test.go
@@ -24,3 +24,23 @@
 		})
 	}
 }
+
+// TestPathIsForwardedAsItWasSent guards against an endpoint that runs a request with another
+// path or host than the caller's.
+func TestPathIsForwardedAsItWasSent(t *testing.T) {
+	for _, path := range []string{"//reserve/17", "//reserve//17?a=b", "///", "//[x", "/a%2Fb?x=%20y", "/x?", "/a|b\"c?d|e", "/a//b/../c"} {
+		Convey("The path "+path, t, func() {
+			f := newFixture(t)
+			everything := strings.Replace(strings.Replace(config, `"/write/"`, `"/"`, 1), `"Version":3`, `"Version":4`, 1)
+			var got, host string
+			f.add(t, "e1", "plain", "a").Intercept = func(_ http.ResponseWriter, q *http.Request, _ int) bool {
+				got, host = q.RequestURI, q.Host
+				return false
+			}
+			f.view.ApplyConfig([]byte(everything), "test")
+			So(f.sendRaw(path), ShouldStartWith, "HTTP/1.1 200 ")
+			So(got, ShouldEqual, path)
+			So(host, ShouldEqual, "h.example")
+		})
+	}
+}
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -136,12 +136,8 @@
 	if header.Get("User-Agent") == "" {
 		header.Set("User-Agent", "") // prevents the HTTP library from adding its own
 	}
-	path := req.inbound.URL.EscapedPath()
-	if req.inbound.URL.RawQuery != "" {
-		path += "?" + req.inbound.URL.RawQuery
-	}
 	out := &rlbdispatch.Outgoing{
-		Method: req.inbound.Method, Path: path, Host: req.inbound.Host, Header: header, Body: req.body, Deadline: s.ioDeadline(req.deadline),
+		Method: req.inbound.Method, Path: target(req.inbound), Host: req.inbound.Host, Header: header, Body: req.body, Deadline: s.ioDeadline(req.deadline),
 		NewConnection: !req.route.Retryable(),
 		ID:            req.id,
 		Events:        req.route.Kind == rlbdeployment.KindStream,
@@ -151,6 +147,14 @@
 	return out
 }
 
+// target returns the path and query of a request as its caller sent them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI() // the caller sent the whole URL
+}
+
 // ioDeadline converts a deadline on the server's clock to the process clock, which
 // connections use.
 func (s *Server) ioDeadline(deadline time.Time) time.Time {
