A taken-up stream stays at the service that began it

Where the shares of a route change, or one instance has not heard of the change, a stream that began at one service would go on at another (ORDER).

Cause: the service of a take-up is drawn from the shares in the config of the instance that gets it; that the stream is remembered with another service was taken for not being remembered.

Evidence: TestTakenUpStreamIsNotJoinedFromTwoServices on: the stream ran at the other service (length 1 instead of 0), and one whose service the route no longer has was answered 200 instead of 503. Ruled out: the draw itself, which is the same for a take-up as for the stream under one config (TestTakenUpStreamStaysAtItsService).

Change: a take-up goes to the service of the remembered stream if its route still has it, else it is refused as not run.

Why it works: what is remembered goes before what is drawn.

Open: a stream that nobody remembers, on a route with several services.

--- a/lib/pkg/rlborigin/announcement_test.go
+++ b/lib/pkg/rlborigin/announcement_test.go
@@ -26,7 +26,7 @@
 			shouldBe(other, "y", "", Unknown)
 			c.advance(longest)
 			other.Expire()
-			_, known := other.Lookup("llm", "x")
+			_, known := other.Lookup("x")
 			So(known, ShouldBeFalse)
 		})
 		Convey("the other does not store it as its own", func() {
--- a/lib/pkg/rlborigin/registry.go
+++ b/lib/pkg/rlborigin/registry.go
@@ -119,16 +119,12 @@
 	}
 }
 
-// Lookup returns the version that began the stream of a request of a service, if this
-// process remembers the stream.
-func (r *Registry) Lookup(service, request string) (version string, known bool) {
+// Lookup returns the origin of the stream of a request, if this process remembers the stream.
+func (r *Registry) Lookup(request string) (origin Origin, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, known := r.streams[keyOf(request)]
-	if !known || s.origin.Service != service {
-		return "", false
-	}
-	return s.origin.Version, true
+	return s.origin, known
 }
 
 // Check returns what is known about the stream that a request of a service began, and its
@@ -136,8 +132,10 @@
 // records of all instances were merged since the caller took the stream up: other instances
 // may have begun it at a version of which this one has not heard.
 func (r *Registry) Check(service, request string) (version string, verdict Verdict) {
-	if version, known := r.Lookup(service, request); known {
-		return version, Known
+	if origin, known := r.Lookup(request); known && origin.Service == service {
+		return origin.Version, Known
+	} else if known {
+		return "", Unknown // the stream is none of this service
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -224,8 +224,8 @@
 // has not heard of is not absent.
 func (o *streamOrigins) Find(ctx context.Context, service, request string) (version string, verdict rlborigin.Verdict) {
 	for giveUp := o.now().Add(originWait); ; {
-		if version, known := o.Lookup(service, request); known {
-			return version, rlborigin.Known
+		if _, known := o.Lookup(request); known {
+			return o.Check(service, request)
 		}
 		asked := o.now()
 		if !o.read(ctx, asked) {
--- a/rlb-node/pkg/rlbproxy/drain_test.go
+++ b/rlb-node/pkg/rlbproxy/drain_test.go
@@ -94,7 +94,7 @@
 				return hang(w, q, run)
 			}
 			go func() {
-				for known := false; !known; _, known = f.origins.Lookup("llm", firstRequest) {
+				for known := false; !known; _, known = f.origins.Lookup(firstRequest) {
 					time.Sleep(time.Millisecond) // until the caller has a part of the stream
 				}
 				end()
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -93,7 +94,7 @@
 		return req, refuseNoRoute
 	}
 	req.route = route
-	req.service = route.PickService(xxhash.Sum64String(req.streamID()))
+	req.service = s.serviceOf(req)
 	if refusal := s.readBody(w, req); refusal != nil {
 		return req, refusal
 	}
@@ -118,6 +119,18 @@
 	return req, nil
 }
 
+// serviceOf returns the service for a request. A stream that its caller takes up stays at the
+// one that began it, whatever the shares of the services have become since.
+func (s *Server) serviceOf(req *request) string {
+	if req.takesUp() {
+		origin, known := s.Origins.Lookup(req.streamID())
+		if known && slices.ContainsFunc(req.route.Shares, func(share rlbdeployment.Share) bool { return share.Service == origin.Service }) {
+			return origin.Service
+		}
+	}
+	return req.route.PickService(xxhash.Sum64String(req.streamID()))
+}
+
 // readBody reads the whole body: an incomplete request is not sent to any endpoint.
 func (s *Server) readBody(w http.ResponseWriter, req *request) *refusal {
 	limits := req.snapshot.Config.Limits
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -36,6 +36,8 @@
 	Began(request string, origin rlborigin.Origin, deadline time.Time)
 	// Ended records that the stream was relayed to its end.
 	Ended(request string)
+	// Lookup returns the origin of the stream of a request, if this instance remembers it.
+	Lookup(request string) (origin rlborigin.Origin, known bool)
 	// Find returns the version that began the stream of a request. It may ask for what
 	// other instances know.
 	Find(ctx context.Context, service, request string) (version string, verdict rlborigin.Verdict)
--- a/rlb-node/pkg/rlbproxy/software_version_test.go
+++ b/rlb-node/pkg/rlbproxy/software_version_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -174,6 +175,34 @@
 	})
 }
 
+// TestTakenUpStreamIsNotJoinedFromTwoServices guards against a stream that goes on at another
+// service than the one that began it, as the shares of a route differ between two configs.
+func TestTakenUpStreamIsNotJoinedFromTwoServices(t *testing.T) {
+	split := strings.Replace(config, `"Service":"llm","MaxAttempts":2,"Resumable":true`, `"TrafficSplit":[{"Service":"llm","Weight":1000000},{"Service":"other","Weight":1}],"MaxAttempts":2,"Resumable":true`, 1)
+	split = strings.Replace(split, `"Services":[`, `"Services":[{"Name":"other","HealthPath":"/health","MaxConns":360,"Engine":{"Slots":4,"KvTokens":1000,"Stride":1,"WeightsMb":100,"AdapterSlots":2,"LoadsPerS":1,"Models":[{"Name":"m","WeightsMb":40,"LoadS":1,"Adapters":2,"AdapterMb":1}]}},`, 1)
+	split = strings.Replace(split, `"Version":3`, `"Version":4`, 1)
+	Convey("Given a stream that began at the service that now gets few requests", t, func() {
+		f := newFixture(t)
+		other, same := f.add(t, "e1", "llm", "a"), f.add(t, "e2", "other", "a")
+		f.view.ApplyConfig([]byte(split), "test")
+		began := rlborigin.Origin{Service: "other", Version: "v1"}
+		f.origins.Observe([]rlborigin.Origin{began, {Service: "llm", Version: "v1"}}, time.Minute)
+		f.origins.noRecordsElsewhere()
+		Convey("it goes on there", func() {
+			f.origins.Began(firstRequest, began, f.now().Add(time.Minute))
+			So(f.takeUp(firstRequest).status, ShouldEqual, http.StatusOK)
+			shouldHaveRun(other, 0)
+			shouldHaveRun(same, 1)
+		})
+		Convey("it is refused if the route no longer has that service", func() {
+			f.origins.Began(firstRequest, rlborigin.Origin{Service: "gone", Version: "v1"}, f.now().Add(time.Minute))
+			So(f.takeUp(firstRequest).status, ShouldEqual, http.StatusServiceUnavailable)
+			shouldHaveRun(other, 0)
+			shouldHaveRun(same, 0)
+		})
+	})
+}
+
 func TestTakenUpStreamIsNotRefusedForTheWaitThatANewRequestWouldHave(t *testing.T) {
 	Convey("Given endpoints at which a new request would wait too long", t, func() {
 		f := newFixture(t)
