A shutdown refuses by how long requests last, not by their time limit

Cause: streams that may not be repeated were refused by their time limit of 25 s, though they last some seconds, and others by the longest of the latest requests of their service, which is that of a much larger one. A caller that is refused comes to another instance, which may drain too.

Change: what a request will last is the average time until the first event of the latest requests of its service, and for each token that it may generate; one that may not be repeated needs twice that, and is refused if nothing is known.

Why it works: the size of a request is stated in its header, and sizes differ more than times for each token do.

--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -283,7 +283,7 @@
 	_, err := w.Write(got.body)
 	took := s.Now().Sub(req.arrived)
 	s.requestMetrics.answered(took)
-	s.durations.record(req, took)
+	s.durations.record(req, took, took)
 	if err != nil {
 		s.logEnd(req, got.status, "caller disconnected: "+err.Error())
 		return
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -119,7 +119,9 @@
 	s.startStream(w, req, in)
 	in.Done()
 	s.Origins.Ended(req.streamID())
-	s.durations.record(req, s.Now().Sub(req.arrived))
+	if !req.firstEventAt.IsZero() {
+		s.durations.record(req, req.firstEventAt.Sub(req.arrived), s.Now().Sub(req.arrived))
+	}
 	if e := s.View.Snapshot().ByID[req.tried[len(req.tried)-1]]; e != nil {
 		s.Balancer.RecordStream(e, req.route.MaxEventGap > 0 && req.longestPause > req.route.MaxEventGap)
 	}
