Delegates relay summaries of other domains over a few instances

Cause: the delegate of a failure domain sent each summary of another domain to every instance of its own, several times a second. That part grows with the instances of a domain times the size of a summary.

Change: in domains of more than 16 instances the delegate sends a summary to one instance of each group of about the square root of all, with the addresses to which that one forwards it. Groups are drawn anew for each message, so that an instance that does not forward keeps others from few messages. An instance forwards to addresses of its own domain only. The summary is encoded once for all groups. Instances of earlier builds do not forward: while builds are mixed, a part of the summaries is missed.

Smaller domains are sent to as before.

--- a/rlb-node/pkg/rlbpeer/datagram.go
+++ b/rlb-node/pkg/rlbpeer/datagram.go
@@ -22,10 +22,15 @@
 	if err == nil && p.Summary != nil && !p.Summary.Relayed {
 		encoded = append([]byte{compressedMark}, rlbcompress.Compress(encoded)...)
 	}
+	return encoded, checkSize(encoded, err)
+}
+
+// checkSize returns the error of an encoding, or one if the result does not fit a datagram.
+func checkSize(encoded []byte, err error) error {
 	if err == nil && len(encoded) > maxDatagram {
-		err = fmt.Errorf("the message has %d bytes, more than a datagram may have", len(encoded))
+		return fmt.Errorf("the message has %d bytes, more than a datagram may have", len(encoded))
 	}
-	return encoded, err
+	return err
 }
 
 // decodePacket decodes a datagram.
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -97,10 +97,11 @@
 	BegunStreams []BegunStreams `msgpack:"b,omitempty"`
 }
 
-// packet is the content of a datagram. Exactly one field is set.
+// packet is the content of a datagram. Either Digest or Summary is set.
 type packet struct {
 	Digest  *Digest  `msgpack:"d,omitempty"`
 	Summary *Summary `msgpack:"s,omitempty"`
+	Forward []string `msgpack:"f,omitempty"` // addresses that the receiver sends the summary to, see relayGroups
 }
 
 // EndpointKey returns the key of an endpoint in digests, a hash of its ID.
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -158,6 +158,11 @@
 // all targets.
 func (l *Link) send(p packet, targets []string, except string) int {
 	encoded, err := encodePacket(p)
+	return l.sendEncoded(encoded, err, targets, except)
+}
+
+// sendEncoded sends an encoded datagram like send; err is that of its encoding.
+func (l *Link) sendEncoded(encoded []byte, err error, targets []string, except string) int {
 	if err != nil {
 		l.log.WithError(err).Error("failed to encode a message to other instances")
 		return 0
@@ -198,18 +203,15 @@
 	}
 }
 
-// apply applies a received digest or summary, and relays a summary within the own
-// domain unless it was relayed already.
+// apply applies a received digest or summary, and relays a summary within the own domain.
 func (l *Link) apply(p packet) {
 	now := l.now()
 	l.mergeRecords(now, p)
 	if d := p.Digest; d != nil && l.fleet.ApplyDigest(now, *d) {
 		l.log.WithFields(log.Fields{"peer": d.Name, "address": d.Address, "life": d.Incarnation}).Info("discovered a new or restarted instance")
 	}
-	if s := p.Summary; s != nil && l.fleet.ApplySummary(now, *s) && !s.Relayed {
-		s.Relayed = true
-		own, _ := l.fleet.Targets(now)
-		l.send(packet{Summary: s}, own, l.address)
+	if s := p.Summary; s != nil && l.fleet.ApplySummary(now, *s) {
+		l.relaySummary(now, s, p.Forward)
 	}
 }
 
