Clients keep a bounded number of idle connections

Change: a client keeps at most 128 idle connections to all hosts together; the one that was idle for longest is closed first.

--- a/lib/pkg/rlbhttp/client.go
+++ b/lib/pkg/rlbhttp/client.go
@@ -109,6 +109,10 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// maxIdleConns is the maximum number of idle connections of a client to all hosts together:
+// the number of hosts has no bound, and each connection takes memory and a descriptor.
+const maxIdleConns = 128
+
 // NewClient returns a client with its own connection pool, and a function that
 // closes the idle connections of the pool. The parameters are the timeout for
 // connecting, the time after which an idle connection is closed, and the maximum
@@ -116,6 +120,7 @@
 func NewClient(connect, idle time.Duration, perHost int) (*http.Client, func()) {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connect, KeepAlive: idle}).DialContext,
+		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
