Workspaces in the platform's config

Configs list the groups of callers that share a quota, with their keys, and which routes are open without a key; the adapter ignored both.

Errors name workspaces, never keys; a printed workspace or config shows no key either.

--- a/lib/pkg/rlbdeployment/config.go
+++ b/lib/pkg/rlbdeployment/config.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -41,6 +42,7 @@
 	MaxEventGap   time.Duration // a longer gap between two events of a stream counts as late
 	Priority      int           // 0 is the highest priority
 	MaxAttempts   int           // maximum number of endpoints that a request may be sent to
+	Public        bool          // open to callers without a key, also if the config has workspaces
 	Shares        []Share
 }
 
@@ -120,7 +122,8 @@
 	Services map[string]Service
 	Limits   Limits
 
-	byHost map[string][]*Route // longest prefix first
+	byHost     map[string][]*Route  // longest prefix first
+	workspaces map[string]Workspace // by name; nil: callers are not identified
 }
 
 // NewConfig returns a config and indexes its routes by host.
@@ -136,6 +139,33 @@
 	return c
 }
 
+// WithWorkspaces returns a copy of the config whose callers are identified by the keys of
+// workspaces, also if there are none.
+func (c *Config) WithWorkspaces(workspaces []Workspace) *Config {
+	changed := *c
+	changed.workspaces = make(map[string]Workspace, len(workspaces))
+	for _, w := range workspaces {
+		changed.workspaces[w.name] = w
+	}
+	return &changed
+}
+
+// IdentifiesCallers reports whether callers need the key of a workspace on routes that are
+// not public.
+func (c *Config) IdentifiesCallers() bool { return c.workspaces != nil }
+
+// Workspace returns the workspace with a name.
+func (c *Config) Workspace(name string) (Workspace, bool) {
+	w, found := c.workspaces[name]
+	return w, found
+}
+
+// Workspaces returns the workspaces, in no order.
+func (c *Config) Workspaces() iter.Seq[Workspace] { return maps.Values(c.workspaces) }
+
+// WorkspaceCount returns the number of workspaces.
+func (c *Config) WorkspaceCount() int { return len(c.workspaces) }
+
 // Route returns the route of a host with the longest matching path prefix.
 func (c *Config) Route(host, path string) (*Route, bool) {
 	for _, r := range c.byHost[host] {
--- a/lib/pkg/rlbdeployment/workspace.go
+++ b/lib/pkg/rlbdeployment/workspace.go
@@ -52,7 +52,7 @@
 // immutable.
 type Workspace struct {
 	name     string
-	keys     []string
+	keys     func() []string // a function, so that printing a workspace or a config shows no key
 	priority int
 	ranked   bool // priority applies in place of those of the routes
 	quota    Quota
@@ -60,7 +60,8 @@
 
 // NewWorkspace returns a workspace without a priority of its own.
 func NewWorkspace(name string, keys []string, quota Quota) Workspace {
-	return Workspace{name: name, keys: slices.Clone(keys), quota: quota}
+	own := slices.Clone(keys)
+	return Workspace{name: name, keys: func() []string { return own }, quota: quota}
 }
 
 // WithPriority returns a copy of the workspace whose requests have a priority whatever that
@@ -74,7 +75,15 @@
 func (w Workspace) Name() string { return w.name }
 
 // Keys returns the keys of the callers of the workspace. They are secrets.
-func (w Workspace) Keys() []string { return w.keys }
+func (w Workspace) Keys() []string {
+	if w.keys == nil {
+		return nil
+	}
+	return w.keys()
+}
+
+// String returns the name of the workspace, without its keys.
+func (w Workspace) String() string { return w.name }
 
 // Quota returns the quota of the workspace.
 func (w Workspace) Quota() Quota { return w.quota }
