Workspace of a caller by its key

rlbworkspace finds the workspace of a key by a digest that is salted with a secret of the process, so that the time of a lookup says nothing about other keys. The view of the deployment builds the index once per config.

A config that cannot be decoded arrives again with each poll; it is logged once until another one arrives.

--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -4,14 +4,17 @@
 package rlbdiscovery
 
 import (
+	"crypto/rand"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcompress"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworkspace"
 )
 
 // Grace periods before the endpoint of a removed entry is dropped. The entry of a
@@ -32,6 +35,7 @@
 // Snapshot is an immutable copy of the view.
 type Snapshot struct {
 	Config    *rlbdeployment.Config // nil: none received yet
+	Callers   *rlbworkspace.Index   // the workspaces of Config by key
 	ByID      map[string]*rlbdeployment.Endpoint
 	ByService map[string][]*rlbdeployment.Endpoint
 }
@@ -43,10 +47,13 @@
 	now     func() time.Time
 	// silence is the time after which the platform removes the entry of a silent endpoint.
 	silence time.Duration
+	secret  rlbworkspace.Secret
 
 	mu               sync.Mutex
 	config           *rlbdeployment.Config
+	callers          *rlbworkspace.Index
 	compressedConfig []byte // sent to other instances
+	malformedConfig  uint64 // hash of the latest config that could not be decoded; it arrives again and again
 	entries          map[string]*entry
 	revision         rlbobject.Version // newest version of an entry or removal
 	removals         []removal         // the latest ones, at most maxRemovals
@@ -81,8 +88,9 @@
 
 // New returns an empty view. The platform removes the entry of an endpoint after silence.
 func New(logger log.Interface, decoder Decoder, now func() time.Time, silence time.Duration) *View {
-	v := &View{log: logger, decoder: decoder, now: now, silence: silence, entries: map[string]*entry{}, draining: drainingSet{}, removed: removedSet{}}
-	v.snapshot.Store(&Snapshot{})
+	v := &View{log: logger, decoder: decoder, now: now, silence: silence, entries: map[string]*entry{}, draining: drainingSet{}, removed: removedSet{}, callers: &rlbworkspace.Index{}}
+	_, _ = rand.Read(v.secret[:]) // it never fails
+	v.snapshot.Store(&Snapshot{Callers: v.callers})
 	return v
 }
 
@@ -99,18 +107,30 @@
 // ApplyConfig puts a config in force if it is newer than the one in force.
 func (v *View) ApplyConfig(value []byte, source string) {
 	decoded, err := v.decoder.Config(value)
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if err != nil {
-		v.log.WithError(err).WithField("source", source).Error("failed to decode the config; the previous one stays in force")
+		v.logMalformedConfig(value, source, err)
 		return
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	if v.config != nil && decoded.Version <= v.config.Version {
 		return
 	}
 	v.config, v.compressedConfig = decoded, rlbcompress.Compress(value)
+	v.callers = rlbworkspace.NewIndex(decoded.Workspaces(), v.secret)
 	v.publish()
-	v.log.WithFields(log.Fields{"version": decoded.Version, "routes": decoded.Routes(), "source": source}).Info("config in force")
+	v.log.WithFields(log.Fields{"version": decoded.Version, "routes": decoded.Routes(), "workspaces": decoded.WorkspaceCount(), "source": source}).Info("config in force")
+}
+
+// logMalformedConfig logs that a config cannot be decoded, once until another one arrives.
+// v.mu is held.
+func (v *View) logMalformedConfig(value []byte, source string, err error) {
+	hash := xxhash.Sum64(value)
+	if hash == v.malformedConfig {
+		return
+	}
+	v.malformedConfig = hash
+	v.log.WithError(err).WithField("source", source).Error("failed to decode the config; the previous one stays in force")
 }
 
 // ApplyList replaces the entries by the full list at a revision. Endpoints that are
@@ -274,7 +294,7 @@
 
 // publish builds and stores a new snapshot.
 func (v *View) publish() {
-	s := &Snapshot{Config: v.config, ByID: map[string]*rlbdeployment.Endpoint{}, ByService: map[string][]*rlbdeployment.Endpoint{}}
+	s := &Snapshot{Config: v.config, Callers: v.callers, ByID: map[string]*rlbdeployment.Endpoint{}, ByService: map[string][]*rlbdeployment.Endpoint{}}
 	for id, e := range v.entries {
 		if e.endpoint == nil || !e.unusedUntil.IsZero() {
 			continue
--- a/rlb-node/pkg/rlbdiscovery/view_test.go
+++ b/rlb-node/pkg/rlbdiscovery/view_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	. "github.com/smartystreets/goconvey/convey"
@@ -57,6 +58,15 @@
 			return fmt.Sprintf("%d %t %t", s.Config.Version, a, b)
 		}
 		So(state(), ShouldEqual, "7 true true")
+		Convey("a config that cannot be decoded is logged once, however often it arrives", func() {
+			logged := &memory.Handler{}
+			v.log = &log.Logger{Handler: logged, Level: log.InfoLevel}
+			for _, value := range []string{"{", "{", "[", "[", "12"} {
+				v.ApplyConfig([]byte(value), "test")
+			}
+			So(len(logged.Entries), ShouldEqual, 3)
+			So(state(), ShouldEqual, "12 true true")
+		})
 		Convey("an older config or one that cannot be decoded changes nothing", func() {
 			v.ApplyConfig([]byte("6"), "test")
 			v.ApplyConfig([]byte("{"), "test")
