Callers are identified by the keys of workspaces

With workspaces in the config, requests were run without a key, the key was passed to endpoints and the caller chose its workspace itself.

A request on a route that is not public now needs the key of a workspace. An unknown one is refused with 401 before its body is read; with 503 and Retry-After while a newer config is known to exist elsewhere or the object API answers neither this instance nor its domain, as the key may be new. Endpoints get the workspace's name and no key. The priority of a workspace goes before that of the route, in the header and in admission. Requests are charged to the quota of their workspace, through an interface that admits all for now, and refunded if they did not run.

The answer does not wait for the body: net/http reads up to 256 KiB of it before it sends the header. With full duplex alone it panicked ("invalid concurrent Body.Read call") when it read the rest after the handler, so the handler reads it.

Without workspaces in the config, requests are served as before.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -165,7 +165,8 @@
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
 		Limiter: a.limiter, ModelChanges: a.modelChanges,
 		RetryBudget: retryBudgetLimits(settings),
-		Metrics:     a.registry, Now: rlbclock.Now,
+		Quotas:      rlbproxy.NoQuotas{}, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
+		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	a.catchUp = a.newCatchUp()
 	a.holdsLease = func() bool { return a.scheduler.Fence() > 0 }
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -73,6 +73,16 @@
 	return unavailable && c.app.fleet.APIUnavailableEverywhere(now)
 }
 
+// configCurrent reports whether no other instance is known to have a newer config, and the
+// object API, if this instance calls it, answers it or another one of its domain.
+func (c *catchUp) configCurrent() bool {
+	now := rlbclock.Now()
+	if c.app.fleet.NewestConfig(now) > c.app.configVersion() {
+		return false
+	}
+	return !c.configWatcher.Unavailable() || c.app.fleet.APIAvailableInDomain(now)
+}
+
 // isWatcher reports whether this instance watches the object API for its domain: it is
 // one of the first maxWatcherCandidates instances by name, and the object API is
 // unavailable to all instances before it. Leaving instances do not count.
--- a/rlb-node/pkg/rlbapp/catch_up_test.go
+++ b/rlb-node/pkg/rlbapp/catch_up_test.go
@@ -52,3 +52,39 @@
 		}
 	})
 }
+
+func TestConfigIsNotCurrentIfOthersHaveANewerOneOrNoneAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := rlbfake.NewObjects()
+		a := newTestApp("a", objects, false)
+		a.view = rlbdiscovery.New(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, numberDecoder{}, rlbclock.Now, time.Second)
+		a.view.ApplyConfig([]byte("8"), "test")
+		a.link = &rlbpeer.Link{}
+		a.catchUp = a.newCatchUp()
+		shouldBeCurrent := func(situation string, want bool) {
+			if got := a.catchUp.configCurrent(); got != want {
+				t.Errorf("%s: config current: %t", situation, got)
+			}
+		}
+		hear := func(sequence, version uint64, available bool) {
+			a.fleet.ApplyDigest(rlbclock.Now(), rlbpeer.Digest{Name: "b", Domain: "x", Address: "b:1", Sequence: sequence, ConfigVersion: version, APIAvailable: available})
+		}
+		shouldBeCurrent("alone", true)
+		hear(1, 8, true)
+		shouldBeCurrent("another one has the same", true)
+		hear(2, 9, true)
+		shouldBeCurrent("another one has a newer one", false)
+		a.view.ApplyConfig([]byte("9"), "test")
+		shouldBeCurrent("caught up", true)
+		objects.SetDown(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.catchUp.configWatcher.Run(ctx)
+		time.Sleep(time.Second)
+		hear(3, 9, false)
+		shouldBeCurrent("the object API answers nobody", false)
+		hear(4, 9, true)
+		shouldBeCurrent("the object API answers another one", true)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -217,6 +217,19 @@
 	return slices.ContainsFunc(f.LiveDigests(now), func(d Digest) bool { return d.APIAvailable })
 }
 
+// NewestConfig returns the newest version of the config that another live instance of the
+// own domain, or a delegate of another one, has in force; 0: none.
+func (f *Fleet) NewestConfig(now time.Time) uint64 {
+	newest := uint64(0)
+	for _, d := range f.LiveDigests(now) {
+		newest = max(newest, d.ConfigVersion)
+	}
+	for _, s := range f.LiveSummaries(now) {
+		newest = max(newest, s.ConfigVersion)
+	}
+	return newest
+}
+
 // IsDelegate reports whether this instance is the delegate of its domain: no other live
 // and eligible instance of the domain has a lower name.
 func (f *Fleet) IsDelegate(now time.Time, eligible func(Digest) bool) bool {
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -170,6 +170,9 @@
 func (s *Server) finish(w http.ResponseWriter, req *request, outcome rlbroute.Outcome, fault rlbroute.Fault) {
 	switch {
 	case fault == rlbroute.FaultCallerDisconnected:
+		if outcome == rlbroute.NotRun {
+			s.refundQuota(req)
+		}
 		s.logEnd(req, 0, "caller disconnected")
 	case req.started:
 		s.logEnd(req, 0, "stream aborted: "+fault.String())
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -89,6 +89,8 @@
 	entries    []rlbobject.Object
 	changes    rlbpeer.ModelChanges
 	origins    *fakeOrigins
+	quotas     fakeQuotas
+	outdated   atomic.Bool  // a newer config is known to exist
 	clockAhead atomic.Int64 // nanoseconds that the server's clock is ahead of the process clock
 }
 
@@ -111,7 +113,8 @@
 		}),
 		ModelChanges: func() rlbpeer.ModelChanges { return f.changes },
 		RetryBudget:  rlbretrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second},
-		Metrics:      metrics.NewRegistry(), Now: f.now,
+		Quotas:       &f.quotas, ConfigCurrent: func() bool { return !f.outdated.Load() },
+		Metrics: metrics.NewRegistry(), Now: f.now,
 	})
 	f.proxy = httptest.NewServer(f.server)
 	t.Cleanup(f.proxy.Close)
--- a/rlb-node/pkg/rlbproxy/rate_limit.go
+++ b/rlb-node/pkg/rlbproxy/rate_limit.go
@@ -29,7 +29,7 @@
 // request whose answer has partly reached the caller is sent to the best one nevertheless.
 func (s *Server) chooseWithinLimits(req *request) *rlbdeployment.Endpoint {
 	req.limited = nil
-	rank := rlbratelimit.RankOf(req.route.Priority)
+	rank := rlbratelimit.RankOf(req.priority)
 	for range maxLimitedChoices {
 		e := s.chooseUnlimited(req)
 		switch {
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -33,11 +33,26 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// The refusals. To callers, the status codes 503 and 408 mean that the request did not
+// notRun reports whether the refusal promises that the request did not run.
+func (r *refusal) notRun() bool {
+	return r.status < http.StatusInternalServerError || r.status == http.StatusServiceUnavailable
+}
+
+// after returns a copy of the refusal with another Retry-After, at least retryAtOnce.
+func (r *refusal) after(retryAfter time.Duration) *refusal {
+	changed := *r
+	changed.retryAfter = max(retryAfter, retryAtOnce)
+	return &changed
+}
+
+// The refusals. To callers, the status codes 429, 503 and 408 mean that the request did not
 // run; 408 is not used here.
 var (
 	refuseNoConfig       = &refusal{http.StatusServiceUnavailable, retrySoon, "no config is known yet"}
 	refuseShutdown       = &refusal{http.StatusServiceUnavailable, retryAtOnce, "the instance shuts down"}
+	refuseUnidentified   = &refusal{http.StatusUnauthorized, 0, "the request needs the key of a workspace"}
+	refuseConfigOutdated = &refusal{http.StatusServiceUnavailable, retrySoon, "the key is unknown, but a newer config may have it"}
+	refuseQuota          = &refusal{http.StatusTooManyRequests, retryLater, "the quota of the workspace is used up"}
 	refuseNoRoute        = &refusal{http.StatusNotFound, 0, "no route for this host and path"}
 	refuseBodyTooLong    = &refusal{http.StatusRequestEntityTooLarge, 0, "body is too long"}
 	refuseNoMemory       = &refusal{http.StatusServiceUnavailable, retryLater, "the bodies of the requests in progress take too much memory"}
@@ -66,14 +81,23 @@
 
 func (s *Server) refuse(w http.ResponseWriter, req *request, r *refusal) {
 	s.requestMetrics.refused(r.status)
+	s.workspaces.refused(req, r)
+	if r.notRun() {
+		s.refundQuota(req)
+	}
 	s.logEnd(req, r.status, r.text)
 	header := w.Header()
+	if r.status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64))
 	}
+	text := []byte(r.text + "\n")
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(r.status)
-	if _, err := w.Write([]byte(r.text + "\n")); err != nil {
+	if _, err := w.Write(text); err != nil {
 		s.Log.WithError(err).WithField("request", req.id).Debug("writing the refusal failed; caller disconnected")
 	}
 }
@@ -87,6 +111,9 @@
 	if req.route != nil {
 		fields["route"] = req.route.Name
 	}
+	if req.identified {
+		fields["workspace"] = req.workspace.Name()
+	}
 	if req.model != "" {
 		fields["expected_ms"], fields["first_ms"], fields["tokens"] = req.expectedWait.Milliseconds(), req.timeToFirst.Milliseconds(), req.promptTokens
 		fields["pause_ms"] = req.longestPause.Milliseconds()
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -29,8 +29,13 @@
 	id            string
 	inbound       *http.Request
 	body          []byte
+	bodyUnread    bool // the request is refused without its body
 	snapshot      *rlbdiscovery.Snapshot
 	route         *rlbdeployment.Route
+	workspace     rlbdeployment.Workspace
+	identified    bool    // the caller has the key of workspace
+	priority      int     // 0 is the highest
+	charged       float64 // taken from the quota of workspace and not given back
 	service       string
 	model         string
 	adapter       string
@@ -80,7 +85,7 @@
 
 // load returns the load that the request puts on an endpoint.
 func (req *request) load() rlbbalancer.RequestLoad {
-	return rlbbalancer.RequestLoad{PromptTokens: req.promptTokens, Urgent: req.route.Priority <= mostUrgentPriority}
+	return rlbbalancer.RequestLoad{PromptTokens: req.promptTokens, Urgent: req.priority <= mostUrgentPriority}
 }
 
 // readRequest reads a request, finds its route and sets its deadline and limits.
@@ -94,6 +99,14 @@
 		return req, refuseNoRoute
 	}
 	req.route = route
+	refusal := s.identify(req)
+	if refusal == nil {
+		refusal = s.chargeQuota(req)
+	}
+	if refusal != nil {
+		req.bodyUnread = true
+		return req, refusal
+	}
 	req.service = s.serviceOf(req)
 	if refusal := s.readBody(w, req); refusal != nil {
 		return req, refusal
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -125,10 +125,13 @@
 	header := req.inbound.Header.Clone()
 	dropHopByHopHeaders(header)
 	rlbplatform.RemoveInternalHeaders(header)
+	if req.snapshot.Config.IdentifiesCallers() {
+		rlbplatform.SetWorkspace(header, req.workspace.Name())
+	}
 	header.Set(rlbplatform.HeaderExpectedInstance, e.ID)
 	rlbplatform.SetTimeLeft(header, s.Now(), req.deadline)
 	if req.model != "" {
-		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(min(max(req.route.Priority, mostUrgentPriority), leastUrgentPriority)))
+		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(min(max(req.priority, mostUrgentPriority), leastUrgentPriority)))
 	}
 	if req.lastEventID != "" {
 		header.Set(rlbplatform.HeaderLastEventID, req.lastEventID)
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -59,8 +59,12 @@
 	// ModelChanges returns which models endpoints serve other than their entries say.
 	ModelChanges func() rlbpeer.ModelChanges
 	RetryBudget  rlbretrybudget.Limits
-	Metrics      metrics.Registry
-	Now          func() time.Time
+	Quotas       Quotas // of the workspaces
+	// ConfigCurrent reports whether no newer config than that of the view is known to exist,
+	// and the instance is where it would learn of one.
+	ConfigCurrent func() bool
+	Metrics       metrics.Registry
+	Now           func() time.Time
 }
 
 // Server is the HTTP handler for callers.
@@ -69,6 +73,7 @@
 	budgets        *retryBudgets
 	demand         *Demand
 	requestMetrics requestMetrics
+	workspaces     *workspaceMetrics
 	durations      *durations
 	bodies         *rlbdispatch.Memory // of the requests in flight
 	draining       atomic.Bool
@@ -87,6 +92,7 @@
 		budgets:        newRetryBudgets(opts.RetryBudget),
 		demand:         newDemand(opts.Now),
 		requestMetrics: newRequestMetrics(opts.Metrics),
+		workspaces:     newWorkspaceMetrics(opts.Metrics),
 		durations:      newDurations(),
 		bodies:         rlbdispatch.NewMemory(maxBodies),
 		requests:       requests,
@@ -118,11 +124,14 @@
 	if refusal == nil && !s.takes(req) {
 		refusal = refuseShutdown
 	}
-	if refusal != nil {
+	switch {
+	case refusal != nil && req.bodyUnread:
+		s.refuseUnread(w, req, refusal)
+	case refusal != nil:
 		s.refuse(w, req, refusal)
-		return
+	default:
+		s.proxy(w, req)
 	}
-	s.proxy(w, req)
 }
 
 // ServeReadiness answers readiness checks of the load balancer.
