--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -99,6 +99,7 @@
 		return req, refuseNoRoute
 	}
 	req.route = route
+	req.model, req.adapter, _ = strings.Cut(r.Header.Get(rlbplatform.HeaderModel), "/")
 	refusal := s.identify(req)
 	if refusal == nil {
 		refusal = s.chargeQuota(req)
@@ -115,7 +116,6 @@
 	if left, stated := rlbplatform.TimeLeft(r.Header); stated && left < route.Timeout {
 		req.deadline = req.arrived.Add(left)
 	}
-	req.model, req.adapter, _ = strings.Cut(r.Header.Get(rlbplatform.HeaderModel), "/")
 	if service := req.snapshot.Config.Services[req.service]; req.model != "" && !service.Lists(req.model, req.adapter) {
 		return req, refuseNotListed
 	}
