Quota of a workspace across instances: the decision

Cause: nothing limits what the callers of a workspace ask for.

Change: rlbquota follows the bucket of each workspace, which all instances share: own use at once, that of others as they publish it, as sums that decay, so that messages that are lost, senders that change and restarts need no agreement. While the bucket is filled all requests are admitted; when it runs short each instance admits the same share of its requests. The share of the limit of instances and failure domains that fall silent is reserved for them, by what they used when they were last heard; an instance that hears nobody has what is left, its own share.

--- /dev/null
+++ b/lib/pkg/rlbquota/refresh.go
@@ -0,0 +1,72 @@
+package rlbquota
+
+import "time"
+
+// maxReserved is less than 1 for the rounding of shares that add up to it.
+const maxReserved = 0.9999
+
+// refresh sums up what the sources published about a workspace, and reserves the shares of
+// the silent ones.
+func (l *Limiter) refresh(now time.Time, b *bucket) {
+	instances, live, unheard := l.count(now)
+	b.refreshed, b.peersAsked, b.peersUnseen, b.peersUsed = now, 0, 0, 0
+	levels := 0.0
+	b.peersLevels = 0
+	for id, s := range l.sources {
+		r := b.report(id)
+		b.peersUsed += r.total(now)
+		if s.silent(now) {
+			continue
+		}
+		asked := r.askedAt(s.heard)
+		b.peersAsked += asked
+		b.peersUnseen += asked * now.Sub(r.asked.at).Seconds()
+		if now.Sub(r.asked.at) <= freshTime {
+			levels += r.level * float64(s.latest.Members)
+			b.peersLevels += s.latest.Members
+		}
+	}
+	b.peersLevel = levels / float64(max(b.peersLevels, 1))
+	used := b.peersUsed + b.used.value(now, usedTime)
+	reserved := float64(unheard) / float64(instances)
+	b.domainReserved = 0
+	for id, s := range l.sources {
+		r := b.reports[id]
+		if s.fresh(now) {
+			r.share = share(r.total(now), used, float64(s.latest.Members)/float64(instances))
+		}
+		kept := 0.0
+		if s.silent(now) && !s.latest.Draining && (2*live <= instances || now.Sub(s.heard) < forgetTime) {
+			kept = r.share
+		}
+		if !s.domain {
+			b.domainReserved += kept
+		}
+		reserved += kept + r.reservedAt(now, s.silent(now))
+	}
+	b.reserve(now, min(reserved, maxReserved))
+	b.agree(now)
+}
+
+// share returns the share of the limit of a source that has used a part of all that was used
+// and has a part of the instances.
+func share(used, usedByAll, ofInstances float64) float64 {
+	if usedByAll <= 0 {
+		return ofInstances
+	}
+	return equalShare*ofInstances + (1-equalShare)*used/usedByAll
+}
+
+// count returns the numbers of all known instances, of the live ones and of those of which
+// nothing was heard.
+func (l *Limiter) count(now time.Time) (instances, live, unheard int) {
+	unheard = max(l.opts.Unheard(), 0)
+	instances, live = 1+unheard, 1
+	for _, s := range l.sources {
+		instances += s.latest.Members
+		if !s.silent(now) {
+			live += s.latest.Members
+		}
+	}
+	return instances, live, unheard
+}
