A fleet of instances can run in a test without a network

The link takes sockets that a test made, the clock of the view's duties is a field of the app, and what concerns the view is started, swept and published by functions of its own. No change of behaviour.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -51,6 +51,7 @@
 	address     string // at which the other instances reach this one
 	incarnation int64
 	startedAt   time.Time
+	now         func() time.Time // monotonic clock, see rlbclock.Now
 	// firstRegistered reports that this instance was registered before its start, and that no
 	// registered instance of its domain has a lower name.
 	firstRegistered atomic.Bool
@@ -127,7 +128,7 @@
 	}
 	a := &app{
 		Common: common, name: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
-		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(),
+		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(), now: rlbclock.Now,
 		registry: metrics.NewRegistry(), balancer: rlbbalancer.New(),
 	}
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
@@ -145,10 +146,10 @@
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 	})
 	a.origins = newStreamOrigins(a)
-	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{
-		Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
-		Changes: func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() },
-	})
+	linkOpts := a.linkOpts()
+	linkOpts.Listen, linkOpts.Crashes, linkOpts.Learn, linkOpts.Digest = listen, a.crashes, a.origins.learn, a.nextDigest
+	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() }
+	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
 	}
@@ -178,6 +179,15 @@
 	}, nil
 }
 
+// linkOpts returns the options of the link to other instances that concern the view of the
+// deployment.
+func (a *app) linkOpts() rlbpeer.LinkOpts {
+	return rlbpeer.LinkOpts{
+		Log: a.Log, Address: a.address, Fleet: a.fleet, Now: a.now, Handler: a.handleQuery,
+		Changes: func() uint64 { return 0 },
+	}
+}
+
 // takeoverDelay returns how long a new lease holder sends no orders. No delay is
 // needed where endpoints check fencing numbers.
 func takeoverDelay(settings *rlbsettings.Settings) time.Duration {
@@ -203,8 +213,7 @@
 
 // start runs the components in the background until ctx ends.
 func (a *app) start(ctx context.Context) {
-	go a.catchUp.configWatcher.Run(ctx)
-	go a.catchUp.endpointWatcher.Run(ctx)
+	a.startWatching(ctx)
 	go a.register(ctx)
 	go (&crashStore{app: a}).run(ctx)
 	go a.origins.run(ctx)
@@ -213,19 +222,37 @@
 	go a.sweep(ctx)
 }
 
+// startWatching keeps the view up to date in the background until ctx ends.
+func (a *app) startWatching(ctx context.Context) {
+	go a.catchUp.configWatcher.Run(ctx)
+	go a.catchUp.endpointWatcher.Run(ctx)
+}
+
+// tidy forgets what concerns endpoints that are gone.
+func (a *app) tidy() {
+	a.proxy.LogQuarantine()
+	snapshot := a.view.Snapshot()
+	a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
+}
+
 func (a *app) sweep(ctx context.Context) {
 	var era uint64
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
-		era = a.checkEra(era)
-		a.view.Sweep()
-		a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(rlbclock.Now()), sourcePeer)
-		a.catchUp.step(ctx)
-		a.proxy.LogQuarantine()
-		snapshot := a.view.Snapshot()
-		a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
+		era = a.sweepView(ctx, era)
+		a.tidy()
 	}
 }
 
+// sweepView does what is due in the view of the deployment. It takes and returns the era of
+// the object API.
+func (a *app) sweepView(ctx context.Context, era uint64) uint64 {
+	era = a.checkEra(era)
+	a.view.Sweep()
+	a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(a.now()), sourcePeer)
+	a.catchUp.step(ctx)
+	return era
+}
+
 // checkEra logs that the object API names another era than the known one, and makes watches
 // of an earlier era list again. It returns the era.
 func (a *app) checkEra(known uint64) uint64 {
@@ -280,13 +307,10 @@
 
 // nextDigest returns the next digest to send to the other instances.
 func (a *app) nextDigest() rlbpeer.Digest {
-	a.digestNumber++
-	d := rlbpeer.Digest{
-		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
-		Draining: a.proxy.Draining(), APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
-		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report()),
-		DrainingEndpoints: a.view.MarkedDraining(), BegunStreams: rlbpeer.NewBegunStreams(a.origins.Announcements()),
-	}
+	d := a.viewDigest()
+	d.Draining, d.Demand = a.proxy.Draining(), a.demand()
+	d.Loads, d.Crashes = map[uint32]rlbpeer.Load{}, rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report())
+	d.BegunStreams = rlbpeer.NewBegunStreams(a.origins.Announcements())
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
@@ -302,6 +326,16 @@
 	return d
 }
 
+// viewDigest returns the next digest with what it says about the view of the deployment.
+func (a *app) viewDigest() rlbpeer.Digest {
+	a.digestNumber++
+	return rlbpeer.Digest{
+		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
+		APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
+		DrainingEndpoints: a.view.MarkedDraining(),
+	}
+}
+
 // handleQuery answers a query of another instance.
 func (a *app) handleQuery(ctx context.Context, q rlbpeer.Query) rlbpeer.Reply {
 	switch {
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
@@ -44,10 +43,10 @@
 		app: a, query: a.link.Query, querying: make(chan struct{}, 1),
 		configWatcher: &rlbdiscovery.Watcher{
 			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindConfig, Sink: rlbdiscovery.ConfigSink{View: a.view, Name: rlbplatform.ConfigName},
-			Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher,
+			Log: a.Log, Now: a.now, Active: a.isWatcher,
 		},
 		endpointWatcher: &rlbdiscovery.Watcher{
-			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher, BatchDelay: batchDelay,
+			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: a.now, Active: a.isWatcher, BatchDelay: batchDelay,
 		},
 	}
 }
@@ -65,7 +64,7 @@
 // unavailableEverywhere reports whether the object API is unavailable to all known
 // instances: in each domain some instances call it, and none gets an answer.
 func (c *catchUp) unavailableEverywhere() bool {
-	now := rlbclock.Now()
+	now := c.app.now()
 	if c.available() || c.app.fleet.APIAvailableInDomain(now) {
 		return false
 	}
@@ -76,7 +75,7 @@
 // configCurrent reports whether no other instance is known to have a newer config, and the
 // object API, if this instance calls it, answers it or another one of its domain.
 func (c *catchUp) configCurrent() bool {
-	now := rlbclock.Now()
+	now := c.app.now()
 	if c.app.fleet.NewestConfig(now) > c.app.configVersion() {
 		return false
 	}
@@ -90,7 +89,7 @@
 	if !a.settled() {
 		return false
 	}
-	now, before := rlbclock.Now(), 0
+	now, before := a.now(), 0
 	for _, d := range a.fleet.LiveDigests(now) {
 		if d.Name < a.name && !d.Draining {
 			before++
@@ -110,7 +109,7 @@
 // findNewerSource returns an instance of the domain or, with otherDomains, also a
 // delegate of another domain that has a newer config or newer entries.
 func (c *catchUp) findNewerSource(otherDomains bool) (source, bool) {
-	now, config, entries := rlbclock.Now(), c.app.configVersion(), uint64(c.app.view.Revision())
+	now, config, entries := c.app.now(), c.app.configVersion(), uint64(c.app.view.Revision())
 	var all []source
 	for _, d := range c.app.fleet.LiveDigests(now) {
 		all = append(all, source{d.Name, d.Address, d.ConfigVersion, d.EntryRevision})
@@ -164,7 +163,7 @@
 // configOverdue reports whether the config has been outdated for configReadDelay and
 // must be read from the object API. It reports true once in each such period.
 func (c *catchUp) configOverdue(from source) bool {
-	now, version := rlbclock.Now(), c.app.configVersion()
+	now, version := c.app.now(), c.app.configVersion()
 	if from.configVersion <= version || version != c.stuckVersion || c.behindSince.IsZero() {
 		c.behindSince, c.stuckVersion = now, version
 		return false
--- a/rlb-node/pkg/rlbapp/register_test.go
+++ b/rlb-node/pkg/rlbapp/register_test.go
@@ -23,6 +23,7 @@
 		name:   name, domain: "x", address: name + ":1", api: api, staleAPI: api, fleet: rlbpeer.NewFleet(name, "x"),
 		view: rlbdiscovery.New(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, decoder{}, rlbclock.Now, time.Second),
 	}
+	a.now = rlbclock.Now
 	a.apiEra = func() uint64 { return 0 }
 	a.holdsLease = func() bool { return holder }
 	return a
--- a/rlb-node/pkg/rlbapp/settle.go
+++ b/rlb-node/pkg/rlbapp/settle.go
@@ -1,10 +1,6 @@
 package rlbapp
 
-import (
-	"time"
-
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
-)
+import "time"
 
 // settleTime is how long after its start an instance waits for digests of the others before
 // it takes up duties that one instance of a failure domain has. Without it each instance of
@@ -15,5 +11,5 @@
 // after settleTime, or at once if it is registered from before its restart as the first of
 // its domain.
 func (a *app) settled() bool {
-	return a.firstRegistered.Load() || rlbclock.Now().Sub(a.startedAt) >= settleTime
+	return a.firstRegistered.Load() || a.now().Sub(a.startedAt) >= settleTime
 }
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -64,14 +64,28 @@
 	Lapsed  bool   `msgpack:"l,omitempty"` // removed during an outage; it may reappear
 }
 
+// Datagrams sends and receives datagrams. *net.UDPConn implements it.
+type Datagrams interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// Sockets are what a link receives on.
+type Sockets struct {
+	Datagrams Datagrams
+	Listener  net.Listener
+}
+
 // Handler answers the queries of other instances.
 type Handler func(ctx context.Context, q Query) Reply
 
 // LinkOpts configures a Link.
 type LinkOpts struct {
 	Log     log.Interface
-	Listen  string // IP:port for datagrams and connections
-	Address string // address at which other instances reach this one
+	Listen  string   // IP:port for datagrams and connections
+	Sockets *Sockets // used in place of new ones at Listen; nil: none
+	Address string   // address at which other instances reach this one
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
 	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
@@ -92,7 +106,7 @@
 	learn    func([]rlborigin.Announcement)
 	now      func() time.Time
 	address  string // address of this instance
-	packets  *net.UDPConn
+	packets  Datagrams
 	listener net.Listener
 	handler  Handler
 	digest   func() Digest
@@ -103,18 +117,14 @@
 // NewLink listens for datagrams and connections. It returns the link and a function
 // that closes it.
 func NewLink(opts LinkOpts) (*Link, func(), error) {
-	udpAddress, err := net.ResolveUDPAddr("udp4", opts.Listen)
-	if err != nil {
-		return nil, nil, err
+	sockets, err := opts.Sockets, error(nil)
+	if sockets == nil {
+		sockets, err = listen(opts.Listen)
 	}
-	packets, err := net.ListenUDP("udp4", udpAddress)
 	if err != nil {
 		return nil, nil, err
 	}
-	listener, err := net.Listen("tcp4", opts.Listen)
-	if err != nil {
-		return nil, nil, errors.Join(err, packets.Close())
-	}
+	packets, listener := sockets.Datagrams, sockets.Listener
 	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
@@ -123,6 +133,23 @@
 	}, nil
 }
 
+// listen opens sockets for datagrams and connections at one address.
+func listen(address string) (*Sockets, error) {
+	udpAddress, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	packets, err := net.ListenUDP("udp4", udpAddress)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Join(err, packets.Close())
+	}
+	return &Sockets{packets, listener}, nil
+}
+
 // Run answers queries and publishes the digest, and the domain's summary if this
 // instance is the delegate of its domain, until ctx ends. It then publishes once more.
 func (l *Link) Run(ctx context.Context) {
