Leavings of endpoints reach all instances within one bound

They are told for the bound, and half of it after a drop. - The next instance takes the watch over after a silence of 0.3 of the bound (0.6 s to 1.2 s), before the silent one counts as lost for anything else. - What is missing from its first list may have been removed since the latest digest of the lost watcher; the grace period counts from there. - An instance that watches goes on until the object API answers one before it. A removal of an unknown entry advances the revision, as the entry may have been dropped by then. Grace periods after an outage are as before.

The constant of the grace period has moved to rlbleaving; the tests that named it name it there.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -61,6 +61,7 @@
 	NodeRetryAllowance = &Key{"node", "retry_allowance", TypeRatio, "50", "0", "1000000", "Retries allowed per retry_window in addition to retry_ratio.", ForNode}
 	NodeRetryWindow    = &Key{"node", "retry_window", TypeDuration, "10s", "1s", "10m", "Time window over which retries are counted.", ForNode}
 	NodeGrace          = &Key{"node", "grace", TypeDuration, "8s", "1s", "24h", "Time between the termination signal and the forced kill.", ForNode}
+	NodeDrain          = &Key{"node", "drain", TypeDuration, "2s", "0s", "10m", "Time within which all instances stop using an endpoint after the object API has stored that it leaves; 0s: the default.", ForNode}
 	NodeLeaseTTL       = &Key{"node", "lease", TypeDuration, "3s", "500ms", "2m", "Time after which the lease for sending orders expires unless it is renewed.", ForNode}
 	NodeLoadWindow     = &Key{"node", "load_window", TypeDuration, "5s", "1s", "10m", "Time window over which loads from the weight store are counted.", ForNode}
 	NodeReportInterval = &Key{"node", "report_interval", TypeDuration, "1200ms", "10ms", "10m", "Interval at which endpoints write their entries; the platform removes an entry after three without.", ForNode}
@@ -100,7 +101,7 @@
 	GatewayMaxInFlight, GatewayEndpointInFlight, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerLeaseMargin,
 	ControllerLoadRate, ControllerLoadsAtOnce, ControllerMoveWeight, ControllerReplicas, ControllerWatchers, ControllerClaimRetention, ControllerClaimCommit, ControllerClaimShards,
-	NodeCallers, NodeReadiness, NodeInternal, NodeAdvertise, NodeInternalPorts, NodeRetryRatio, NodeRetryAllowance, NodeRetryWindow, NodeGrace, NodeLeaseTTL, NodeLoadWindow, NodeReportInterval, NodeFencing,
+	NodeCallers, NodeReadiness, NodeInternal, NodeAdvertise, NodeInternalPorts, NodeRetryRatio, NodeRetryAllowance, NodeRetryWindow, NodeGrace, NodeDrain, NodeLeaseTTL, NodeLoadWindow, NodeReportInterval, NodeFencing,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefillRate, StandinStep, StandinStepPerRequest,
 	StandinPrefixes, StandinInstances, StandinListLag, StandinLoadRate, StandinLoadTime, StandinLoadsAtOnce, StandinModelMemory, StandinRecord,
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -37,7 +37,8 @@
 	idleTimeout         = 4 * time.Second        // of connections to the object API and to the endpoints' control interface
 	maxIdleConnsPerHost = 4
 	sweepPeriod         = 250 * time.Millisecond
-	endpointTimeout     = 30 * time.Second // for an answer, if the request sets no timeout
+	dropPeriod          = 50 * time.Millisecond // of checks whether the grace period of a removed entry has ended
+	endpointTimeout     = 30 * time.Second      // for an answer, if the request sets no timeout
 	// silenceIntervals is the number of report intervals within which the platform has
 	// removed the entry of an endpoint that writes none: it does so after three.
 	silenceIntervals = 4
@@ -136,6 +137,7 @@
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
 	a.limiter = rlbratelimit.New(rlbratelimit.Opts{Now: rlbclock.Now, Random: rand.Float64, Peers: a.peerLimits})
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now, silenceIntervals*settings.Duration(rlbsettings.NodeReportInterval))
+	a.view.SetBound(settings.Duration(rlbsettings.NodeDrain))
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
@@ -148,7 +150,7 @@
 	a.origins = newStreamOrigins(a)
 	linkOpts := a.linkOpts()
 	linkOpts.Listen, linkOpts.Crashes, linkOpts.Learn, linkOpts.Digest = listen, a.crashes, a.origins.learn, a.nextDigest
-	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() }
+	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() + a.view.LeavingCount() }
 	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
@@ -184,7 +186,7 @@
 func (a *app) linkOpts() rlbpeer.LinkOpts {
 	return rlbpeer.LinkOpts{
 		Log: a.Log, Address: a.address, Fleet: a.fleet, Now: a.now, Handler: a.handleQuery,
-		Changes: func() uint64 { return 0 },
+		Leavings: a.applyLeavings, Changes: a.view.LeavingCount,
 	}
 }
 
@@ -226,6 +228,17 @@
 func (a *app) startWatching(ctx context.Context) {
 	go a.catchUp.configWatcher.Run(ctx)
 	go a.catchUp.endpointWatcher.Run(ctx)
+	go func() {
+		for rlbcommon.Sleep(ctx, dropPeriod) {
+			a.view.DropRemoved()
+		}
+	}()
+}
+
+// applyLeavings applies what another instance knows about endpoints that leave.
+func (a *app) applyLeavings(draining []uint64, removed []rlbdiscovery.Removed) {
+	a.view.MarkDrainingIncarnations(draining, sourcePeer)
+	a.view.ApplyRemoved(removed, sourcePeer)
 }
 
 // tidy forgets what concerns endpoints that are gone.
@@ -329,10 +342,11 @@
 // viewDigest returns the next digest with what it says about the view of the deployment.
 func (a *app) viewDigest() rlbpeer.Digest {
 	a.digestNumber++
+	draining, removed := a.view.Leavings()
 	return rlbpeer.Digest{
 		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
 		APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
-		DrainingEndpoints: a.view.MarkedDraining(),
+		DrainingEndpoints: append(draining, a.view.MarkedDraining()...), RemovedEndpoints: rlbpeer.NewRemovedEndpoints(a.now(), removed),
 	}
 }
 
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbleaving"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
@@ -15,10 +16,9 @@
 
 // Limits of catching up with the other instances.
 const (
-	batchDelay           = 250 * time.Millisecond // for changes of entries
-	stepsUntilList       = 3                      // consecutive steps with a newer source before a list call is triggered
-	stepsUntilQuery      = 2 * stepsUntilList     // the same before a watcher queries the source, as the list did not help
-	maxWatcherCandidates = 3                      // limit of the instances of a domain that call the object API while it is unavailable
+	stepsUntilList       = 3                  // consecutive steps with a newer source before a list call is triggered
+	stepsUntilQuery      = 2 * stepsUntilList // the same before a watcher queries the source, as the list did not help
+	maxWatcherCandidates = 3                  // limit of the instances of a domain that call the object API while it is unavailable
 	queryTimeout         = time.Second
 	configReadDelay      = time.Second // after which an outdated config is read from the object API
 	sourcePeer           = "another instance"
@@ -46,7 +46,7 @@
 			Log: a.Log, Now: a.now, Active: a.isWatcher,
 		},
 		endpointWatcher: &rlbdiscovery.Watcher{
-			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: a.now, Active: a.isWatcher, BatchDelay: batchDelay,
+			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: a.now, Active: a.isWatcher, BatchDelay: rlbleaving.BatchDelay, TakenOver: a.limitGraces,
 		},
 	}
 }
@@ -84,18 +84,30 @@
 
 // isWatcher reports whether this instance watches the object API for its domain: it is
 // one of the first maxWatcherCandidates instances by name, and the object API is
-// unavailable to all instances before it. Leaving instances do not count.
+// unavailable to all instances before it. Leaving instances do not count, nor do silent ones.
+// An instance that already watches goes on until the object API answers one before it.
 func (a *app) isWatcher() bool {
 	if !a.settled() {
 		return false
 	}
-	now, before := a.now(), 0
-	for _, d := range a.fleet.LiveDigests(now) {
-		if d.Name < a.name && !d.Draining {
-			before++
+	before, watching := 0, a.catchUp.available()
+	for _, d := range a.fleet.DigestsWithin(a.now(), a.view.Budget().Silence()) {
+		if d.Name > a.name || d.Draining {
+			continue
 		}
+		if before++; !d.APIUnavailable && (d.APIAvailable || !watching) {
+			return false
+		}
+	}
+	return before < maxWatcherCandidates
+}
+
+// limitGraces limits the grace periods of the entries that are missing as this instance takes
+// over from another one, which may have been lost before it could tell of their removal.
+func (a *app) limitGraces() {
+	if heardAt := a.fleet.WatcherHeardAt(a.now()); !heardAt.IsZero() {
+		a.view.LimitGraces(heardAt)
 	}
-	return before < maxWatcherCandidates && a.fleet.IsDelegate(now, func(d rlbpeer.Digest) bool { return !d.APIUnavailable && !d.Draining })
 }
 
 // source is an instance from which a newer config or newer entries can be read.
--- a/rlb-node/pkg/rlbapp/settings.go
+++ b/rlb-node/pkg/rlbapp/settings.go
@@ -66,6 +66,7 @@
 		return
 	}
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
+	a.view.SetBound(settings.Duration(rlbsettings.NodeDrain))
 	a.proxy.SetRetryBudget(retryBudgetLimits(settings))
 	fields := log.Fields{"reason": reason, "needs_restart": a.needsRestart(settings)}
 	a.Log.WithFields(fields).Info("settings reloaded")
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -13,18 +13,15 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcompress"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbleaving"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbworkspace"
 )
 
-// Grace periods before the endpoint of a removed entry is dropped. The entry of a
-// live endpoint that lapsed in an outage of the object API is written again.
-const (
-	outageGrace = 1700 * time.Millisecond // after an outage
-	// removalGrace applies at other times, because an outage may be too short to be
-	// detected. It is shorter than the time a removed endpoint may still get requests.
-	removalGrace = 900 * time.Millisecond
-)
+// outageGrace is the grace period before the endpoint of a removed entry is dropped after an
+// outage of the object API, in which the entry of a live endpoint may have lapsed. At other
+// times rlbleaving.Budget has it.
+const outageGrace = 1700 * time.Millisecond
 
 // Decoder decodes the configs of operators and the entries of endpoints.
 type Decoder interface {
@@ -59,6 +56,10 @@
 	removals         []removal         // the latest ones, at most maxRemovals
 	draining         drainingSet
 	removed          removedSet
+	budget           rlbleaving.Budget
+	leavings         leavingSet
+	nextDrop         time.Time     // end of the first grace period; zero: none
+	leavingCount     atomic.Uint64 // number of leavings that became known
 
 	snapshot atomic.Pointer[Snapshot]
 }
@@ -68,6 +69,8 @@
 	version  rlbobject.Version
 	endpoint *rlbdeployment.Endpoint // nil: the entry cannot be decoded
 	dropAt   time.Time               // end of the grace period after a removal; zero: not removed
+	lapsed   bool                    // removed in an outage: it may come back
+	recorded bool                    // the removal is among those for instances that catch up
 	// markedDraining reports that the endpoint counts as draining because it stated so in
 	// an answer, not because its entry does.
 	markedDraining bool
@@ -88,7 +91,10 @@
 
 // New returns an empty view. The platform removes the entry of an endpoint after silence.
 func New(logger log.Interface, decoder Decoder, now func() time.Time, silence time.Duration) *View {
-	v := &View{log: logger, decoder: decoder, now: now, silence: silence, entries: map[string]*entry{}, draining: drainingSet{}, removed: removedSet{}, callers: &rlbworkspace.Index{}}
+	v := &View{
+		log: logger, decoder: decoder, now: now, silence: silence, entries: map[string]*entry{}, draining: drainingSet{}, removed: removedSet{}, callers: &rlbworkspace.Index{},
+		budget: rlbleaving.NewBudget(rlbleaving.DefaultBound), leavings: leavingSet{},
+	}
 	_, _ = rand.Read(v.secret[:]) // it never fails
 	v.snapshot.Store(&Snapshot{Callers: v.callers})
 	return v
@@ -149,9 +155,8 @@
 	}
 	v.logOutdated(outdated, revision)
 	for id, e := range v.entries {
-		if !listed[id] && e.dropAt.IsZero() && e.version <= revision {
-			v.recordRemoval(id, e, revision, afterOutage)
-			v.scheduleDrop(id, e, afterOutage)
+		if !listed[id] && !e.recorded && e.version <= revision {
+			v.remove(id, e, revision, afterOutage)
 		}
 	}
 	v.publish()
@@ -170,10 +175,12 @@
 			}
 			continue
 		}
-		if e, known := v.entries[o.Name]; known && o.Version >= e.version {
-			v.recordRemoval(o.Name, e, o.Version, afterOutage)
-			v.scheduleDrop(o.Name, e, afterOutage)
-		} else if known {
+		switch e, known := v.entries[o.Name]; {
+		case !known:
+			v.keepRemoval(o.Name, o.Version, afterOutage)
+		case o.Version >= e.version:
+			v.remove(o.Name, e, o.Version, afterOutage)
+		default:
 			outdated++
 		}
 	}
@@ -188,10 +195,18 @@
 	}
 }
 
-func (v *View) recordRemoval(name string, e *entry, version rlbobject.Version, lapsed bool) {
+// remove records the removal of an entry and starts its grace period.
+func (v *View) remove(id string, e *entry, version rlbobject.Version, lapsed bool) {
 	if e.endpoint != nil && !lapsed {
 		v.removed.add(e.endpoint, version.Era(), v.now())
 	}
+	e.recorded = true
+	v.keepRemoval(id, version, lapsed)
+	v.scheduleDrop(id, e, version, lapsed)
+}
+
+// keepRemoval keeps a removal for instances that catch up.
+func (v *View) keepRemoval(name string, version rlbobject.Version, lapsed bool) {
 	v.removals = append(v.removals, removal{name, version, lapsed})
 	if len(v.removals) > maxRemovals {
 		v.removals = v.removals[len(v.removals)-maxRemovals:]
@@ -199,22 +214,39 @@
 	v.revision = max(v.revision, version)
 }
 
-// Sweep drops the entries whose grace period has ended.
+// Sweep drops the entries whose grace period has ended and forgets what is no longer needed.
 func (v *View) Sweep() {
+	v.DropRemoved()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expireDraining()
+	v.removed.expire(v.now())
+	v.leavings.expire(v.now())
+	if v.useBroughtBack() {
+		v.publish()
+	}
+}
+
+// DropRemoved drops the entries whose grace period has ended. It costs nothing if there are
+// none.
+func (v *View) DropRemoved() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now, dropped := v.now(), false
+	now := v.now()
+	if v.nextDrop.IsZero() || now.Before(v.nextDrop) {
+		return
+	}
+	v.nextDrop = time.Time{}
 	for id, e := range v.entries {
-		if !e.dropAt.IsZero() && !now.Before(e.dropAt) {
+		switch {
+		case e.dropAt.IsZero():
+		case now.Before(e.dropAt):
+			v.dropBy(e, e.dropAt)
+		default:
 			v.dropEntry(id, "entry was removed and did not come back")
-			dropped = true
 		}
 	}
-	v.expireDraining()
-	v.removed.expire(now)
-	if v.useBroughtBack() || dropped {
-		v.publish()
-	}
+	v.publish()
 }
 
 // applyEntry applies an entry unless it is the known one or older. It reports false if it is
@@ -245,8 +277,9 @@
 // used because an older entry says otherwise.
 func (v *View) applyEndpoint(e *entry, endpoint *rlbdeployment.Endpoint) {
 	e.endpoint = endpoint
+	v.cameBack(endpoint, e.version)
 	if endpoint.Draining {
-		v.draining[endpoint.IncarnationKey()] = v.now()
+		v.noteDraining(endpoint)
 	}
 	e.markedDraining = !endpoint.Draining && v.draining.contains(endpoint)
 	endpoint.Draining = endpoint.Draining || e.markedDraining
@@ -270,7 +303,7 @@
 
 // scheduleDrop starts the grace period of a removed entry. An entry that cannot be
 // decoded, or of a draining endpoint, is dropped at once.
-func (v *View) scheduleDrop(id string, e *entry, afterOutage bool) {
+func (v *View) scheduleDrop(id string, e *entry, version rlbobject.Version, afterOutage bool) {
 	if e.endpoint == nil || e.endpoint.Draining {
 		v.dropEntry(id, "entry was removed")
 		return
@@ -278,9 +311,20 @@
 	if !e.dropAt.IsZero() {
 		return
 	}
-	e.dropAt = v.now().Add(removalGrace)
 	if afterOutage {
-		e.dropAt = v.now().Add(outageGrace)
+		e.lapsed = true
+		v.dropBy(e, v.now().Add(outageGrace))
+		return
+	}
+	v.dropBy(e, v.budget.DropAt(v.now()))
+	v.noteRemoved(e.endpoint.IncarnationKey(), version, e.dropAt)
+}
+
+// dropBy ends the grace period of an entry at a time.
+func (v *View) dropBy(e *entry, at time.Time) {
+	e.dropAt = at
+	if v.nextDrop.IsZero() || at.Before(v.nextDrop) {
+		v.nextDrop = at
 	}
 }
 
--- a/rlb-node/pkg/rlbdiscovery/view_test.go
+++ b/rlb-node/pkg/rlbdiscovery/view_test.go
@@ -11,10 +11,13 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/memory"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbleaving"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+const removalGrace = rlbleaving.RemovalGrace
+
 var quiet = &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 
 // plainDecoder decodes a number as a config, and "ready" or "leaving" as an endpoint.
--- a/rlb-node/pkg/rlbdiscovery/watcher.go
+++ b/rlb-node/pkg/rlbdiscovery/watcher.go
@@ -13,7 +13,7 @@
 // Timing of a watch.
 const (
 	watchTimeout     = 1800 * time.Millisecond // how long the object API may wait for changes before it answers a watch call
-	idlePollInterval = 200 * time.Millisecond  // interval of checks whether to become active
+	idlePollInterval = 100 * time.Millisecond  // interval of checks whether to become active
 	watchSlack       = 500 * time.Millisecond  // added to watchTimeout for the answer to arrive; a connection that is silent for longer is abandoned
 	listTimeout      = time.Second
 	minBackoff       = 150 * time.Millisecond // after a failed call; doubled with each further failure
@@ -45,10 +45,14 @@
 	// its failure domain, which get the changes from it. The watcher makes no calls
 	// while it is not active, but for the first list.
 	Active func() bool
+	// TakenOver is called after the first list since this instance has become active; nil:
+	// nothing is done.
+	TakenOver func()
 	// BatchDelay is the delay of the next call after a change, so that one call
 	// returns several changes: each call to the object API has a cost.
 	BatchDelay time.Duration
 
+	idled       bool                               // not active since the latest list
 	listed      bool                               // the first list has been tried
 	listedEra   uint64                             // era of the latest list; 0: there is none
 	cancelWatch atomic.Pointer[context.CancelFunc] // cancels the current watch call
@@ -79,7 +83,7 @@
 // idle waits for the next check of Active. It discards the revision, which will be out
 // of date when the watcher becomes active.
 func (w *Watcher) idle(ctx context.Context) {
-	w.revision = 0
+	w.revision, w.idled = 0, true
 	w.unavailable.Store(false)
 	w.available.Store(false)
 	rlbcommon.Sleep(ctx, idlePollInterval)
@@ -111,6 +115,10 @@
 	w.listedEra = all.Revision.Era()
 	w.Sink.ApplyList(all.Objects, all.Revision, w.recordSuccess())
 	w.revision = all.Revision
+	if w.idled && w.TakenOver != nil {
+		w.TakenOver()
+	}
+	w.idled = false
 	return nil
 }
 
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -31,7 +31,8 @@
 	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // "k" was used by earlier versions
 
 	Limits            map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
-	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, see rlbdeployment.Endpoint.IncarnationKey
+	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, or since shortly, see rlbdeployment.Endpoint.IncarnationKey
+	RemovedEndpoints  []RemovedEndpoint        `msgpack:"z,omitempty"`
 	BegunStreams      []BegunStreams           `msgpack:"b,omitempty"`
 }
 
@@ -92,6 +93,7 @@
 
 	Limits            map[uint32]EndpointLimit `msgpack:"t,omitempty"`
 	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"`
+	RemovedEndpoints  []RemovedEndpoint        `msgpack:"z,omitempty"`
 	// BegunStreams are those of the only instance of the domain; others of a domain remember
 	// each other's.
 	BegunStreams []BegunStreams `msgpack:"b,omitempty"`
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -14,6 +14,9 @@
 	// LivenessTimeout is the time without a message after which an instance or a
 	// failure domain no longer counts as live.
 	LivenessTimeout = 1200 * time.Millisecond
+	// watcherMemory is how long after its latest digest it matters that an instance watched
+	// the object API: the time until another one has taken over.
+	watcherMemory = 2 * LivenessTimeout
 	// removalTimeout is the time without a message after which an instance or a
 	// failure domain is removed, and the model loads that it reported no longer count.
 	removalTimeout = time.Minute
@@ -155,15 +158,37 @@
 // LiveDigests returns the digests of the other live instances of the own domain, sorted
 // by name.
 func (f *Fleet) LiveDigests(now time.Time) []Digest {
+	return f.DigestsWithin(now, LivenessTimeout)
+}
+
+// DigestsWithin returns the digests of the other instances of the own domain that sent one
+// within silence, sorted by name.
+func (f *Fleet) DigestsWithin(now time.Time, silence time.Duration) []Digest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.liveDigests(now)
+	return f.digestsWithin(now, silence)
 }
 
-func (f *Fleet) liveDigests(now time.Time) []Digest {
+// WatcherHeardAt returns when the latest digest was received of an instance of the own domain
+// that the object API answered; zero: none within watcherMemory.
+func (f *Fleet) WatcherHeardAt(now time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var latest time.Time
+	for _, m := range f.members {
+		if m.digest.APIAvailable && now.Sub(m.lastSeen) <= watcherMemory && m.lastSeen.After(latest) {
+			latest = m.lastSeen
+		}
+	}
+	return latest
+}
+
+func (f *Fleet) liveDigests(now time.Time) []Digest { return f.digestsWithin(now, LivenessTimeout) }
+
+func (f *Fleet) digestsWithin(now time.Time, silence time.Duration) []Digest {
 	var live []Digest
 	for _, m := range f.members {
-		if now.Sub(m.lastSeen) <= LivenessTimeout {
+		if now.Sub(m.lastSeen) <= silence {
 			live = append(live, m.digest)
 		}
 	}
@@ -341,6 +366,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s.RemovedEndpoints = own.RemovedEndpoints // the own view has those of the members
 	s.Limits, s.DrainingEndpoints = f.summarizeLimits(now, own), f.summarizeDraining(now, own)
 	available, live := false, f.liveDigests(now)
 	if len(live) == 0 {
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
 )
 
 // Limits of a link.
@@ -89,12 +90,14 @@
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
 	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
-	Now     func() time.Time
-	Handler Handler
+	// Leavings learns of incarnations of endpoints that drain or whose entries were removed.
+	Leavings func(draining []uint64, removed []rlbdiscovery.Removed)
+	Now      func() time.Time
+	Handler  Handler
 	// Digest returns the digest to publish. It is called once for each publication.
 	Digest func() Digest
-	// Changes returns a number that increases with each change of the instance's load and
-	// with each stream that it begins to relay.
+	// Changes returns a number that increases with each change of the instance's load, each
+	// stream that it begins to relay and each leaving of an endpoint that it learns of.
 	Changes func() uint64
 }
 
@@ -104,6 +107,7 @@
 	fleet    *Fleet
 	crashes  *rlbcrash.Evidence
 	learn    func([]rlborigin.Announcement)
+	leavings func(draining []uint64, removed []rlbdiscovery.Removed)
 	now      func() time.Time
 	address  string // address of this instance
 	packets  Datagrams
@@ -125,7 +129,7 @@
 		return nil, nil, err
 	}
 	packets, listener := sockets.Datagrams, sockets.Listener
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -242,14 +246,23 @@
 	}
 }
 
-// mergeRecords merges the crash records and the streams of a message. Outdated messages do no
-// harm.
+// mergeLeavings merges the leavings of endpoints that a message contains.
+func (l *Link) mergeLeavings(now time.Time, draining []uint64, removed []RemovedEndpoint) {
+	if len(draining)+len(removed) > 0 {
+		l.leavings(draining, decodeRemovedEndpoints(now, removed))
+	}
+}
+
+// mergeRecords merges the crash records, the streams and the leavings of a message. Outdated
+// messages do no harm.
 func (l *Link) mergeRecords(now time.Time, p packet) {
-	if p.Digest != nil {
+	if d := p.Digest; d != nil {
+		l.mergeLeavings(now, d.DrainingEndpoints, d.RemovedEndpoints)
 		l.crashes.Merge(decodeCrashRecords(now, p.Digest.Crashes))
 		l.learn(decodeBegunStreams(p.Digest.BegunStreams))
 	}
-	if p.Summary != nil {
+	if s := p.Summary; s != nil {
+		l.mergeLeavings(now, s.DrainingEndpoints, s.RemovedEndpoints)
 		l.crashes.Merge(decodeCrashRecords(now, p.Summary.Crashes))
 		l.learn(decodeBegunStreams(p.Summary.BegunStreams))
 	}
