--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -37,7 +37,8 @@
 	idleTimeout         = 4 * time.Second        // of connections to the object API and to the endpoints' control interface
 	maxIdleConnsPerHost = 4
 	sweepPeriod         = 250 * time.Millisecond
-	endpointTimeout     = 30 * time.Second // for an answer, if the request sets no timeout
+	dropPeriod          = 50 * time.Millisecond // of checks whether the grace period of a removed entry has ended
+	endpointTimeout     = 30 * time.Second      // for an answer, if the request sets no timeout
 	// silenceIntervals is the number of report intervals within which the platform has
 	// removed the entry of an endpoint that writes none: it does so after three.
 	silenceIntervals = 4
@@ -51,6 +52,7 @@
 	address     string // at which the other instances reach this one
 	incarnation int64
 	startedAt   time.Time
+	now         func() time.Time // monotonic clock, see rlbclock.Now
 	// firstRegistered reports that this instance was registered before its start, and that no
 	// registered instance of its domain has a lower name.
 	firstRegistered atomic.Bool
@@ -127,7 +129,7 @@
 	}
 	a := &app{
 		Common: common, name: settings.Text(rlbsettings.InstanceID), domain: settings.Text(rlbsettings.InstanceDomain),
-		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(),
+		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(), now: rlbclock.Now,
 		registry: metrics.NewRegistry(), balancer: rlbbalancer.New(),
 	}
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
@@ -135,6 +137,7 @@
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
 	a.limiter = rlbratelimit.New(rlbratelimit.Opts{Now: rlbclock.Now, Random: rand.Float64, Peers: a.peerLimits})
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now, silenceIntervals*settings.Duration(rlbsettings.NodeReportInterval))
+	a.view.SetBound(settings.Duration(rlbsettings.NodeDrain))
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
@@ -145,10 +148,10 @@
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 	})
 	a.origins = newStreamOrigins(a)
-	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{
-		Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
-		Changes: func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() },
-	})
+	linkOpts := a.linkOpts()
+	linkOpts.Listen, linkOpts.Crashes, linkOpts.Learn, linkOpts.Digest = listen, a.crashes, a.origins.learn, a.nextDigest
+	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() + a.view.LeavingCount() }
+	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on [node] internal: %w", err)
 	}
@@ -178,6 +181,15 @@
 	}, nil
 }
 
+// linkOpts returns the options of the link to other instances that concern the view of the
+// deployment.
+func (a *app) linkOpts() rlbpeer.LinkOpts {
+	return rlbpeer.LinkOpts{
+		Log: a.Log, Address: a.address, Fleet: a.fleet, Now: a.now, Handler: a.handleQuery,
+		Leavings: a.applyLeavings, Changes: a.view.LeavingCount,
+	}
+}
+
 // takeoverDelay returns how long a new lease holder sends no orders. No delay is
 // needed where endpoints check fencing numbers.
 func takeoverDelay(settings *rlbsettings.Settings) time.Duration {
@@ -203,8 +215,7 @@
 
 // start runs the components in the background until ctx ends.
 func (a *app) start(ctx context.Context) {
-	go a.catchUp.configWatcher.Run(ctx)
-	go a.catchUp.endpointWatcher.Run(ctx)
+	a.startWatching(ctx)
 	go a.register(ctx)
 	go (&crashStore{app: a}).run(ctx)
 	go a.origins.run(ctx)
@@ -213,19 +224,48 @@
 	go a.sweep(ctx)
 }
 
+// startWatching keeps the view up to date in the background until ctx ends.
+func (a *app) startWatching(ctx context.Context) {
+	go a.catchUp.configWatcher.Run(ctx)
+	go a.catchUp.endpointWatcher.Run(ctx)
+	go func() {
+		for rlbcommon.Sleep(ctx, dropPeriod) {
+			a.view.DropRemoved()
+		}
+	}()
+}
+
+// applyLeavings applies what another instance knows about endpoints that leave.
+func (a *app) applyLeavings(draining []uint64, removed []rlbdiscovery.Removed) {
+	a.view.MarkDrainingIncarnations(draining, sourcePeer)
+	a.view.ApplyRemoved(removed, sourcePeer)
+}
+
+// tidy forgets what concerns endpoints that are gone.
+func (a *app) tidy() {
+	a.proxy.LogQuarantine()
+	snapshot := a.view.Snapshot()
+	a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
+}
+
 func (a *app) sweep(ctx context.Context) {
 	var era uint64
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
-		era = a.checkEra(era)
-		a.view.Sweep()
-		a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(rlbclock.Now()), sourcePeer)
-		a.catchUp.step(ctx)
-		a.proxy.LogQuarantine()
-		snapshot := a.view.Snapshot()
-		a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
+		era = a.sweepView(ctx, era)
+		a.tidy()
 	}
 }
 
+// sweepView does what is due in the view of the deployment. It takes and returns the era of
+// the object API.
+func (a *app) sweepView(ctx context.Context, era uint64) uint64 {
+	era = a.checkEra(era)
+	a.view.Sweep()
+	a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(a.now()), sourcePeer)
+	a.catchUp.step(ctx)
+	return era
+}
+
 // checkEra logs that the object API names another era than the known one, and makes watches
 // of an earlier era list again. It returns the era.
 func (a *app) checkEra(known uint64) uint64 {
@@ -280,13 +320,10 @@
 
 // nextDigest returns the next digest to send to the other instances.
 func (a *app) nextDigest() rlbpeer.Digest {
-	a.digestNumber++
-	d := rlbpeer.Digest{
-		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
-		Draining: a.proxy.Draining(), APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
-		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report()),
-		DrainingEndpoints: a.view.MarkedDraining(), BegunStreams: rlbpeer.NewBegunStreams(a.origins.Announcements()),
-	}
+	d := a.viewDigest()
+	d.Draining, d.Demand = a.proxy.Draining(), a.demand()
+	d.Loads, d.Crashes = map[uint32]rlbpeer.Load{}, rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report())
+	d.BegunStreams = rlbpeer.NewBegunStreams(a.origins.Announcements())
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
@@ -302,6 +339,17 @@
 	return d
 }
 
+// viewDigest returns the next digest with what it says about the view of the deployment.
+func (a *app) viewDigest() rlbpeer.Digest {
+	a.digestNumber++
+	draining, removed := a.view.Leavings()
+	return rlbpeer.Digest{
+		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
+		APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
+		DrainingEndpoints: append(draining, a.view.MarkedDraining()...), RemovedEndpoints: rlbpeer.NewRemovedEndpoints(a.now(), removed),
+	}
+}
+
 // handleQuery answers a query of another instance.
 func (a *app) handleQuery(ctx context.Context, q rlbpeer.Query) rlbpeer.Reply {
 	switch {
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbleaving"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
@@ -16,10 +16,9 @@
 
 // Limits of catching up with the other instances.
 const (
-	batchDelay           = 250 * time.Millisecond // for changes of entries
-	stepsUntilList       = 3                      // consecutive steps with a newer source before a list call is triggered
-	stepsUntilQuery      = 2 * stepsUntilList     // the same before a watcher queries the source, as the list did not help
-	maxWatcherCandidates = 3                      // limit of the instances of a domain that call the object API while it is unavailable
+	stepsUntilList       = 3                  // consecutive steps with a newer source before a list call is triggered
+	stepsUntilQuery      = 2 * stepsUntilList // the same before a watcher queries the source, as the list did not help
+	maxWatcherCandidates = 3                  // limit of the instances of a domain that call the object API while it is unavailable
 	queryTimeout         = time.Second
 	configReadDelay      = time.Second // after which an outdated config is read from the object API
 	sourcePeer           = "another instance"
@@ -44,10 +43,10 @@
 		app: a, query: a.link.Query, querying: make(chan struct{}, 1),
 		configWatcher: &rlbdiscovery.Watcher{
 			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindConfig, Sink: rlbdiscovery.ConfigSink{View: a.view, Name: rlbplatform.ConfigName},
-			Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher,
+			Log: a.Log, Now: a.now, Active: a.isWatcher,
 		},
 		endpointWatcher: &rlbdiscovery.Watcher{
-			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: rlbclock.Now, Active: a.isWatcher, BatchDelay: batchDelay,
+			API: a.api, FirstAPI: a.staleAPI, Kind: rlbplatform.ObjectKindEndpoints, Sink: a.view, Log: a.Log, Now: a.now, Active: a.isWatcher, BatchDelay: rlbleaving.BatchDelay, TakenOver: a.limitGraces,
 		},
 	}
 }
@@ -65,7 +64,7 @@
 // unavailableEverywhere reports whether the object API is unavailable to all known
 // instances: in each domain some instances call it, and none gets an answer.
 func (c *catchUp) unavailableEverywhere() bool {
-	now := rlbclock.Now()
+	now := c.app.now()
 	if c.available() || c.app.fleet.APIAvailableInDomain(now) {
 		return false
 	}
@@ -76,7 +75,7 @@
 // configCurrent reports whether no other instance is known to have a newer config, and the
 // object API, if this instance calls it, answers it or another one of its domain.
 func (c *catchUp) configCurrent() bool {
-	now := rlbclock.Now()
+	now := c.app.now()
 	if c.app.fleet.NewestConfig(now) > c.app.configVersion() {
 		return false
 	}
@@ -85,18 +84,30 @@
 
 // isWatcher reports whether this instance watches the object API for its domain: it is
 // one of the first maxWatcherCandidates instances by name, and the object API is
-// unavailable to all instances before it. Leaving instances do not count.
+// unavailable to all instances before it. Leaving instances do not count, nor do silent ones.
+// An instance that already watches goes on until the object API answers one before it.
 func (a *app) isWatcher() bool {
 	if !a.settled() {
 		return false
 	}
-	now, before := rlbclock.Now(), 0
-	for _, d := range a.fleet.LiveDigests(now) {
-		if d.Name < a.name && !d.Draining {
-			before++
+	before, watching := 0, a.catchUp.available()
+	for _, d := range a.fleet.DigestsWithin(a.now(), a.view.Budget().Silence()) {
+		if d.Name > a.name || d.Draining {
+			continue
 		}
+		if before++; !d.APIUnavailable && (d.APIAvailable || !watching) {
+			return false
+		}
+	}
+	return before < maxWatcherCandidates
+}
+
+// limitGraces limits the grace periods of the entries that are missing as this instance takes
+// over from another one, which may have been lost before it could tell of their removal.
+func (a *app) limitGraces() {
+	if heardAt := a.fleet.WatcherHeardAt(a.now()); !heardAt.IsZero() {
+		a.view.LimitGraces(heardAt)
 	}
-	return before < maxWatcherCandidates && a.fleet.IsDelegate(now, func(d rlbpeer.Digest) bool { return !d.APIUnavailable && !d.Draining })
 }
 
 // source is an instance from which a newer config or newer entries can be read.
@@ -110,7 +121,7 @@
 // findNewerSource returns an instance of the domain or, with otherDomains, also a
 // delegate of another domain that has a newer config or newer entries.
 func (c *catchUp) findNewerSource(otherDomains bool) (source, bool) {
-	now, config, entries := rlbclock.Now(), c.app.configVersion(), uint64(c.app.view.Revision())
+	now, config, entries := c.app.now(), c.app.configVersion(), uint64(c.app.view.Revision())
 	var all []source
 	for _, d := range c.app.fleet.LiveDigests(now) {
 		all = append(all, source{d.Name, d.Address, d.ConfigVersion, d.EntryRevision})
@@ -164,7 +175,7 @@
 // configOverdue reports whether the config has been outdated for configReadDelay and
 // must be read from the object API. It reports true once in each such period.
 func (c *catchUp) configOverdue(from source) bool {
-	now, version := rlbclock.Now(), c.app.configVersion()
+	now, version := c.app.now(), c.app.configVersion()
 	if from.configVersion <= version || version != c.stuckVersion || c.behindSince.IsZero() {
 		c.behindSince, c.stuckVersion = now, version
 		return false
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
+	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
 )
 
 // Limits of a link.
@@ -64,23 +65,39 @@
 	Lapsed  bool   `msgpack:"l,omitempty"` // removed during an outage; it may reappear
 }
 
+// Datagrams sends and receives datagrams. *net.UDPConn implements it.
+type Datagrams interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// Sockets are what a link receives on.
+type Sockets struct {
+	Datagrams Datagrams
+	Listener  net.Listener
+}
+
 // Handler answers the queries of other instances.
 type Handler func(ctx context.Context, q Query) Reply
 
 // LinkOpts configures a Link.
 type LinkOpts struct {
 	Log     log.Interface
-	Listen  string // IP:port for datagrams and connections
-	Address string // address at which other instances reach this one
+	Listen  string   // IP:port for datagrams and connections
+	Sockets *Sockets // used in place of new ones at Listen; nil: none
+	Address string   // address at which other instances reach this one
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
 	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
-	Now     func() time.Time
-	Handler Handler
+	// Leavings learns of incarnations of endpoints that drain or whose entries were removed.
+	Leavings func(draining []uint64, removed []rlbdiscovery.Removed)
+	Now      func() time.Time
+	Handler  Handler
 	// Digest returns the digest to publish. It is called once for each publication.
 	Digest func() Digest
-	// Changes returns a number that increases with each change of the instance's load and
-	// with each stream that it begins to relay.
+	// Changes returns a number that increases with each change of the instance's load, each
+	// stream that it begins to relay and each leaving of an endpoint that it learns of.
 	Changes func() uint64
 }
 
@@ -90,9 +107,10 @@
 	fleet    *Fleet
 	crashes  *rlbcrash.Evidence
 	learn    func([]rlborigin.Announcement)
+	leavings func(draining []uint64, removed []rlbdiscovery.Removed)
 	now      func() time.Time
 	address  string // address of this instance
-	packets  *net.UDPConn
+	packets  Datagrams
 	listener net.Listener
 	handler  Handler
 	digest   func() Digest
@@ -103,19 +121,15 @@
 // NewLink listens for datagrams and connections. It returns the link and a function
 // that closes it.
 func NewLink(opts LinkOpts) (*Link, func(), error) {
-	udpAddress, err := net.ResolveUDPAddr("udp4", opts.Listen)
-	if err != nil {
-		return nil, nil, err
+	sockets, err := opts.Sockets, error(nil)
+	if sockets == nil {
+		sockets, err = listen(opts.Listen)
 	}
-	packets, err := net.ListenUDP("udp4", udpAddress)
 	if err != nil {
 		return nil, nil, err
 	}
-	listener, err := net.Listen("tcp4", opts.Listen)
-	if err != nil {
-		return nil, nil, errors.Join(err, packets.Close())
-	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
+	packets, listener := sockets.Datagrams, sockets.Listener
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -123,6 +137,23 @@
 	}, nil
 }
 
+// listen opens sockets for datagrams and connections at one address.
+func listen(address string) (*Sockets, error) {
+	udpAddress, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	packets, err := net.ListenUDP("udp4", udpAddress)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, errors.Join(err, packets.Close())
+	}
+	return &Sockets{packets, listener}, nil
+}
+
 // Run answers queries and publishes the digest, and the domain's summary if this
 // instance is the delegate of its domain, until ctx ends. It then publishes once more.
 func (l *Link) Run(ctx context.Context) {
@@ -215,14 +246,23 @@
 	}
 }
 
-// mergeRecords merges the crash records and the streams of a message. Outdated messages do no
-// harm.
+// mergeLeavings merges the leavings of endpoints that a message contains.
+func (l *Link) mergeLeavings(now time.Time, draining []uint64, removed []RemovedEndpoint) {
+	if len(draining)+len(removed) > 0 {
+		l.leavings(draining, decodeRemovedEndpoints(now, removed))
+	}
+}
+
+// mergeRecords merges the crash records, the streams and the leavings of a message. Outdated
+// messages do no harm.
 func (l *Link) mergeRecords(now time.Time, p packet) {
-	if p.Digest != nil {
+	if d := p.Digest; d != nil {
+		l.mergeLeavings(now, d.DrainingEndpoints, d.RemovedEndpoints)
 		l.crashes.Merge(decodeCrashRecords(now, p.Digest.Crashes))
 		l.learn(decodeBegunStreams(p.Digest.BegunStreams))
 	}
-	if p.Summary != nil {
+	if s := p.Summary; s != nil {
+		l.mergeLeavings(now, s.DrainingEndpoints, s.RemovedEndpoints)
 		l.crashes.Merge(decodeCrashRecords(now, p.Summary.Crashes))
 		l.learn(decodeBegunStreams(p.Summary.BegunStreams))
 	}
