Workspaces far from their limit are published each second only

Cause: each digest and summary had all workspaces with requests in the last two seconds. With 500 workspaces that is several times the bytes that an instance may use for control.

Change: a workspace whose callers ask for less than half of the limit while its bucket is at least half full is published each second, or at once when its demand grows by half.

--- a/lib/pkg/rlbquota/bucket.go
+++ b/lib/pkg/rlbquota/bucket.go
@@ -28,8 +28,9 @@
 	reports  map[string]*report
 	// credit grows with each request by the share of them that may be admitted; at 1 one is
 	// admitted.
-	credit            float64
-	admitted, refused uint64
+	credit              float64
+	admitted, refused   uint64
+	inDigest, inSummary publication
 
 	// Sums over the sources.
 	refreshed   time.Time
--- a/lib/pkg/rlbquota/publish.go
+++ b/lib/pkg/rlbquota/publish.go
@@ -16,8 +16,9 @@
 	var all []Usage
 	for key, b := range l.buckets {
 		l.refresh(now, b)
-		if now.Sub(b.asked.at) <= publishedTime {
-			all = append(all, Usage{Workspace: key, Used: b.used.value(now, usedTime), Asked: b.askedAt(now), Level: b.level})
+		u := Usage{Workspace: key, Used: b.used.value(now, usedTime), Asked: b.askedAt(now), Level: b.level}
+		if now.Sub(b.asked.at) <= publishedTime && b.inDigest.due(now, u.Asked, b.pressing(now)) {
+			all = append(all, u)
 		}
 	}
 	slices.SortFunc(all, byWorkspace)
@@ -35,7 +36,7 @@
 		return nil, false
 	}
 	for key, b := range l.buckets {
-		if u, active := l.domainUsage(now, b); active {
+		if u, active := l.domainUsage(now, b); active && b.inSummary.due(now, u.Asked, b.pressing(now)) {
 			u.Workspace = key
 			all = append(all, u)
 		}
@@ -44,6 +45,33 @@
 	return all, true
 }
 
+// calmPeriod is the time between two publications of a workspace that is far from its limit.
+const calmPeriod = time.Second
+
+// risingRatio is the growth of the rate that callers ask for that is published at once.
+const risingRatio = 1.5
+
+// publication is the latest publication of a workspace in messages of one kind.
+type publication struct {
+	at    time.Time
+	asked float64
+}
+
+// due reports whether a workspace is to be published, and notes it.
+func (p *publication) due(now time.Time, asked float64, pressing bool) bool {
+	if !pressing && now.Sub(p.at) < calmPeriod && asked < risingRatio*p.asked {
+		return false
+	}
+	p.at, p.asked = now, asked
+	return true
+}
+
+// pressing reports whether the bucket may run short soon.
+func (b *bucket) pressing(now time.Time) bool {
+	_, asked := b.estimate(now)
+	return asked > b.rate()/2 || b.level < b.capacity()/2
+}
+
 // domainUsage returns the use of a workspace by the own domain, and whether there were
 // requests lately.
 func (l *Limiter) domainUsage(now time.Time, b *bucket) (u Usage, active bool) {
