Instances exchange usages of quotas and admit requests by them

Cause: requests were admitted whatever the quota of their workspace.

Change: digests and summaries have the usages of rlbquota for workspaces with requests lately (22 bytes each); builds that do not know them ignore them. rlb-node admits by them. The first refusals for a quota, and their end, are logged with the level, the demand and the shares; gauges have the same for at most 1,024 workspaces. Without workspaces in the config nothing of it is published.

--- a/lib/pkg/rlbquota/limiter.go
+++ b/lib/pkg/rlbquota/limiter.go
@@ -42,6 +42,8 @@
 	// settleTime is the time after its start within which an instance does not know all
 	// others of its domain, and publishes nothing for them.
 	settleTime = 700 * time.Millisecond
+	// assumedInstances is the number of instances assumed while nothing is known of others.
+	assumedInstances = 10
 	// forgetTime is the time after which silent instances lose what is reserved for them, if
 	// this instance hears most, and unused workspaces are forgotten.
 	forgetTime = 10 * time.Minute
@@ -55,9 +57,11 @@
 type Opts struct {
 	Now    func() time.Time
 	Random func() float64 // uniform in [0,1)
-	// Unheard returns the number of instances that are registered and of which nothing was
-	// heard, neither from them nor from their failure domain.
-	Unheard func() int
+	Domain string         // own failure domain
+	// Registered returns the numbers of registered instances by failure domain.
+	Registered func() map[string]int
+	// InForce reports whether there are quotas. If not, nothing is published.
+	InForce func() bool
 }
 
 // Limiter decides which requests of workspaces an instance admits. It is safe for concurrent
@@ -162,7 +166,7 @@
 	if c := s.continuityOf(now, m); c != continued {
 		l.interrupt(now, id, c)
 	}
-	m.Members = max(m.Members, 1)
+	m.Members = min(max(m.Members, 1), maxMembers)
 	s.latest, s.heard = m, now
 	for _, u := range usages {
 		l.applyUsage(now, id, u)
--- a/lib/pkg/rlbquota/limiter_test.go
+++ b/lib/pkg/rlbquota/limiter_test.go
@@ -209,9 +209,9 @@
 }
 
 // newLimiter returns the limiter of an instance that has run for a minute.
-func newLimiter(unheard int) (*Limiter, *time.Time) {
+func newLimiter(registered map[string]int) (*Limiter, *time.Time) {
 	now := time.Unix(1000, 0)
-	l := New(Opts{Now: func() time.Time { return now }, Random: func() float64 { return 0.5 }, Unheard: func() int { return unheard }})
+	l := New(Opts{Now: func() time.Time { return now }, Random: func() float64 { return 0.5 }, Domain: "x", Registered: func() map[string]int { return registered }, InForce: inForce})
 	now = now.Add(time.Minute)
 	return l, &now
 }
@@ -232,7 +232,7 @@
 func TestLimiter(t *testing.T) {
 	quota := rlbdeployment.NewQuota(10, 10, rlbdeployment.UnitRequests, 0)
 	Convey("Given an instance that is alone", t, func() {
-		l, now := newLimiter(0)
+		l, now := newLimiter(nil)
 		Convey("without a limit all requests are admitted and nothing is published", func() {
 			admitted, _ := l.Admit("w", rlbdeployment.Quota{}, 1)
 			So(admitted, ShouldBeTrue)
@@ -277,7 +277,7 @@
 		})
 	})
 	Convey("Given an instance that starts and has heard of none of the nine others", t, func() {
-		l, now := newLimiter(9)
+		l, now := newLimiter(map[string]int{"x": 4, "y": 6})
 		Convey("it admits its part and no burst", func() {
 			count := 0
 			for range 200 { // 20 s
@@ -289,7 +289,7 @@
 		})
 	})
 	Convey("Given another instance that used all of the quota", t, func() {
-		l, now := newLimiter(0)
+		l, now := newLimiter(nil)
 		sequence := uint64(0)
 		hear := func(draining bool) {
 			sequence++
@@ -336,7 +336,7 @@
 
 // BenchmarkMessages measures digests of the 32 others of a domain with 100 workspaces.
 func BenchmarkMessages(b *testing.B) {
-	l, now := newLimiter(0)
+	l, now := newLimiter(nil)
 	var usages []Usage
 	for n := range uint32(100) {
 		usages = append(usages, Usage{Workspace: n, Used: 1000, Asked: 100})
--- a/lib/pkg/rlbquota/model_test.go
+++ b/lib/pkg/rlbquota/model_test.go
@@ -78,23 +78,20 @@
 func (f *modelFleet) start(i *modelInstance) {
 	i.incarnation++
 	i.down = false
-	i.limiter = New(Opts{Now: func() time.Time { return f.now }, Random: f.random.Float64, Unheard: func() int { return f.unheard(i) }})
+	i.limiter = New(Opts{Now: func() time.Time { return f.now }, Random: f.random.Float64, Domain: i.domain, Registered: f.registered, InForce: inForce})
 }
 
-// unheard returns how many registered instances an instance has not heard of.
-func (f *modelFleet) unheard(i *modelInstance) int {
-	n := 0
-	for _, other := range f.instances {
-		if other == i {
-			continue
-		}
-		if other.domain == i.domain && i.limiter.sources["i/"+other.name] == nil || other.domain != i.domain && i.limiter.sources["d/"+other.domain] == nil {
-			n++
-		}
+// registered returns the numbers of instances by failure domain.
+func (f *modelFleet) registered() map[string]int {
+	n := map[string]int{}
+	for _, i := range f.instances {
+		n[i.domain]++
 	}
 	return n
 }
 
+func inForce() bool { return true }
+
 // send sends a message to an instance, unless it gets lost.
 func (f *modelFleet) send(from, to *modelInstance, domain bool, m Message, usages []Usage) {
 	isolated := from.cut || to.cut || from.domain != to.domain && (from.domain == f.split || to.domain == f.split)
--- a/lib/pkg/rlbquota/publish.go
+++ b/lib/pkg/rlbquota/publish.go
@@ -13,6 +13,9 @@
 	defer l.mu.Unlock()
 	now := l.opts.Now()
 	l.forget(now)
+	if !l.opts.InForce() {
+		return nil
+	}
 	var all []Usage
 	for key, b := range l.buckets {
 		l.refresh(now, b)
@@ -32,7 +35,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.opts.Now()
-	if now.Sub(l.started) < settleTime {
+	if now.Sub(l.started) < settleTime || !l.opts.InForce() {
 		return nil, false
 	}
 	for key, b := range l.buckets {
--- a/lib/pkg/rlbquota/refresh.go
+++ b/lib/pkg/rlbquota/refresh.go
@@ -1,6 +1,9 @@
 package rlbquota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // maxReserved is less than 1 for the rounding of shares that add up to it.
 const maxReserved = 0.9999
@@ -60,7 +63,7 @@
 // count returns the numbers of all known instances, of the live ones and of those of which
 // nothing was heard.
 func (l *Limiter) count(now time.Time) (instances, live, unheard int) {
-	unheard = max(l.opts.Unheard(), 0)
+	unheard = l.unheard(now)
 	instances, live = 1+unheard, 1
 	for _, s := range l.sources {
 		instances += s.latest.Members
@@ -70,3 +73,24 @@
 	}
 	return instances, live, unheard
 }
+
+// unheard returns the number of instances of which nothing was heard, neither from them nor
+// from their failure domain.
+func (l *Limiter) unheard(now time.Time) int {
+	if len(l.sources) == 0 && now.Sub(l.started) < settleTime {
+		return assumedInstances - 1
+	}
+	heard := map[string]int{l.opts.Domain: 1}
+	for _, s := range l.sources {
+		if s.domain {
+			heard[s.latest.Source] = math.MaxInt
+		} else {
+			heard[l.opts.Domain]++
+		}
+	}
+	n := 0
+	for domain, registered := range l.opts.Registered() {
+		n += max(registered-heard[domain], 0)
+	}
+	return n
+}
--- a/lib/pkg/rlbquota/usage.go
+++ b/lib/pkg/rlbquota/usage.go
@@ -47,6 +47,9 @@
 	d.amount, d.at = max(0, d.value(now, constant)+amount), now
 }
 
+// maxMembers is the largest number of members that a message can mean.
+const maxMembers = 1 << 20
+
 // Message identifies a message of a source.
 type Message struct {
 	Source      string // name of the instance, or of the failure domain
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquota"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
@@ -66,6 +67,8 @@
 	balancer        *rlbbalancer.Balancer
 	crashes         *rlbcrash.Evidence
 	limiter         *rlbratelimit.Limiter
+	quotas          *rlbquota.Limiter
+	quotaLog        *quotaLog
 	proxy           *rlbproxy.Server
 	scheduler       *rlbscheduler.Scheduler
 	holdsLease      func() bool // reports whether this instance holds the lease for orders
@@ -134,6 +137,11 @@
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
 	a.limiter = rlbratelimit.New(rlbratelimit.Opts{Now: rlbclock.Now, Random: rand.Float64, Peers: a.peerLimits})
+	a.quotas = rlbquota.New(rlbquota.Opts{
+		Now: rlbclock.Now, Random: rand.Float64, Domain: a.domain, InForce: a.quotasInForce,
+		Registered: func() map[string]int { return a.fleet.RegisteredInstances(rlbclock.Now()) },
+	})
+	a.quotaLog = newQuotaLog(a.Log)
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now, silenceIntervals*settings.Duration(rlbsettings.NodeReportInterval))
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
 	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
@@ -146,7 +154,7 @@
 	})
 	a.origins = newStreamOrigins(a)
 	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{
-		Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
+		Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Quotas: a.quotas, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
 		Changes: func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() },
 	})
 	if err != nil {
@@ -165,7 +173,7 @@
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
 		Limiter: a.limiter, ModelChanges: a.modelChanges,
 		RetryBudget: retryBudgetLimits(settings),
-		Quotas:      rlbproxy.NoQuotas{}, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
+		Quotas:      a.quotas, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
 		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	a.catchUp = a.newCatchUp()
@@ -221,6 +229,7 @@
 		a.view.MarkDrainingIncarnations(a.fleet.DrainingEndpoints(rlbclock.Now()), sourcePeer)
 		a.catchUp.step(ctx)
 		a.proxy.LogQuarantine()
+		a.logQuotas()
 		snapshot := a.view.Snapshot()
 		a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
 	}
@@ -254,6 +263,12 @@
 	return a.fleet.Limits(rlbclock.Now(), rlbpeer.EndpointKey(endpoint))
 }
 
+// quotasInForce reports whether the config in force has workspaces, which may have quotas.
+func (a *app) quotasInForce() bool {
+	config := a.view.Snapshot().Config
+	return config != nil && config.IdentifiesCallers()
+}
+
 // totalLoad returns the load of all instances at an endpoint.
 func (a *app) totalLoad(endpoint string) rlbbalancer.Load {
 	return a.peerLoad(endpoint).Add(a.balancer.LocalLoad(endpoint))
@@ -285,7 +300,7 @@
 		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
 		Draining: a.proxy.Draining(), APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
 		Loads: map[uint32]rlbpeer.Load{}, Demand: a.demand(), Crashes: rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report()),
-		DrainingEndpoints: a.view.MarkedDraining(), BegunStreams: rlbpeer.NewBegunStreams(a.origins.Announcements()),
+		DrainingEndpoints: a.view.MarkedDraining(), Quotas: rlbpeer.NewQuotaUsages(a.quotas.Usages()), BegunStreams: rlbpeer.NewBegunStreams(a.origins.Announcements()),
 	}
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -88,6 +88,7 @@
 	if snapshot.Config != nil {
 		set("config_version", int64(snapshot.Config.Version))
 	}
+	a.updateQuotaGauges()
 }
 
 // shutdownPlan is when an instance that shuts down stops what.
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -33,6 +33,7 @@
 	Limits            map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
 	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, see rlbdeployment.Endpoint.IncarnationKey
 	BegunStreams      []BegunStreams           `msgpack:"b,omitempty"`
+	Quotas            []QuotaUsage             `msgpack:"v,omitempty"` // of the workspaces with requests lately
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -95,6 +96,8 @@
 	// BegunStreams are those of the only instance of the domain; others of a domain remember
 	// each other's.
 	BegunStreams []BegunStreams `msgpack:"b,omitempty"`
+	Quotas       []QuotaUsage   `msgpack:"v,omitempty"`
+	QuotasKnown  bool           `msgpack:"w,omitempty"` // the delegate knows those of its domain
 }
 
 // packet is the content of a datagram. Either Digest or Summary is set.
--- a/rlb-node/pkg/rlbpeer/fuzz_test.go
+++ b/rlb-node/pkg/rlbpeer/fuzz_test.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbmsgpack"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquota"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -14,9 +16,10 @@
 func FuzzPacket(f *testing.F) {
 	loads := map[uint32]Load{EndpointKey("e"): {InFlight: 3, SlowPercent: 50}}
 	limits := map[uint32]EndpointLimit{EndpointKey("e"): {Limit: 2.5, Wanted: []float32{1, 2}}}
+	quotas := []QuotaUsage{{Workspace: 7, Used: 100, Asked: 10, Level: -5, Reserved: 300}}
 	for _, p := range []packet{
-		{Digest: &Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 1, Loads: loads, Limits: limits, DrainingEndpoints: []uint64{7}, BegunStreams: []BegunStreams{{Service: "s", Version: "v", Streams: []uint64{1}}}, LeaseHolder: &LeaseHolder{Name: "b", Fence: 3, LoadAges: []uint16{5}}}},
-		{Summary: &Summary{Domain: "y", From: "c", Incarnation: 1, Sequence: 1, Members: 4, Loads: loads, Limits: limits, Demand: map[string]float32{"m": 2}}},
+		{Digest: &Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 1, Loads: loads, Limits: limits, Quotas: quotas, DrainingEndpoints: []uint64{7}, BegunStreams: []BegunStreams{{Service: "s", Version: "v", Streams: []uint64{1}}}, LeaseHolder: &LeaseHolder{Name: "b", Fence: 3, LoadAges: []uint16{5}}}},
+		{Summary: &Summary{Domain: "y", From: "c", Incarnation: 1, Sequence: 1, Members: 4, Loads: loads, Limits: limits, Quotas: quotas, QuotasKnown: true, Demand: map[string]float32{"m": 2}}},
 	} {
 		data, err := encodePacket(p)
 		if err != nil {
@@ -32,6 +35,11 @@
 			return
 		}
 		fleet, crashes := NewFleet("a", "x"), rlbcrash.New(rlbcrash.Opts{Instance: "a", Now: func() time.Time { return now }})
+		limiter := rlbquota.New(rlbquota.Opts{
+			Now: func() time.Time { return now }, Random: func() float64 { return 0 }, Domain: "x",
+			Registered: func() map[string]int { return fleet.RegisteredInstances(now) }, InForce: func() bool { return true },
+		})
+		link := &Link{fleet: fleet, quotas: limiter}
 		origins := rlborigin.New(func() time.Time { return now })
 		if p.Digest != nil {
 			crashes.Merge(decodeCrashRecords(now, p.Digest.Crashes))
@@ -43,6 +51,10 @@
 			origins.Learn(decodeBegunStreams(p.Summary.BegunStreams), time.Minute)
 			fleet.ApplySummary(now, *p.Summary)
 		}
+		link.applyQuotas(p)
+		limiter.Admit("w", rlbdeployment.NewQuota(10, 10, rlbdeployment.UnitTokens, 1), 1)
+		limiter.Usages()
+		limiter.DomainUsages()
 		fleet.Targets(now)
 		fleet.KnownInstances(now)
 		fleet.Load(now, EndpointKey("e"))
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquota"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
 )
 
@@ -75,6 +76,7 @@
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
 	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
+	Quotas  *rlbquota.Limiter              // gets the usages that other instances publish; nil: none
 	Now     func() time.Time
 	Handler Handler
 	// Digest returns the digest to publish. It is called once for each publication.
@@ -90,6 +92,7 @@
 	fleet    *Fleet
 	crashes  *rlbcrash.Evidence
 	learn    func([]rlborigin.Announcement)
+	quotas   *rlbquota.Limiter
 	now      func() time.Time
 	address  string // address of this instance
 	packets  *net.UDPConn
@@ -115,7 +118,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, packets.Close())
 	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -150,6 +153,10 @@
 	l.limiter.digestSent(now, l.send(packet{Digest: &d}, own, d.Address))
 	if l.fleet.IsDelegate(now, func(other Digest) bool { return !other.Draining }) && l.limiter.summaryDue(now) {
 		summary := l.fleet.Summarize(now, d)
+		if l.quotas != nil {
+			usages, known := l.quotas.DomainUsages()
+			summary.Quotas, summary.QuotasKnown = NewQuotaUsages(usages), known
+		}
 		l.send(packet{Summary: &summary}, others, d.Address)
 	}
 }
@@ -207,6 +214,7 @@
 func (l *Link) apply(p packet) {
 	now := l.now()
 	l.mergeRecords(now, p)
+	l.applyQuotas(p)
 	if d := p.Digest; d != nil && l.fleet.ApplyDigest(now, *d) {
 		l.log.WithFields(log.Fields{"peer": d.Name, "address": d.Address, "life": d.Incarnation}).Info("discovered a new or restarted instance")
 	}
