--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquota"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
@@ -68,6 +69,8 @@
 	balancer        *rlbbalancer.Balancer
 	crashes         *rlbcrash.Evidence
 	limiter         *rlbratelimit.Limiter
+	quotas          *rlbquota.Limiter
+	quotaLog        *quotaLog
 	proxy           *rlbproxy.Server
 	scheduler       *rlbscheduler.Scheduler
 	holdsLease      func() bool // reports whether this instance holds the lease for orders
@@ -136,6 +139,11 @@
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
 	a.limiter = rlbratelimit.New(rlbratelimit.Opts{Now: rlbclock.Now, Random: rand.Float64, Peers: a.peerLimits})
+	a.quotas = rlbquota.New(rlbquota.Opts{
+		Now: rlbclock.Now, Random: rand.Float64, Domain: a.domain, InForce: a.quotasInForce,
+		Registered: func() map[string]int { return a.fleet.RegisteredInstances(rlbclock.Now()) },
+	})
+	a.quotaLog = newQuotaLog(a.Log)
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now, silenceIntervals*settings.Duration(rlbsettings.NodeReportInterval))
 	a.view.SetBound(settings.Duration(rlbsettings.NodeDrain))
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
@@ -149,7 +157,7 @@
 	})
 	a.origins = newStreamOrigins(a)
 	linkOpts := a.linkOpts()
-	linkOpts.Listen, linkOpts.Crashes, linkOpts.Learn, linkOpts.Digest = listen, a.crashes, a.origins.learn, a.nextDigest
+	linkOpts.Listen, linkOpts.Crashes, linkOpts.Learn, linkOpts.Quotas, linkOpts.Digest = listen, a.crashes, a.origins.learn, a.quotas, a.nextDigest
 	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() + a.view.LeavingCount() }
 	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
@@ -168,7 +176,7 @@
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
 		Limiter: a.limiter, ModelChanges: a.modelChanges,
 		RetryBudget: retryBudgetLimits(settings),
-		Quotas:      rlbproxy.NoQuotas{}, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
+		Quotas:      a.quotas, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
 		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	a.catchUp = a.newCatchUp()
@@ -253,6 +261,7 @@
 	for rlbcommon.Sleep(ctx, sweepPeriod) {
 		era = a.sweepView(ctx, era)
 		a.tidy()
+		a.logQuotas()
 	}
 }
 
@@ -294,6 +303,12 @@
 	return a.fleet.Limits(rlbclock.Now(), rlbpeer.EndpointKey(endpoint))
 }
 
+// quotasInForce reports whether the config in force has workspaces, which may have quotas.
+func (a *app) quotasInForce() bool {
+	config := a.view.Snapshot().Config
+	return config != nil && config.IdentifiesCallers()
+}
+
 // totalLoad returns the load of all instances at an endpoint.
 func (a *app) totalLoad(endpoint string) rlbbalancer.Load {
 	return a.peerLoad(endpoint).Add(a.balancer.LocalLoad(endpoint))
@@ -324,6 +339,7 @@
 	d.Draining, d.Demand = a.proxy.Draining(), a.demand()
 	d.Loads, d.Crashes = map[uint32]rlbpeer.Load{}, rlbpeer.NewCrashRecords(rlbclock.Now(), a.crashes.Report())
 	d.BegunStreams = rlbpeer.NewBegunStreams(a.origins.Announcements())
+	d.Quotas = rlbpeer.NewQuotaUsages(a.quotas.Usages())
 	if fence := a.scheduler.Fence(); fence > 0 {
 		d.LeaseHolder = &rlbpeer.LeaseHolder{Name: a.name, Address: a.address, Fence: fence}
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -34,6 +34,7 @@
 	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, or since shortly, see rlbdeployment.Endpoint.IncarnationKey
 	RemovedEndpoints  []RemovedEndpoint        `msgpack:"z,omitempty"`
 	BegunStreams      []BegunStreams           `msgpack:"b,omitempty"`
+	Quotas            []QuotaUsage             `msgpack:"v,omitempty"` // of the workspaces with requests lately
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -97,6 +98,8 @@
 	// BegunStreams are those of the only instance of the domain; others of a domain remember
 	// each other's.
 	BegunStreams []BegunStreams `msgpack:"b,omitempty"`
+	Quotas       []QuotaUsage   `msgpack:"v,omitempty"`
+	QuotasKnown  bool           `msgpack:"w,omitempty"` // the delegate knows those of its domain
 }
 
 // packet is the content of a datagram. Either Digest or Summary is set.
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlborigin"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquota"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbwire"
 	"github.com/rhubarblb/rhubarblb/rlb-node/pkg/rlbdiscovery"
 )
@@ -90,6 +91,7 @@
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
 	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
+	Quotas  *rlbquota.Limiter              // gets the usages that other instances publish; nil: none
 	// Leavings learns of incarnations of endpoints that drain or whose entries were removed.
 	Leavings func(draining []uint64, removed []rlbdiscovery.Removed)
 	Now      func() time.Time
@@ -107,6 +109,7 @@
 	fleet    *Fleet
 	crashes  *rlbcrash.Evidence
 	learn    func([]rlborigin.Announcement)
+	quotas   *rlbquota.Limiter
 	leavings func(draining []uint64, removed []rlbdiscovery.Removed)
 	now      func() time.Time
 	address  string // address of this instance
@@ -129,7 +132,7 @@
 		return nil, nil, err
 	}
 	packets, listener := sockets.Datagrams, sockets.Listener
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -181,6 +184,10 @@
 	l.limiter.digestSent(now, l.send(packet{Digest: &d}, own, d.Address))
 	if l.fleet.IsDelegate(now, func(other Digest) bool { return !other.Draining }) && l.limiter.summaryDue(now) {
 		summary := l.fleet.Summarize(now, d)
+		if l.quotas != nil {
+			usages, known := l.quotas.DomainUsages()
+			summary.Quotas, summary.QuotasKnown = NewQuotaUsages(usages), known
+		}
 		l.send(packet{Summary: &summary}, others, d.Address)
 	}
 }
@@ -238,6 +245,7 @@
 func (l *Link) apply(p packet) {
 	now := l.now()
 	l.mergeRecords(now, p)
+	l.applyQuotas(p)
 	if d := p.Digest; d != nil && l.fleet.ApplyDigest(now, *d) {
 		l.log.WithFields(log.Fields{"peer": d.Name, "address": d.Address, "life": d.Incarnation}).Info("discovered a new or restarted instance")
 	}
