--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race lint trial trial-platform capacity faults cost replace outage bench moves soak soak-fresh fuzz cross
+.PHONY: build test race lint hostile trial trial-platform capacity faults cost replace outage bench moves soak soak-fresh fuzz cross
 
 build:
 	@mkdir -p bin
@@ -22,6 +22,11 @@
 fuzz:
 	@for f in $(FUZZED); do go test ./$${f%%:*} -run '^$$' -fuzz "^$${f##*:}$$" -fuzztime $(FUZZTIME) || exit 1; done
 
+# Crowds of clients that keep no limit, against the processes themselves: one test at a time.
+hostile:
+	go vet -tags hostile ./rlb-load/pkg/rlbhostile
+	go test -tags hostile -p 1 -count=1 ./rlb-load/pkg/rlbhostile
+
 # Builds and vets for both processors that the product runs on. The other one than this
 # machine's is built without C, as there may be no C compiler for it.
 cross:
--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -3,9 +3,12 @@
 // Keys by section. Programs pass one of these to a method of Settings to read
 // its value.
 var (
-	InstanceID     = &Key{"instance", "id", TypeText, "", "", "", "Unique name of this instance in the fleet.", ForGateway | ForController | ForStandin | ForNode}
-	InstanceDomain = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin | ForNode}
-	InstanceRegion = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController | ForNode}
+	InstanceID          = &Key{"instance", "id", TypeText, "", "", "", "Unique name of this instance in the fleet.", ForGateway | ForController | ForStandin | ForNode}
+	InstanceDomain      = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin | ForNode}
+	InstanceRegion      = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController | ForNode}
+	InstanceMemory      = &Key{"instance", "memory", TypeBytes, "1GiB", "64MiB", "1024GiB", "Memory of the machine that the process may use; what callers may make it hold is derived from it.", ForGateway | ForController | ForNode}
+	InstanceDescriptors = &Key{"instance", "descriptors", TypeInt, "4096", "256", "10000000", "Descriptors that the process may open, of which 200 are for files; how many connections it accepts is derived from it.", ForGateway | ForController | ForNode}
+	InstanceWriteStall  = &Key{"instance", "write_stall", TypeDuration, "30s", "100ms", "1h", "Time after which a caller's connection that takes none of what is sent to it is closed.", ForGateway | ForController | ForNode}
 
 	LogLevel = &Key{"log", "level", TypeText, "info", "", "", "Minimum level of logged messages: debug, info, warn or error.", ForGateway | ForController | ForStandin | ForNode}
 
@@ -93,7 +96,7 @@
 
 // Keys lists all keys in the order of the documentation page.
 var Keys = []*Key{
-	InstanceID, InstanceDomain, InstanceRegion, LogLevel,
+	InstanceID, InstanceDomain, InstanceRegion, InstanceMemory, InstanceDescriptors, InstanceWriteStall, LogLevel,
 	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
 	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
 	GatewayConnectTimeout, GatewayFirstTokenTimeout, GatewayReusedFirstTokenTimeout, GatewayNextTokenTimeout, GatewayDrain, GatewayPolicy, GatewayAdmission, GatewayAdapterFetches, GatewayMaxAttempts, GatewayRetryShare,
