rlbintake: one budget for what clients make a process hold

net/http limits the head of each connection, not of all, and counts its bytes, while a head of short lines takes many times these once it is parsed. Nothing limits connections.

An Intake holds the connections of all listeners of a process to one budget of memory, derived from the memory of the machine: each connection costs 16 KiB, a head two bytes a byte and 256 bytes a line, a body twice its bytes. Each listener has a number of connections, derived from the descriptors. If either runs short, connections that wait for their client give way: a request that has been incomplete for 500 ms, then the connection that is idle for longest, then the oldest incomplete request. A request that was read to its end is never cut. A quarter of the budget is left for requests of up to 64 KiB. What finds no room is refused before it was read to its end: 503 with Retry-After, or a closed connection; a head of too many lines 431.

A connection hands net/http the bytes of one head at most, so that a body or the next request is counted for what it is; the end of a body in chunks is an empty line, and what follows it counts for the next head. Writes to a client that takes nothing fail after write_stall.

A head of the legal 16 KiB has 5,461 lines at most, head_lines is 16,384.

Considered: a smaller MaxHeaderBytes (a legal head already takes 300 KiB), a limit of lines alone (a legal head of the shortest lines must be served), the worst case of each connection held in advance (no machine has room for it), a parser of its own in front of net/http (two parsers may disagree on where a request ends; here that only changes what is counted).

What a connection that gave way holds counts until it has ended: whose bytes find no room meanwhile waits for that, but not who accepts the next connection.

Tried and dropped: counting it as free at once, and a byte of a body once.

Ruled out on the way: refusing a read only once. textproto peeks, drops the error and reads again; the refused connection stayed (TestHeadOfManyLines, "after chunks": Expected: 0 Actual: 1). Refusals are now kept.

Tests: rlbintake with -race, three times; invariants by random calls.

--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -6,9 +6,10 @@
 	InstanceID          = &Key{"instance", "id", TypeText, "", "", "", "Unique name of this instance in the fleet.", ForGateway | ForController | ForStandin | ForNode}
 	InstanceDomain      = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin | ForNode}
 	InstanceRegion      = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController | ForNode}
-	InstanceMemory      = &Key{"instance", "memory", TypeBytes, "1GiB", "64MiB", "1024GiB", "Memory of the machine that the process may use; what callers may make it hold is derived from it.", ForGateway | ForController | ForNode}
-	InstanceDescriptors = &Key{"instance", "descriptors", TypeInt, "4096", "256", "10000000", "Descriptors that the process may open, of which 200 are for files; how many connections it accepts is derived from it.", ForGateway | ForController | ForNode}
-	InstanceWriteStall  = &Key{"instance", "write_stall", TypeDuration, "30s", "100ms", "1h", "Time after which a caller's connection that takes none of what is sent to it is closed.", ForGateway | ForController | ForNode}
+	InstanceMemory      = &Key{"instance", "memory", TypeBytes, "0B", "", "1024GiB", "Memory that the process may use, at least 64MiB; 0B for all of the machine. What clients may make it hold, and when the garbage collector works harder, is derived from it.", ForGateway | ForController | ForNode}
+	InstanceDescriptors = &Key{"instance", "descriptors", TypeInt, "0", "", "10000000", "Descriptors that the process may open, 200 of them for files; 0 for the limit of the process. How many connections each of its addresses accepts is derived from it.", ForGateway | ForController | ForNode}
+	InstanceHeadLines   = &Key{"instance", "head_lines", TypeInt, "16384", "64", "1000000", "Maximum number of header lines of a request.", ForGateway | ForController | ForNode}
+	InstanceWriteStall  = &Key{"instance", "write_stall", TypeDuration, "30s", "100ms", "1h", "Time after which a connection is closed whose client takes none of what is sent to it.", ForGateway | ForController | ForNode}
 
 	LogLevel = &Key{"log", "level", TypeText, "info", "", "", "Minimum level of logged messages: debug, info, warn or error.", ForGateway | ForController | ForStandin | ForNode}
 
@@ -96,7 +97,7 @@
 
 // Keys lists all keys in the order of the documentation page.
 var Keys = []*Key{
-	InstanceID, InstanceDomain, InstanceRegion, InstanceMemory, InstanceDescriptors, InstanceWriteStall, LogLevel,
+	InstanceID, InstanceDomain, InstanceRegion, InstanceMemory, InstanceDescriptors, InstanceHeadLines, InstanceWriteStall, LogLevel,
 	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
 	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
 	GatewayConnectTimeout, GatewayFirstTokenTimeout, GatewayReusedFirstTokenTimeout, GatewayNextTokenTimeout, GatewayDrain, GatewayPolicy, GatewayAdmission, GatewayAdapterFetches, GatewayMaxAttempts, GatewayRetryShare,
