What clients make a process hold is limited at every address

The callers', readiness, metrics and peer addresses of a node, the callers' address of a gateway and the operators' and control addresses of a controller accept through rlbintake. rlbwire counts the bytes of a message while it is received. The runtime's memory limit is two thirds of the memory of the settings; bodies together and kept answers take at most half of what clients may hold and a sixth of the memory, and no more than before. A gateway refuses a body for which there is no room with 503 no_memory. Heads at the readiness, metrics and operators' addresses are limited to 16 KiB (1 MiB before). Accepting goes on when descriptors run out; the addresses for other instances and for control links were closed for good at the first such error.

--- a/lib/pkg/rlbwire/conn.go
+++ b/lib/pkg/rlbwire/conn.go
@@ -64,10 +64,21 @@
 // Error is the error type of this package.
 type Error = rlberror.Error[Kind]
 
+// Account is implemented by connections that limit what their peers make the process hold.
+type Account interface {
+	// Reserve counts bytes of a message that is being received.
+	Reserve(bytes int) error
+	// Received records that a whole message was received.
+	Received() error
+	// Release frees what the messages hold.
+	Release()
+}
+
 // Conn sends and receives frames. Send is safe for concurrent use; Receive must
 // only be called from one goroutine.
 type Conn struct {
 	conn        net.Conn
+	account     Account // nil: the connection limits nothing
 	idleTimeout time.Duration
 	reader      *bufio.Reader
 	mu          sync.Mutex
@@ -79,8 +90,10 @@
 // within idleTimeout, and Send fails if the peer does not accept the whole frame
 // within idleTimeout.
 func NewConn(conn net.Conn, idleTimeout time.Duration) *Conn {
+	account, _ := conn.(Account)
 	return &Conn{
 		conn:        conn,
+		account:     account,
 		idleTimeout: idleTimeout,
 		reader:      bufio.NewReaderSize(conn, bufferBytes),
 		writer:      bufio.NewWriterSize(conn, bufferBytes),
@@ -141,12 +154,40 @@
 	return nil
 }
 
-// Receive reads the next message.
+// Receive reads the next message. What the message before it holds is free then.
 func (c *Conn) Receive() (Frame, error) {
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
 		return Frame{}, rlberror.New("receive", KindClosed, err)
 	}
-	return ReadFrame(c.reader)
+	if c.account == nil {
+		return ReadFrame(c.reader)
+	}
+	c.account.Release()
+	frame, err := ReadFrame(&accountedReader{c.reader, c.account})
+	if err != nil {
+		return frame, err
+	}
+	if err := c.account.Received(); err != nil {
+		return frame, rlberror.New("receive", KindClosed, err)
+	}
+	return frame, nil
+}
+
+// accountedReader counts what is read from a reader.
+type accountedReader struct {
+	reader  io.Reader
+	account Account
+}
+
+// Read implements io.Reader.
+func (r *accountedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 {
+		if err := r.account.Reserve(n); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
 }
 
 // ReadFrame reads one frame from r.
--- a/rlb-controller/pkg/rlbapp/app.go
+++ b/rlb-controller/pkg/rlbapp/app.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbengine"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbinstance"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
@@ -27,6 +28,7 @@
 	engineRequestTimeout = 2 * time.Second
 	engineIdleTimeout    = 30 * time.Second
 	headerTimeout        = 5 * time.Second
+	maxHeaderBytes       = 16 << 10
 	leaseReleaseTime     = time.Second // time to release the leases at a shutdown
 )
 
@@ -46,6 +48,9 @@
 		return err
 	}
 	registry := metrics.NewRegistry()
+	machine := rlbintake.ReadMachine(settings)
+	machine.LimitHeap()
+	intake := rlbintake.FromSettings(common, machine, registry)
 	timeout := settings.Duration(rlbsettings.PlatformTimeout)
 	objects, closeObjects := rlbobject.NewClient(settings.Text(rlbsettings.PlatformObjects), timeout, registry)
 	defer closeObjects()
@@ -63,10 +68,12 @@
 		Dial:    tlsKeys.WrapDialer(rlblink.DialTCP),
 		Address: controlListener.Addr().String(), Metrics: registry,
 	})
-	_, closeServer := rlblink.NewServer(context.Background(), tlsKeys.WrapListener(controlListener), rlbcontrol.LinkOpts(controller))
+	_, closeServer := rlblink.NewServer(context.Background(), intake.Frames(tlsKeys.WrapListener(controlListener), machine.Connections(rlbintake.CallerShare)), rlbcontrol.LinkOpts(controller))
 	defer closeServer()
-	console := &http.Server{Handler: rlbconsole.New(controller, registry).Handler(), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = console.Serve(tlsKeys.WrapListener(operatorListener)) }() // returns when console is closed
+	console := &http.Server{Handler: rlbconsole.New(controller, registry).Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	go func() {
+		_ = intake.Serve(console, tlsKeys.WrapListener(operatorListener), machine.Connections(rlbintake.StatusShare))
+	}() // returns when console is closed
 	defer func() { _ = console.Close() }()
 	ready := rlbcommon.ReadyLine{
 		Program: "rlb-controller", Instance: settings.Text(rlbsettings.InstanceID),
--- a/rlb-gateway/pkg/rlbapp/app.go
+++ b/rlb-gateway/pkg/rlbapp/app.go
@@ -15,6 +15,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclaim"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbfleetstate"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlblink"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
@@ -73,6 +74,9 @@
 		startedAt: time.Now().UnixNano(), listen: listener.Addr().String(),
 	}
 	a.fleet = rlbfleet.New(a.domain, time.Now)
+	machine, registry := rlbintake.ReadMachine(settings), metrics.NewRegistry()
+	machine.LimitHeap()
+	intake := rlbintake.FromSettings(common, machine, registry)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader:               rlbrelay.HeaderRequestID,
 		Dial:                   rlbdispatch.DialTCP(settings.Duration(rlbsettings.GatewayConnectTimeout)),
@@ -80,11 +84,12 @@
 		ReusedFirstByteTimeout: settings.Duration(rlbsettings.GatewayReusedFirstTokenTimeout),
 		IdleTimeout:            settings.Duration(rlbsettings.GatewayNextTokenTimeout),
 		SweepInterval:          sweepInterval,
+		MaxMemory:              machine.AnswerBytes(),
 	})
 	defer closeDispatcher()
 	a.server = rlbcaller.New(rlbcaller.Opts{
 		Common: common, Fleet: a.fleet, Dispatcher: dispatcher, Policy: policy, Claims: a, ReportCrashes: a.reportCrashes,
-		Metrics: metrics.NewRegistry(),
+		Metrics: registry,
 	})
 	link, closeLink := rlblink.NewClient(context.Background(), a.linkOpts(controlKeys.WrapDialer(rlblink.DialTCP)))
 	a.link = link
@@ -94,7 +99,9 @@
 		MaxHeaderBytes: int(settings.Bytes(rlbsettings.GatewayMaxHeader)),
 	}
 	served := make(chan error, 1)
-	go func() { served <- httpServer.Serve(callerKeys.WrapListener(listener)) }()
+	go func() {
+		served <- intake.Serve(httpServer, callerKeys.WrapListener(listener), machine.Connections(rlbintake.CallerShare))
+	}()
 	if err := rlbcommon.PrintReady(out, rlbcommon.ReadyLine{Program: "rlb-gateway", Instance: a.id, Listen: map[string]string{"callers": a.listen}}); err != nil {
 		return err
 	}
--- a/rlb-gateway/pkg/rlbcaller/refusal.go
+++ b/rlb-gateway/pkg/rlbcaller/refusal.go
@@ -25,6 +25,7 @@
 	CodeUnknownPath       Code = "unknown_path"
 	CodeNoEndpoint        Code = "no_endpoint"
 	CodeOverloaded        Code = "overloaded"
+	CodeNoMemory          Code = "no_memory"
 	CodeDraining          Code = "draining"
 	CodeDeadline          Code = "deadline_exceeded"
 	CodeEndpointFailed    Code = "endpoint_failed"
@@ -47,6 +48,7 @@
 	CodeUnknownPath:       "No plain service has a prefix of this path.",
 	CodeNoEndpoint:        "No endpoint can take the request now; send it again later.",
 	CodeOverloaded:        "All endpoints are busy; send it again later.",
+	CodeNoMemory:          "The requests in progress take too much memory; send it again later.",
 	CodeDraining:          "This gateway is shutting down; send it again to another.",
 	CodeDeadline:          "The deadline passed; send it again with a later one.",
 	CodeEndpointFailed:    "The request ran and failed; look at the endpoint's message before sending it again.",
--- a/rlb-gateway/pkg/rlbcaller/request.go
+++ b/rlb-gateway/pkg/rlbcaller/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbunit"
@@ -104,6 +105,9 @@
 	if errors.As(err, &tooLarge) {
 		return newRefusal(rlbroute.NotRun, CodeBodyTooLarge, limit)
 	}
+	if errors.Is(err, rlbintake.ErrNoRoom) {
+		return newRefusal(rlbroute.NotRun, CodeNoMemory)
+	}
 	if err != nil {
 		return newRefusal(rlbroute.NotRun, CodeInvalidRequest, "the body broke off")
 	}
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -29,6 +29,8 @@
 	// RequireID makes an answer that names no request an error. Otherwise it is accepted on
 	// a new connection, which is then not used again.
 	RequireID bool
+	// MaxMemory is the limit in bytes of the answers that are kept at a time; 0: a default.
+	MaxMemory int64
 }
 
 // Dial opens a connection to an endpoint.
@@ -52,7 +54,7 @@
 // New returns a dispatcher and a function that stops it and closes its idle
 // connections.
 func New(opts Opts) (*Dispatcher, func()) {
-	d := &Dispatcher{opts: opts, pool: newPool(), memory: NewMemory(maxMemory)}
+	d := &Dispatcher{opts: opts, pool: newPool(), memory: NewMemory(cmp.Or(opts.MaxMemory, maxMemory))}
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.sweep(ctx)
 	return d, func() {
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
@@ -70,6 +71,8 @@
 	scheduler       *rlbscheduler.Scheduler
 	holdsLease      func() bool // reports whether this instance holds the lease for orders
 	catchUp         *catchUp
+	machine         rlbintake.Machine
+	intake          *rlbintake.Intake
 	origins         *streamOrigins
 	// registrations are those in the latest list that this instance read as the lease
 	// holder, by name.
@@ -130,6 +133,9 @@
 		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(),
 		registry: metrics.NewRegistry(), balancer: rlbbalancer.New(),
 	}
+	a.machine = rlbintake.ReadMachine(settings)
+	a.machine.LimitHeap()
+	a.intake = rlbintake.FromSettings(common, a.machine, a.registry)
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
@@ -143,10 +149,11 @@
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
+		MaxMemory: a.machine.AnswerBytes(),
 	})
 	a.origins = newStreamOrigins(a)
 	link, closeLink, err := rlbpeer.NewLink(rlbpeer.LinkOpts{
-		Log: a.Log, Listen: listen, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
+		Log: a.Log, Listen: listen, Intake: a.acceptPeers, Address: a.address, Fleet: a.fleet, Crashes: a.crashes, Learn: a.origins.learn, Now: rlbclock.Now, Handler: a.handleQuery, Digest: a.nextDigest,
 		Changes: func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() },
 	})
 	if err != nil {
@@ -164,8 +171,8 @@
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
 		Limiter: a.limiter, ModelChanges: a.modelChanges,
-		RetryBudget: retryBudgetLimits(settings),
-		Metrics:     a.registry, Now: rlbclock.Now,
+		RetryBudget: retryBudgetLimits(settings), MaxBodies: a.machine.BodyBytes(),
+		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	a.catchUp = a.newCatchUp()
 	a.holdsLease = func() bool { return a.scheduler.Fence() > 0 }
--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbsettings"
 )
 
@@ -18,6 +19,7 @@
 	headerTimeout     = 10 * time.Second // to read a request header
 	callerIdleTimeout = 2 * time.Minute  // of connections
 	maxHeaderBytes    = 64 << 10
+	maxStatusHeader   = 16 << 10 // bytes, of a readiness check or of a call for the metrics
 	// drainDelay is how long the instance serves after it became not ready, until the
 	// load balancer has detected it: two readiness checks, a second apart, and their answers.
 	drainDelay = 2500 * time.Millisecond
@@ -45,8 +47,8 @@
 	}
 	s := &servers{
 		callers:   &http.Server{Addr: a.Settings.Text(rlbsettings.NodeCallers), Handler: a.proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes},
-		readiness: &http.Server{Addr: a.Settings.Text(rlbsettings.NodeReadiness), Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout},
-		metrics:   &http.Server{Addr: metricsAddress, Handler: a.metricsHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout},
+		readiness: &http.Server{Addr: a.Settings.Text(rlbsettings.NodeReadiness), Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxStatusHeader},
+		metrics:   &http.Server{Addr: metricsAddress, Handler: a.metricsHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxStatusHeader},
 		failed:    make(chan error, 3),
 	}
 	for _, server := range s.all() {
@@ -54,11 +56,20 @@
 		if err != nil {
 			return nil, nil, errors.Join(fmt.Errorf("listen on %s: %w", server.Addr, err), s.close())
 		}
-		go func() { s.failed <- server.Serve(listener) }()
+		connections := a.machine.Connections(rlbintake.StatusShare)
+		if server == s.callers {
+			connections = a.machine.Connections(rlbintake.CallerShare)
+		}
+		go func() { s.failed <- a.intake.Serve(server, listener, connections) }()
 	}
 	return s, func() { _ = s.close() }, nil
 }
 
+// acceptPeers holds the connections of other instances to the limits of the process.
+func (a *app) acceptPeers(listener net.Listener) net.Listener {
+	return a.intake.Frames(listener, a.machine.Connections(rlbintake.ControlShare))
+}
+
 func (s *servers) all() []*http.Server { return []*http.Server{s.callers, s.readiness, s.metrics} }
 
 func (s *servers) close() error {
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -69,8 +69,10 @@
 
 // LinkOpts configures a Link.
 type LinkOpts struct {
-	Log     log.Interface
-	Listen  string // IP:port for datagrams and connections
+	Log    log.Interface
+	Listen string // IP:port for datagrams and connections
+	// Intake holds the connections of other instances to limits; nil: there are none.
+	Intake  func(net.Listener) net.Listener
 	Address string // address at which other instances reach this one
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
@@ -115,6 +117,9 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, packets.Close())
 	}
+	if opts.Intake != nil {
+		listener = opts.Intake(listener)
+	}
 	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -11,6 +11,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	rlbplatform "github.com/rhubarblb/rhubarblb/platform"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -20,8 +21,8 @@
 // defaultMaxBody is the body limit of configs that state none.
 const defaultMaxBody = 4 << 20 // bytes
 
-// maxBodies is the limit in bytes of the bodies that the requests in flight have together,
-// beside a small part of each.
+// maxBodies is the default limit in bytes of the bodies that the requests in flight have
+// together, beside a small part of each.
 const maxBodies = 32 << 20
 
 // request is a request of a caller with its routing decisions and progress.
@@ -160,7 +161,7 @@
 	switch {
 	case errors.As(err, &tooLong):
 		return refuseBodyTooLong
-	case errors.Is(err, rlbdispatch.ErrMemory):
+	case errors.Is(err, rlbdispatch.ErrMemory), errors.Is(err, rlbintake.ErrNoRoom):
 		return refuseNoMemory
 	default:
 		return refuseIncompleteBody
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -3,6 +3,7 @@
 package rlbproxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -59,6 +60,7 @@
 	// ModelChanges returns which models endpoints serve other than their entries say.
 	ModelChanges func() rlbpeer.ModelChanges
 	RetryBudget  rlbretrybudget.Limits
+	MaxBodies    int64 // limit in bytes of the bodies of the requests in flight; 0: a default
 	Metrics      metrics.Registry
 	Now          func() time.Time
 }
@@ -88,7 +90,7 @@
 		demand:         newDemand(opts.Now),
 		requestMetrics: newRequestMetrics(opts.Metrics),
 		durations:      newDurations(),
-		bodies:         rlbdispatch.NewMemory(maxBodies),
+		bodies:         rlbdispatch.NewMemory(cmp.Or(opts.MaxBodies, maxBodies)),
 		requests:       requests,
 		endRequests:    endRequests,
 	}
