--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -3,9 +3,13 @@
 // Keys by section. Programs pass one of these to a method of Settings to read
 // its value.
 var (
-	InstanceID     = &Key{"instance", "id", TypeText, "", "", "", "Unique name of this instance in the fleet.", ForGateway | ForController | ForStandin | ForNode}
-	InstanceDomain = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin | ForNode}
-	InstanceRegion = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController | ForNode}
+	InstanceID          = &Key{"instance", "id", TypeText, "", "", "", "Unique name of this instance in the fleet.", ForGateway | ForController | ForStandin | ForNode}
+	InstanceDomain      = &Key{"instance", "failure_domain", TypeText, "", "", "", "Failure domain this instance runs in.", ForGateway | ForController | ForStandin | ForNode}
+	InstanceRegion      = &Key{"instance", "region", TypeText, "local", "", "", "Region this instance runs in.", ForGateway | ForController | ForNode}
+	InstanceMemory      = &Key{"instance", "memory", TypeBytes, "0B", "", "1024GiB", "Memory that the process may use, at least 64MiB; 0B for all of the machine. What clients may make it hold, and when the garbage collector works harder, is derived from it.", ForGateway | ForController | ForNode}
+	InstanceDescriptors = &Key{"instance", "descriptors", TypeInt, "0", "", "10000000", "Descriptors that the process may open, 200 of them for files; 0 for the limit of the process. How many connections each of its addresses accepts is derived from it.", ForGateway | ForController | ForNode}
+	InstanceHeadLines   = &Key{"instance", "head_lines", TypeInt, "16384", "64", "1000000", "Maximum number of header lines of a request.", ForGateway | ForController | ForNode}
+	InstanceWriteStall  = &Key{"instance", "write_stall", TypeDuration, "30s", "100ms", "1h", "Time after which a connection is closed whose client takes none of what is sent to it.", ForGateway | ForController | ForNode}
 
 	LogLevel = &Key{"log", "level", TypeText, "info", "", "", "Minimum level of logged messages: debug, info, warn or error.", ForGateway | ForController | ForStandin | ForNode}
 
@@ -94,7 +98,7 @@
 
 // Keys lists all keys in the order of the documentation page.
 var Keys = []*Key{
-	InstanceID, InstanceDomain, InstanceRegion, LogLevel,
+	InstanceID, InstanceDomain, InstanceRegion, InstanceMemory, InstanceDescriptors, InstanceHeadLines, InstanceWriteStall, LogLevel,
 	PlatformObjects, PlatformInstances, PlatformWeights, PlatformTimeout,
 	GatewayListen, GatewayControllers, GatewayMaxBody, GatewayMaxHeader, GatewayMaxAnswer, GatewayDeadline, GatewayMaxDeadline,
 	GatewayConnectTimeout, GatewayFirstTokenTimeout, GatewayReusedFirstTokenTimeout, GatewayNextTokenTimeout, GatewayDrain, GatewayPolicy, GatewayAdmission, GatewayAdapterFetches, GatewayMaxAttempts, GatewayRetryShare,
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbintake"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbquota"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbratelimit"
@@ -75,6 +76,8 @@
 	scheduler       *rlbscheduler.Scheduler
 	holdsLease      func() bool // reports whether this instance holds the lease for orders
 	catchUp         *catchUp
+	machine         rlbintake.Machine
+	intake          *rlbintake.Intake
 	origins         *streamOrigins
 	// registrations are those in the latest list that this instance read as the lease
 	// holder, by name.
@@ -135,6 +138,9 @@
 		address: cmp.Or(settings.Text(rlbsettings.NodeAdvertise), listen), incarnation: time.Now().UnixNano(), startedAt: rlbclock.Now(), now: rlbclock.Now,
 		registry: metrics.NewRegistry(), balancer: rlbbalancer.New(),
 	}
+	a.machine = rlbintake.ReadMachine(settings)
+	a.machine.LimitHeap()
+	a.intake = rlbintake.FromSettings(common, a.machine, a.registry)
 	a.grace.Store(int64(settings.Duration(rlbsettings.NodeGrace)))
 	a.fleet = rlbpeer.NewFleet(a.name, a.domain)
 	a.crashes = rlbcrash.New(rlbcrash.Opts{Instance: a.name, Now: rlbclock.Now})
@@ -154,10 +160,11 @@
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
 		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
+		MaxMemory: a.machine.AnswerBytes(),
 	})
 	a.origins = newStreamOrigins(a)
 	linkOpts := a.linkOpts()
-	linkOpts.Listen, linkOpts.Crashes, linkOpts.Learn, linkOpts.Quotas, linkOpts.Digest = listen, a.crashes, a.origins.learn, a.quotas, a.nextDigest
+	linkOpts.Listen, linkOpts.Intake, linkOpts.Crashes, linkOpts.Learn, linkOpts.Quotas, linkOpts.Digest = listen, a.acceptPeers, a.crashes, a.origins.learn, a.quotas, a.nextDigest
 	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() + a.view.LeavingCount() }
 	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
@@ -175,8 +182,8 @@
 		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
 		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
 		Limiter: a.limiter, ModelChanges: a.modelChanges,
-		RetryBudget: retryBudgetLimits(settings),
-		Quotas:      a.quotas, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
+		RetryBudget: retryBudgetLimits(settings), MaxBodies: a.machine.BodyBytes(),
+		Quotas: a.quotas, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
 		Metrics: a.registry, Now: rlbclock.Now,
 	})
 	a.catchUp = a.newCatchUp()
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -87,7 +87,9 @@
 	Log     log.Interface
 	Listen  string   // IP:port for datagrams and connections
 	Sockets *Sockets // used in place of new ones at Listen; nil: none
-	Address string   // address at which other instances reach this one
+	// Intake holds the connections of other instances to limits; nil: there are none.
+	Intake  func(net.Listener) net.Listener
+	Address string // address at which other instances reach this one
 	Fleet   *Fleet
 	Crashes *rlbcrash.Evidence             // merges the records that other instances publish
 	Learn   func([]rlborigin.Announcement) // remembers streams that other instances have begun to relay
@@ -132,6 +134,9 @@
 		return nil, nil, err
 	}
 	packets, listener := sockets.Datagrams, sockets.Listener
+	if opts.Intake != nil {
+		listener = opts.Intake(listener)
+	}
 	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
