--- a/lib/pkg/rlbquota/limiter_test.go
+++ b/lib/pkg/rlbquota/limiter_test.go
@@ -165,6 +165,27 @@
 	t.Logf("worst window %.3f, used %.3f", worst, used)
 }
 
+// TestDisturbances plays disturbances and changes of load in random order.
+func TestDisturbances(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			f := newModelFleet(12, 3, 60000, 60000, seed)
+			f.play(8*time.Second, usual, nil)
+			multiple := usual
+			for range 60 {
+				if f.random.IntN(3) == 0 {
+					f.disturb()
+				}
+				if f.random.IntN(6) == 0 {
+					multiple = []float64{usual, hot, 0.1, hot}[f.random.IntN(4)]
+				}
+				f.play(500*time.Millisecond, multiple, nil)
+			}
+			assertKept(t, f, 0.5, f.admitted)
+		})
+	}
+}
+
 // TestWithinQuota lets a workspace ask for less than its quota, from the first second of the
 // fleet on and with uneven shares of the instances: nothing is refused.
 func TestWithinQuota(t *testing.T) {
--- a/lib/pkg/rlbquota/model_test.go
+++ b/lib/pkg/rlbquota/model_test.go
@@ -194,6 +194,39 @@
 	}
 }
 
+// disturb cuts off, freezes, kills or restarts an instance, splits off a failure domain, or
+// ends all of that.
+func (f *modelFleet) disturb() {
+	i := f.instances[f.random.IntN(len(f.instances))]
+	switch f.random.IntN(7) {
+	case 0:
+		i.cut = true
+	case 1:
+		i.frozen = !i.frozen
+	case 2:
+		if !i.frozen {
+			f.start(i)
+		}
+	case 3:
+		i.down, i.frozen = true, false
+	case 4:
+		f.split = i.domain
+	default:
+		f.heal()
+	}
+}
+
+// heal ends all disturbances.
+func (f *modelFleet) heal() {
+	f.split = ""
+	for _, i := range f.instances {
+		i.cut, i.frozen = false, false
+		if i.down {
+			f.start(i)
+		}
+	}
+}
+
 // worstWindow returns the largest ratio of what was admitted in a window to what the rule
 // allows.
 func worstWindow(all []admission, q rlbdeployment.Quota) float64 {
