Quotas after restarts: demand that was not heard, and a start with half a second

What a failure domain used while its delegate restarted was not counted.

Change: the demand is averaged over at least 0.4 s after a start, and the bucket holds what came in half a second. What a source is likely to have used before an interruption counts; the demand at sources that are late is taken to rise like that at the others.

--- a/lib/pkg/rlbquota/bucket.go
+++ b/lib/pkg/rlbquota/bucket.go
@@ -25,6 +25,7 @@
 	lastUsed time.Time
 	used     decaying // by this instance
 	asked    decaying // units a second, from callers of this instance
+	usual    decaying // the same, over usualTime
 	reports  map[string]*report
 	// credit grows with each request by the share of them that may be admitted; at 1 one is
 	// admitted.
@@ -56,13 +57,18 @@
 }
 
 // minAskedSpan is the shortest time over which the rate that callers ask for is averaged.
-const minAskedSpan = 100 * time.Millisecond
+const minAskedSpan = 400 * time.Millisecond
 
 // askedAt returns the rate that callers of this instance ask for in units a second. After the
 // start it is the average over the time since then.
-func (b *bucket) askedAt(now time.Time) float64 {
+func (b *bucket) askedAt(now time.Time) float64 { return b.average(now, b.asked, askedTime) }
+
+// askedUsually returns the same rate, averaged over usualTime.
+func (b *bucket) askedUsually(now time.Time) float64 { return b.average(now, b.usual, usualTime) }
+
+func (b *bucket) average(now time.Time, rate decaying, over time.Duration) float64 {
 	span := max(now.Sub(b.since), minAskedSpan)
-	return b.asked.value(now, askedTime) / (1 - math.Exp(-span.Seconds()/askedTime.Seconds()))
+	return rate.value(now, over) / (1 - math.Exp(-span.Seconds()/over.Seconds()))
 }
 
 // capacity returns what the bucket holds at most.
@@ -108,13 +114,17 @@
 	}
 }
 
+// startTime is the shortest time that an instance does not run before a restart.
+const startTime = 500 * time.Millisecond
+
 // firstLevel returns the level at the first request at an instance that runs for a time: that
-// of the others, or what the bucket gained since the start. After a start it is empty.
+// of the others, or what the bucket gained since the last requests before the start. What was
+// left before these is not handed out again.
 func (b *bucket) firstLevel(running time.Duration) float64 {
 	if b.peersLevels > 0 {
 		return b.peersLevel
 	}
-	return min(b.rate()*running.Seconds(), b.capacity())
+	return min(b.rate()*(running+startTime).Seconds(), b.capacity())
 }
 
 // estimate returns the level less what others are likely to have used and not published, and
--- a/lib/pkg/rlbquota/limiter.go
+++ b/lib/pkg/rlbquota/limiter.go
@@ -23,6 +23,8 @@
 	// age of messages, in which a part of them decays unseen.
 	usedTime  = 30 * time.Second
 	askedTime = time.Second // over which the rate that callers ask for is averaged
+	// usualTime is the time over which the demand that a rise is compared with is averaged.
+	usualTime = 4 * time.Second
 	// freshTime is the longest usual time between two messages of a source.
 	freshTime = 350 * time.Millisecond
 	// silenceTime is the time without a message after which a source counts as cut off.
@@ -41,7 +43,7 @@
 	publishedTime = 2 * time.Second
 	// settleTime is the time after its start within which an instance does not know all
 	// others of its domain, and publishes nothing for them.
-	settleTime = 700 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 	// assumedInstances is the number of instances assumed while nothing is known of others.
 	assumedInstances = 10
 	// forgetTime is the time after which silent instances lose what is reserved for them, if
@@ -102,6 +104,7 @@
 	b.name, b.lastUsed = workspace, now
 	l.setQuota(now, b, q)
 	b.asked.add(now, askedTime, cost/askedTime.Seconds())
+	b.usual.add(now, usualTime, cost/usualTime.Seconds())
 	if now.Sub(b.refreshed) > refreshInterval {
 		l.refresh(now, b)
 	}
@@ -188,6 +191,10 @@
 func (l *Limiter) interrupt(now time.Time, id string, c continuity) {
 	for _, b := range l.buckets {
 		l.refresh(now, b)
-		b.report(id).next = c
+		r := b.report(id)
+		r.next, r.unseen = c, 0
+		if s := l.sources[id]; !s.silent(now) {
+			r.unseen = b.share * r.likely * now.Sub(r.asked.at).Seconds()
+		}
 	}
 }
--- a/lib/pkg/rlbquota/limiter_test.go
+++ b/lib/pkg/rlbquota/limiter_test.go
@@ -112,6 +112,10 @@
 		}
 		f.play(3*time.Second, hot, nil)
 	}},
+	{"the delegates of two failure domains restart in the second of the rise", 0.8, func(f *modelFleet) {
+		f.each(func(n int) bool { return n < 2 }, f.start) // each first instance is in a domain of its own
+		f.play(12*time.Second, hot, nil)
+	}},
 	{"waves of load", 0.85, func(f *modelFleet) {
 		for range 6 {
 			f.play(1500*time.Millisecond, hot, nil)
@@ -207,6 +211,32 @@
 	}
 }
 
+// TestUsualLoadAfterLossOfPower starts all instances anew, some at a time, under a load below
+// the quota: hardly anything is refused.
+func TestUsualLoadAfterLossOfPower(t *testing.T) {
+	for _, perSecond := range []float64{20000, 300000} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%g a second, seed %d", perSecond, seed), func(t *testing.T) {
+				f := newModelFleet(72, 4, perSecond, perSecond, seed)
+				f.play(10*time.Second, usual, nil)
+				f.each(all, func(i *modelInstance) { i.down = true })
+				f.play(time.Second, usual, nil)
+				f.mark()
+				for n, i := range f.instances {
+					f.start(i)
+					if n%8 == 0 {
+						f.play(20*time.Millisecond, usual, nil)
+					}
+				}
+				f.play(2*time.Second, usual, nil)
+				if share := total(f.admitted) / total(f.asked); share < 0.9 {
+					t.Errorf("admitted %.2f of what was asked", share)
+				}
+			})
+		}
+	}
+}
+
 // TestQuotaChanges lowers and raises the quota of a workspace that asks for far more.
 func TestQuotaChanges(t *testing.T) {
 	Convey("Given a fleet at its quota", t, func() {
--- a/lib/pkg/rlbquota/refresh.go
+++ b/lib/pkg/rlbquota/refresh.go
@@ -11,25 +11,63 @@
 // refresh sums up what the sources published about a workspace, and reserves the shares of
 // the silent ones.
 func (l *Limiter) refresh(now time.Time, b *bucket) {
-	instances, live, unheard := l.count(now)
-	b.refreshed, b.peersAsked, b.peersUnseen, b.peersUsed = now, 0, 0, 0
-	levels := 0.0
-	b.peersLevels = 0
+	b.refreshed = now
+	l.sumDemand(now, b)
+	l.sumLevels(now, b)
+	l.reserveShares(now, b)
+	b.agree(now)
+}
+
+// maxRise is the largest rise of the demand at a source that is assumed unheard.
+const maxRise = 8
+
+// sumDemand sums up what callers of the live sources ask for. The demand at sources of which
+// no message arrived in time is taken to rise like that at the others: a rise that they
+// could not publish would be noticed too late.
+func (l *Limiter) sumDemand(now time.Time, b *bucket) {
+	asked, usual := b.askedAt(now), b.askedUsually(now)
+	for id, s := range l.sources {
+		if r := b.report(id); s.fresh(now) {
+			asked += r.askedAt(s.heard)
+			usual += r.usual
+		}
+	}
+	rise := min(asked/max(usual, 1), maxRise)
+	b.peersAsked, b.peersUnseen = 0, 0
 	for id, s := range l.sources {
-		r := b.report(id)
-		b.peersUsed += r.total(now)
 		if s.silent(now) {
 			continue
 		}
+		r := b.reports[id]
 		asked := r.askedAt(s.heard)
+		if !s.fresh(now) {
+			asked = max(asked, r.usual*rise)
+		}
+		r.likely = asked
 		b.peersAsked += asked
 		b.peersUnseen += asked * now.Sub(r.asked.at).Seconds()
-		if now.Sub(r.asked.at) <= freshTime {
+	}
+}
+
+// sumLevels sums up what the sources used, and the levels that they follow.
+func (l *Limiter) sumLevels(now time.Time, b *bucket) {
+	b.peersUsed, b.peersLevels = 0, 0
+	levels := 0.0
+	for id, s := range l.sources {
+		r := b.report(id)
+		b.peersUsed += r.total(now)
+		if !s.silent(now) && now.Sub(r.asked.at) <= freshTime {
 			levels += r.level * float64(s.latest.Members)
 			b.peersLevels += s.latest.Members
 		}
 	}
 	b.peersLevel = levels / float64(max(b.peersLevels, 1))
+}
+
+// reserveShares reserves the shares of the silent sources, and notes those of the others,
+// which remain theirs if they fall silent.
+func (l *Limiter) reserveShares(now time.Time, b *bucket) {
+	instances, live, unheard := l.count(now)
 	used := b.peersUsed + b.used.value(now, usedTime)
 	reserved := float64(unheard) / float64(instances)
 	b.domainReserved = 0
@@ -48,7 +86,6 @@
 		reserved += kept + r.reservedAt(now, s.silent(now))
 	}
 	b.reserve(now, min(reserved, maxReserved))
-	b.agree(now)
 }
 
 // share returns the share of the limit of a source that has used a part of all that was used
--- a/lib/pkg/rlbquota/usage.go
+++ b/lib/pkg/rlbquota/usage.go
@@ -105,6 +105,9 @@
 	asked    decaying
 	reserved float64 // share of the limit reserved for silent instances of the source
 	level    float64
+	usual    float64    // asked, averaged over usualTime
+	likely   float64    // rate that its callers are likely to ask for now
+	unseen   float64    // likely to have been used before an interruption and not published
 	next     continuity // of the next usage
 	share    float64    // of the limit when the source was last heard, without reserved
 }
@@ -126,9 +129,8 @@
 
 // follow takes in a usage that is published. It returns what was used since the usage
 // before. What an instance used before a restart remains as a residue. After an interruption
-// the two usages can't be compared: nothing counts as used, and the residue makes up for the
-// difference, so that what a silent instance used of the share reserved for it does not count
-// again.
+// the two usages can't be compared: what it is likely to have used counts, unless it was silent
+// and had a share of its own, and the residue makes up for the difference.
 func (r *report) follow(now time.Time, u Usage) float64 {
 	before, c := r.total(now), r.next
 	r.next = continued
@@ -136,13 +138,15 @@
 		r.residue = decaying{before, now}
 	}
 	r.used = decaying{finite(u.Used), now}
+	r.usual += (finite(u.Asked) - r.usual) * (1 - math.Exp(-now.Sub(r.asked.at).Seconds()/usualTime.Seconds()))
 	r.asked, r.reserved = decaying{finite(u.Asked), now}, min(finite(u.Reserved), 1)
 	r.level = finite(u.Level) - finite(-u.Level)
 	switch c {
 	case continued, restarted:
 		return r.total(now) - before
 	case interrupted:
-		r.residue = decaying{before - r.used.amount, now}
+		r.residue = decaying{before + r.unseen - r.used.amount, now}
+		return r.unseen
 	case unknown:
 	}
 	return 0
