--- a/lib/pkg/rlbquota/limiter_test.go
+++ b/lib/pkg/rlbquota/limiter_test.go
@@ -112,6 +112,10 @@
 		}
 		f.play(3*time.Second, hot, nil)
 	}},
+	{"the delegates of two failure domains restart in the second of the rise", 0.8, func(f *modelFleet) {
+		f.each(func(n int) bool { return n < 2 }, f.start) // each first instance is in a domain of its own
+		f.play(12*time.Second, hot, nil)
+	}},
 	{"waves of load", 0.85, func(f *modelFleet) {
 		for range 6 {
 			f.play(1500*time.Millisecond, hot, nil)
@@ -165,6 +169,27 @@
 	t.Logf("worst window %.3f, used %.3f", worst, used)
 }
 
+// TestDisturbances plays disturbances and changes of load in random order.
+func TestDisturbances(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			f := newModelFleet(12, 3, 60000, 60000, seed)
+			f.play(8*time.Second, usual, nil)
+			multiple := usual
+			for range 60 {
+				if f.random.IntN(3) == 0 {
+					f.disturb()
+				}
+				if f.random.IntN(6) == 0 {
+					multiple = []float64{usual, hot, 0.1, hot}[f.random.IntN(4)]
+				}
+				f.play(500*time.Millisecond, multiple, nil)
+			}
+			assertKept(t, f, 0.5, f.admitted)
+		})
+	}
+}
+
 // TestWithinQuota lets a workspace ask for less than its quota, from the first second of the
 // fleet on and with uneven shares of the instances: nothing is refused.
 func TestWithinQuota(t *testing.T) {
@@ -186,6 +211,32 @@
 	}
 }
 
+// TestUsualLoadAfterLossOfPower starts all instances anew, some at a time, under a load below
+// the quota: hardly anything is refused.
+func TestUsualLoadAfterLossOfPower(t *testing.T) {
+	for _, perSecond := range []float64{20000, 300000} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%g a second, seed %d", perSecond, seed), func(t *testing.T) {
+				f := newModelFleet(72, 4, perSecond, perSecond, seed)
+				f.play(10*time.Second, usual, nil)
+				f.each(all, func(i *modelInstance) { i.down = true })
+				f.play(time.Second, usual, nil)
+				f.mark()
+				for n, i := range f.instances {
+					f.start(i)
+					if n%8 == 0 {
+						f.play(20*time.Millisecond, usual, nil)
+					}
+				}
+				f.play(2*time.Second, usual, nil)
+				if share := total(f.admitted) / total(f.asked); share < 0.9 {
+					t.Errorf("admitted %.2f of what was asked", share)
+				}
+			})
+		}
+	}
+}
+
 // TestQuotaChanges lowers and raises the quota of a workspace that asks for far more.
 func TestQuotaChanges(t *testing.T) {
 	Convey("Given a fleet at its quota", t, func() {
