--- a/lib/pkg/rlbdeployment/workspace.go
+++ b/lib/pkg/rlbdeployment/workspace.go
@@ -35,6 +35,9 @@
 // Burst returns how many units may be used at once beyond the rate.
 func (q Quota) Burst() float64 { return q.burst }
 
+// Unit returns what the quota counts.
+func (q Quota) Unit() QuotaUnit { return q.unit }
+
 // Cost returns what a request with a number of tokens counts as; stated says whether the
 // caller stated the number.
 func (q Quota) Cost(tokens int, stated bool) float64 {
@@ -88,6 +91,9 @@
 // Quota returns the quota of the workspace.
 func (w Workspace) Quota() Quota { return w.quota }
 
+// HasPriority reports whether the workspace has a priority of its own.
+func (w Workspace) HasPriority() bool { return w.ranked }
+
 // Priority returns the priority of a request on a route with a priority.
 func (w Workspace) Priority(ofRoute int) int {
 	if w.ranked {
