--- a/rlbctl/pkg/rlbcommand/command.go
+++ b/rlbctl/pkg/rlbcommand/command.go
@@ -25,12 +25,13 @@
 const (
 	ExitOK          ExitCode = 0
 	ExitUsage       ExitCode = 1 // invalid command line or unreadable file
-	ExitInvalid     ExitCode = 2 // the note or the settings are invalid
+	ExitInvalid     ExitCode = 2 // the note, the settings or the config are invalid
 	ExitConflict    ExitCode = 3 // another note was accepted since the base of the note
 	ExitUnavailable ExitCode = 4 // controllers or platform unreachable, nothing was accepted
 	ExitUnknown     ExitCode = 5 // the note may have been accepted
 	ExitInfeasible  ExitCode = 6 // the endpoints cannot hold the models of the note
 	ExitNotInForce  ExitCode = 7 // --wait timed out before the note was in force at all gateways
+	ExitWarnings    ExitCode = 8 // the config has warnings, but no errors
 )
 
 var exitCodes = map[rlboperator.Kind]ExitCode{
@@ -82,7 +83,7 @@
 		}
 		return nil
 	}
-	root.AddCommand(a.noteCommand(), a.statusCommand(), a.explainCommand(), a.settingsCommand(), a.snapshotCommand(), a.replayCommand(), a.burnCommand())
+	root.AddCommand(a.noteCommand(), a.statusCommand(), a.explainCommand(), a.settingsCommand(), a.configCommand(), a.snapshotCommand(), a.replayCommand(), a.burnCommand())
 	err := root.Execute()
 	if err == nil {
 		return ExitOK
--- a/rlbctl/pkg/rlbcommand/text.go
+++ b/rlbctl/pkg/rlbcommand/text.go
@@ -13,6 +13,8 @@
 	textExplain       = "Show the events about an endpoint, model, lease or note"
 	textSettings      = "Work with settings files"
 	textCheck         = "Check a settings file of any program"
+	textConfig        = "Work with configs of a deployment"
+	textCheckConfig   = "Check a config before it is published, and show what it changes"
 	textValues        = "Show the effective settings of a program"
 	textSnapshot      = "Work with snapshots of the state of a controller"
 	textSave          = "Save the state of a controller to a file"
