Balancer: speed of each endpoint, from the gaps between events

The prefill rate and the time of a request were kept per service, though endpoints of one service may differ by a factor of two and more. A slow one got the same share, its wait was judged too short, and most of its streams paused for too long.

rlbpace tracks the median time of a decoding step at each endpoint, from the gaps between events (an event holds as many tokens as the engine's config states; without that, nothing changes). Instances share what they saw lately in their digests, in two optional fields. The speed compared to the median of the service scales prefill rate, service time and the cost of requests in flight. Differences under 15% count as none.

TestCapacity expects the new field of a capacity beside the old ones.

--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
 // Initial values and weights of moving averages.
@@ -26,11 +27,12 @@
 	stats        map[string]*endpointStats // by endpoint ID
 	serviceTimes map[string]time.Duration  // mean time of a request, by service
 	prefillRates map[string]*prefillRate   // by service
+	paces        map[string]*servicePace   // by service
 }
 
 // New returns a balancer without any load.
 func New() *Balancer {
-	return &Balancer{stats: map[string]*endpointStats{}, serviceTimes: map[string]time.Duration{}, prefillRates: map[string]*prefillRate{}}
+	return &Balancer{stats: map[string]*endpointStats{}, serviceTimes: map[string]time.Duration{}, prefillRates: map[string]*prefillRate{}, paces: map[string]*servicePace{}}
 }
 
 // Begin records that a request is sent to an endpoint. The returned function
@@ -121,6 +123,9 @@
 		if s.reportsFailure(now) {
 			load.FailureReports = 1
 		}
+		if step := s.step.Fresh(now); step > 0 {
+			load.Steps = rlbpace.Reports{Sum: step, Count: 1}
+		}
 		if load.InFlight > 0 || load.FailureReports > 0 {
 			yield(id, load)
 		}
@@ -155,7 +160,13 @@
 	default:
 		serviceTime = initialPlainServiceTime
 	}
-	return Capacity{Slots: e.Slots, ServiceTime: serviceTime, Engine: engine, PrefillRate: b.prefillRate(e.Service).tokensPerMS()}
+	c := Capacity{Slots: e.Slots, ServiceTime: serviceTime, Engine: engine, PrefillRate: b.prefillRate(e.Service).tokensPerMS()}
+	if engine {
+		c.Speed = b.speed(e)
+		c.PrefillRate *= c.Speed
+		c.ServiceTime = c.slowed(serviceTime)
+	}
+	return c
 }
 
 // prefillRate returns the prefill rate of the engines of a service. b.mu is held.
@@ -171,10 +182,10 @@
 // RecordPrefill records how long the first event of an answer took, and how many prompt
 // tokens the engine had to read before it, with those of the request itself. Answers that
 // had to wait for a slot must not be recorded.
-func (b *Balancer) RecordPrefill(service string, tokens int, took time.Duration) {
+func (b *Balancer) RecordPrefill(e *rlbdeployment.Endpoint, tokens int, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.prefillRate(service).record(tokens, took)
+	b.prefillRate(e.Service).record(int(float64(tokens)/b.speed(e)), took)
 }
 
 // LoadVersion returns a number that increases with each change of this instance's load.
--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
 // Times for which other endpoints are preferred to one that failed.
@@ -39,7 +40,9 @@
 	mismatched    *rlbdeployment.Endpoint // entry that the endpoint did not match
 	mismatchUntil time.Time
 	holdOff       holdOff
-	unanswered    int // requests in flight whose answer has not begun
+	unanswered    int              // requests in flight whose answer has not begun
+	step          rlbpace.StepTime // as seen by this instance
+	peerStep      time.Duration    // time of a step that other instances reported last; 0: none did
 }
 
 // statsOf returns the stats of an endpoint. When the endpoint has restarted, it resets
@@ -52,6 +55,7 @@
 	}
 	if e.StartedAt.After(s.startedAt) {
 		s.startedAt, s.slowShare, s.failures, s.backoffUntil, s.noAnswerUntil, s.refusedUntil, s.holdOff = e.StartedAt, 0, 0, time.Time{}, time.Time{}, nil, holdOff{}
+		s.step, s.peerStep = rlbpace.StepTime{}, 0
 	}
 	if s.mismatched != nil && s.mismatched != e {
 		s.mismatched = nil // the entry has changed
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -56,6 +56,7 @@
 func (b *Balancer) Pick(now time.Time, all []*rlbdeployment.Endpoint, req Requirements) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.learnPace(now, all, req.OtherLoad)
 	var best Choice
 	var bestCost time.Duration
 	var heldOffUntil time.Time
