Priority of workspaces at engines: test with a priority of each

Streams of workspaces without a priority of their own share one at engines, as streams of all routes do. The test took the route's priority for such a workspace, which engines no longer get; it now gives both workspaces one that differs from the route's, and expects these.

--- a/rlb-node/pkg/rlbproxy/identity_test.go
+++ b/rlb-node/pkg/rlbproxy/identity_test.go
@@ -125,7 +125,8 @@
 			}
 		})
 		Convey("a workspace's priority goes before that of the route", func() {
-			for key, priority := range map[string]string{"red-1": "0", "blue-1": "1"} {
+			f.view.ApplyConfig(withWorkspaces(5, `[{"Name":"red","ApiKeys":["red-1"],"Priority":0},{"Name":"blue","ApiKeys":["blue-1"],"Priority":3}]`), "test")
+			for key, priority := range map[string]string{"red-1": "0", "blue-1": "3"} {
 				header := bearer(key)
 				header["X-Model"] = "m"
 				shouldAnswer("/plan/x", header, http.StatusOK)
