The soak knows workspaces: identity and a quota across instances

Cause: nothing checked with real processes that a workspace keeps its quota over all instances while they are killed, cut off and stopped.

Change: the soak's config has two workspaces; callers of one ask for some eight times its quota of 12 requests a second at a third of the instances. Checked: requests of it that ran in each window of 8 s, against (rate x 8 s + burst) x 1.1 + 12, and that a quarter of the rate is used; that runs name the workspace of their caller and have no key; that no valid key is refused. The callers of before have keys; their checks are as before.

--- a/rlb-load/pkg/rlbsoak/caller.go
+++ b/rlb-load/pkg/rlbsoak/caller.go
@@ -56,6 +56,7 @@
 	problem     string // difference from the answer that the endpoint must send; empty: none, or no answer
 	model       string // MODEL or MODEL/ADAPTER
 	connRefused bool   // no process was listening
+	workspace   string // of the caller
 }
 
 // caller sends requests one after the other over persistent connections.
@@ -65,6 +66,9 @@
 	client *http.Client
 	soak   *soak
 	sent   int
+	// limited callers are those of the workspace with a quota, of which they ask for many
+	// times as much at some of the instances.
+	limited bool
 }
 
 func newCaller(s *soak, n int) *caller {
@@ -82,7 +86,7 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(thinkTime)))
-		to := c.soak.pickInstance(c.rng)
+		to := c.soak.pickInstance(c.rng, c.limited)
 		if to == nil {
 			continue
 		}
@@ -93,7 +97,10 @@
 // sendRequest sends one request.
 func (c *caller) sendRequest(ctx context.Context, to *instance) exchange {
 	c.sent++
-	x := exchange{id: fmt.Sprintf("%s-%d", c.name, c.sent), kind: requestKind(c.rng.IntN(3)), instance: to}
+	x := exchange{id: fmt.Sprintf("%s-%d", c.name, c.sent), kind: requestKind(c.rng.IntN(3)), instance: to, workspace: c.workspace().Name}
+	if c.limited {
+		x.kind = kindRead
+	}
 	timeout := x.kind.timeout() + timeoutSlack
 	if c.rng.Float64() < abandonShare {
 		x.abandoned = true
@@ -138,6 +145,7 @@
 	req.GetBody = nil // keeps net/http from resending the request
 	req.Host = routeHost
 	req.Header.Set("X-Request-Id", x.id)
+	req.Header.Set("Authorization", "Bearer "+c.workspace().Keys[0])
 	req.Header.Set("X-Request-Deadline", strconv.FormatInt(x.kind.timeout().Milliseconds(), 10))
 	if x.kind == kindStream {
 		*events = 1 + c.rng.IntN(maxEvents)
--- a/rlb-load/pkg/rlbsoak/check.go
+++ b/rlb-load/pkg/rlbsoak/check.go
@@ -199,6 +199,7 @@
 		s.checkExchange(x, runs[x.id])
 	}
 	s.checkStatements(runs)
+	s.checkQuota(runs)
 }
 
 // endpointRun is a run and the endpoint that ran it.
@@ -242,6 +243,7 @@
 		}
 	}
 	s.checkOutcome(description, x, runs)
+	s.checkIdentity(description, x, runs)
 }
 
 // undisturbed reports whether neither the request's instance nor the soak was
--- a/rlb-load/pkg/rlbsoak/deployment.go
+++ b/rlb-load/pkg/rlbsoak/deployment.go
@@ -242,7 +242,9 @@
 	for v := max(d.configVersion, 2) - 1; v <= d.configVersion; v++ {
 		probes = append(probes, probePath(v))
 	}
-	d.store.Set("config", "main", rlbfakedeployment.Config(rlbfakedeployment.ConfigOpts{Version: d.configVersion, MemoryMb: engineMemory, AdapterSlots: adapterSlots, ExtraPaths: probes}))
+	d.store.Set("config", "main", rlbfakedeployment.Config(rlbfakedeployment.ConfigOpts{
+		Version: d.configVersion, MemoryMb: engineMemory, AdapterSlots: adapterSlots, ExtraPaths: probes, Workspaces: workspaces,
+	}))
 }
 
 // probePath is the path prefix of the route added by a config version.
--- a/rlb-load/pkg/rlbsoak/soak.go
+++ b/rlb-load/pkg/rlbsoak/soak.go
@@ -191,6 +191,9 @@
 	for n := range s.opts.Callers {
 		all.Go(func() { newCaller(s, n).run(loadCtx) })
 	}
+	for n := range limitedCallers {
+		all.Go(func() { newLimitedCaller(s, n).run(loadCtx) })
+	}
 	for _, inst := range s.instances {
 		all.Go(func() { s.monitor(loadCtx, inst) })
 	}
@@ -265,13 +268,13 @@
 }
 
 // pickInstance returns a random instance in rotation, as a load balancer would,
-// or nil if there is none.
-func (s *soak) pickInstance(rng *rand.Rand) *instance {
+// or nil if there is none. Callers of the workspace with a quota reach a part of them.
+func (s *soak) pickInstance(rng *rand.Rand, limited bool) *instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var healthy []*instance
-	for _, inst := range s.instances {
-		if s.missedChecks[inst] < maxMissedChecks {
+	for n, inst := range s.instances {
+		if s.missedChecks[inst] < maxMissedChecks && (!limited || n%limitedOneOf == 0) {
 			healthy = append(healthy, inst)
 		}
 	}
--- a/rlb-standin/pkg/rlbfakedeployment/deployment.go
+++ b/rlb-standin/pkg/rlbfakedeployment/deployment.go
@@ -108,7 +108,16 @@
 	Version      uint64
 	MemoryMb     float64 // memory of an engine
 	AdapterSlots int
-	ExtraPaths   []string // path prefixes of further routes to the plain service whose requests are safe to retry
+	ExtraPaths   []string // path prefixes of further routes to the plain service whose requests are safe to retry, open without a key
+	Workspaces   []Workspace
+}
+
+// Workspace is a workspace in the config.
+type Workspace struct {
+	Name  string   `json:"Name"`
+	Keys  []string `json:"ApiKeys"`
+	Rate  float64  `json:"RatePerS"` // requests; 0: no limit
+	Burst float64  `json:"Burst"`
 }
 
 // Config returns a version of the config.
@@ -121,9 +130,9 @@
 	}
 	for _, path := range append([]string{"/lookup/"}, opts.ExtraPaths...) {
 		routes = append(routes, map[string]any{"Name": strings.Trim(path, "/"), "Host": routeHost, "PathPrefix": path, "Kind": "safe", "TimeoutMs": 800,
-			"TargetLatencyMs": 150, "Priority": 1, "Service": plainService, "MaxAttempts": 2})
+			"TargetLatencyMs": 150, "Priority": 1, "Service": plainService, "MaxAttempts": 2, "PublicAccess": path != "/lookup/"})
 	}
-	return map[string]any{
+	config := map[string]any{
 		"Version": opts.Version,
 		"Routes":  routes,
 		"Services": []map[string]any{
@@ -134,4 +143,8 @@
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	}
+	if len(opts.Workspaces) > 0 {
+		config["Tenants"] = opts.Workspaces
+	}
+	return config
 }
--- a/rlb-standin/pkg/rlbfakedeployment/replica.go
+++ b/rlb-standin/pkg/rlbfakedeployment/replica.go
@@ -48,6 +48,8 @@
 	Ended       time.Time // zero: still running
 	Incarnation int       // incarnation of the replica
 	Aborted     bool      // the replica restarted or the sender disconnected before the end
+	Workspace   string    // that the sender names
+	WithKey     bool      // the request still has a caller's key
 }
 
 // Refusal is a request that the replica refused with a Retry-After.
@@ -341,7 +343,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	run, restarted := r.beginRun(id)
+	run, restarted := r.beginRun(id, req.Header)
 	complete := false
 	defer func() { r.endRun(run, complete) }()
 	if r.Intercept != nil && r.Intercept(w, req, run) {
@@ -365,10 +367,13 @@
 
 // beginRun records the start of a run. It returns the number of the run, from 1,
 // and a channel that is closed when the replica restarts.
-func (r *Replica) beginRun(id string) (int, <-chan struct{}) {
+func (r *Replica) beginRun(id string, header http.Header) (int, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs = append(r.runs, Run{ID: id, Began: time.Now(), Incarnation: r.incarnation})
+	r.runs = append(r.runs, Run{
+		ID: id, Began: time.Now(), Incarnation: r.incarnation,
+		Workspace: header.Get("X-Tenant"), WithKey: header.Get("Authorization") != "",
+	})
 	return len(r.runs), r.restarted
 }
 
