A debt of a quota is paid back within ten seconds

Cause: a message with a use far beyond all that can be (a fault of another build, a garbled number) turned a workspace away for as long as its rate takes to fill that.

Change: the debt is at most what comes in ten seconds.

--- a/lib/pkg/rlbquota/bucket.go
+++ b/lib/pkg/rlbquota/bucket.go
@@ -77,13 +77,17 @@
 // rate returns the rate at which the bucket fills, in units a second.
 func (b *bucket) rate() float64 { return b.quota.PerSecond() * (1 - b.reserved) }
 
+// maxDebtTime is the longest time in which a debt is paid back: a message that means less
+// must not turn a workspace away for good.
+const maxDebtTime = 10 * time.Second
+
 // fill adds what the bucket gained until now.
 func (b *bucket) fill(now time.Time) {
 	if now.After(b.updated) {
 		b.level += b.rate() * now.Sub(b.updated).Seconds()
 		b.updated = now
 	}
-	b.level = min(b.level, b.capacity())
+	b.level = min(max(b.level, -b.rate()*maxDebtTime.Seconds()), b.capacity())
 }
 
 // charge takes an amount from the level.
--- a/lib/pkg/rlbquota/limiter_test.go
+++ b/lib/pkg/rlbquota/limiter_test.go
@@ -326,6 +326,18 @@
 			count, _ := admittedOf(l, quota, 5)
 			So(count, ShouldEqual, 5)
 		})
+		Convey("a use that is far beyond all that can be is paid back in time", func() {
+			admittedOf(l, quota, 1)
+			for sequence, used := range []float64{0, 1e30, 1e30} {
+				l.ApplyInstance(Message{Source: "b", Sender: "b", Sequence: uint64(sequence + 1)}, []Usage{{Workspace: Key("w"), Used: used}})
+			}
+			count, _ := admittedOf(l, quota, 5)
+			So(count, ShouldEqual, 0)
+			*now = now.Add(maxDebtTime + 2*time.Second)
+			l.ApplyInstance(Message{Source: "b", Sender: "b", Sequence: 4, Draining: true}, nil)
+			count, _ = admittedOf(l, quota, 5)
+			So(count, ShouldEqual, 5)
+		})
 	})
 	Convey("Given an instance that starts and has heard of none of the nine others", t, func() {
 		l, now := newLimiter(map[string]int{"x": 4, "y": 6})
