Fuzz test of the end of a head, against net/http

The connection counts a head up to the end that it finds. If net/http found another, what follows would be counted for what it is not. It joins make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # Native fuzz tests of the decoders at the process boundary, a few seconds each.
 FUZZTIME ?= 4s
-FUZZED := lib/pkg/rlbjson:FuzzSplit lib/pkg/rlbmsgpack:FuzzUnmarshal lib/pkg/rlborigin:FuzzMerge platform:FuzzDecodePage platform:FuzzDecodeEndpoint platform:FuzzDecodeConfig rlb-node/pkg/rlbpeer:FuzzPacket rlb-node/pkg/rlbpeer:FuzzQuery
+FUZZED := lib/pkg/rlbjson:FuzzSplit lib/pkg/rlbintake:FuzzHead lib/pkg/rlbmsgpack:FuzzUnmarshal lib/pkg/rlborigin:FuzzMerge platform:FuzzDecodePage platform:FuzzDecodeEndpoint platform:FuzzDecodeConfig rlb-node/pkg/rlbpeer:FuzzPacket rlb-node/pkg/rlbpeer:FuzzQuery
 
 fuzz:
 	@for f in $(FUZZED); do go test ./$${f%%:*} -run '^$$' -fuzz "^$${f##*:}$$" -fuzztime $(FUZZTIME) || exit 1; done
