Spillover between failure domains by the waits there

An endpoint in another failure domain has a fixed cost, whatever is on the link, how much is sent already and what the other domain needs; nothing keeps two domains from sending to each other.

With [node] spillover, the delegate of a domain decides for each pool (the endpoints that hold a model) which share of the requests leaves, from the waits of both domains, the delay of the link and, with spillover_rate, its traffic (rlbspillover, no I/O). Shares follow the imbalance with damping, at once when a domain loses endpoints, and two domains never keep sending to each other. The delegate publishes them in its digest; the balancer gets the cost of other domains for each request. It is off by default: then the cost is fixed as before, and no digest is longer.

Tests of rlb-node, rlbspillover, rlbbalancer, rlbsettings and platform pass.

--- a/lib/pkg/rlbbalancer/balancer_test.go
+++ b/lib/pkg/rlbbalancer/balancer_test.go
@@ -16,9 +16,10 @@
 		far := &rlbdeployment.Endpoint{ID: "far", Domain: "b", Slots: 4}
 		all := []*rlbdeployment.Endpoint{far, near}
 		others := map[string]Load{}
+		var crossDomainCost func(string) time.Duration
 		pick := func(model string) string {
 			c := balancer.Pick(now, all, Requirements{
-				Domain: "a", Model: model, OtherLoad: func(id string) Load { return others[id] },
+				Domain: "a", Model: model, CrossDomainCost: crossDomainCost, OtherLoad: func(id string) Load { return others[id] },
 				Fits: func(*rlbdeployment.Endpoint) bool { return true },
 			})
 			if c.Endpoint == nil {
@@ -29,6 +30,13 @@
 		Convey("the one in the same domain is preferred while its wait is short", func() {
 			So(pick("m"), ShouldEqual, "near")
 		})
+		Convey("the cost of another domain may be set for a request", func() {
+			crossDomainCost = func(domain string) time.Duration {
+				So(domain, ShouldEqual, "b")
+				return -time.Second
+			}
+			So(pick("m"), ShouldEqual, "far")
+		})
 		Convey("prompt tokens of all instances add to the cost until the answer begins", func() {
 			answered := balancer.Begin(near, RequestLoad{PromptTokens: 4000})
 			So(pick("m"), ShouldEqual, "far")
--- a/lib/pkg/rlbbalancer/load.go
+++ b/lib/pkg/rlbbalancer/load.go
@@ -6,9 +6,11 @@
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
+// CrossDomainCost is the cost of an endpoint in another failure domain.
+const CrossDomainCost = 30 * time.Millisecond
+
 // Parameters of the cost estimate.
 const (
-	crossDomainCost      = 30 * time.Millisecond  // cost of an endpoint in another failure domain
 	costPerRequest       = 4 * time.Millisecond   // slowdown that each request in flight causes for the others
 	prefillDelay         = 300 * time.Millisecond // stream delay caused by prefill at an endpoint all of whose streams pause
 	urgentReserveDivisor = 6                      // 1/6 of an engine's slots is reserved for urgent requests
@@ -91,7 +93,7 @@
 func (l Load) Cost(c Capacity, sameDomain bool) time.Duration {
 	cost := l.Wait(c, false) + l.prefillCost() + c.slowed(time.Duration(l.InFlight)*costPerRequest)
 	if !sameDomain {
-		cost += crossDomainCost
+		cost += CrossDomainCost
 	}
 	return cost
 }
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -36,6 +36,20 @@
 	Fits      func(*rlbdeployment.Endpoint) bool // whether the endpoint can run it
 	OtherLoad func(id string) Load               // load from the other instances
 	ExtraCost func(id string) time.Duration      // added to the cost of an endpoint; nil: nothing
+	// CrossDomainCost is the cost of an endpoint in another failure domain; nil: CrossDomainCost.
+	CrossDomainCost func(domain string) time.Duration
+}
+
+// distance returns the cost of the way to an endpoint.
+func (r *Requirements) distance(e *rlbdeployment.Endpoint) time.Duration {
+	switch {
+	case e.Domain == r.Domain:
+		return 0
+	case r.CrossDomainCost != nil:
+		return r.CrossDomainCost(e.Domain)
+	default:
+		return CrossDomainCost
+	}
 }
 
 // Choice is the endpoint chosen for a request.
@@ -72,7 +86,7 @@
 		load := stats.load().Add(req.OtherLoad(e.ID))
 		capacity := b.capacity(e, req.Model != "")
 		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Ahead: load.UnreadTokens, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
-		cost := load.Cost(capacity, e.Domain == req.Domain) + rand.N(tieBreakJitter)
+		cost := load.Cost(capacity, true) + req.distance(e) + rand.N(tieBreakJitter)
 		if req.ExtraCost != nil {
 			cost += req.ExtraCost(e.ID)
 		}
--- a/lib/pkg/rlbsettings/keys.go
+++ b/lib/pkg/rlbsettings/keys.go
@@ -70,6 +70,9 @@
 	NodeLoadWindow     = &Key{"node", "load_window", TypeDuration, "5s", "1s", "10m", "Time window over which loads from the weight store are counted.", ForNode}
 	NodeReportInterval = &Key{"node", "report_interval", TypeDuration, "1200ms", "10ms", "10m", "Interval at which endpoints write their entries; the platform removes an entry after three without.", ForNode}
 	NodeFencing        = &Key{"node", "fencing", TypeBool, "true", "", "", "Whether endpoints refuse orders with an outdated fencing number.", ForNode}
+	NodeSpillover      = &Key{"node", "spillover", TypeBool, "false", "", "", "Whether requests are sent to other failure domains by the waits there; otherwise each of them has a fixed cost.", ForNode}
+	NodeSpilloverGain  = &Key{"node", "spillover_gain", TypeDuration, "10ms", "0s", "1m", "Time by which the expected wait in another failure domain must be shorter before requests are sent there, beside the delay of the link.", ForNode}
+	NodeSpilloverRate  = &Key{"node", "spillover_rate", TypeBytes, "0B", "0B", "1024GiB", "Bytes a second between this failure domain and another one at which only those requests are sent there that find no endpoint here; 0B for no limit.", ForNode}
 
 	KeysCert = &Key{"keys", "cert", TypeText, "", "", "", "PEM file with the certificate of this instance for control links; empty for plain TCP.", ForGateway | ForController | ForCtl}
 	KeysKey  = &Key{"keys", "key", TypeText, "", "", "", "PEM file with the private key of cert.", ForGateway | ForController | ForCtl}
@@ -105,7 +108,7 @@
 	GatewayMaxInFlight, GatewayEndpointInFlight, GatewayTLSCert, GatewayTLSKey,
 	ControllerListen, ControllerOperators, ControllerPeers, ControllerTick, ControllerPoll, ControllerLeaseTTL, ControllerLeaseMargin,
 	ControllerLoadRate, ControllerLoadsAtOnce, ControllerMoveWeight, ControllerReplicas, ControllerWatchers, ControllerClaimRetention, ControllerClaimCommit, ControllerClaimShards,
-	NodeCallers, NodeReadiness, NodeInternal, NodeAdvertise, NodeInternalPorts, NodeRetryRatio, NodeRetryAllowance, NodeRetryWindow, NodeGrace, NodeDrain, NodeLeaseTTL, NodeLoadWindow, NodeReportInterval, NodeFencing,
+	NodeCallers, NodeReadiness, NodeInternal, NodeAdvertise, NodeInternalPorts, NodeRetryRatio, NodeRetryAllowance, NodeRetryWindow, NodeGrace, NodeDrain, NodeLeaseTTL, NodeLoadWindow, NodeReportInterval, NodeFencing, NodeSpillover, NodeSpilloverGain, NodeSpilloverRate,
 	KeysCert, KeysKey, KeysCA, CtlControllers, CtlTimeout,
 	StandinListen, StandinMemory, StandinRole, StandinFencing, StandinSlots, StandinPrefillRate, StandinStep, StandinStepPerRequest,
 	StandinPrefixes, StandinInstances, StandinListLag, StandinLoadRate, StandinLoadTime, StandinLoadsAtOnce, StandinModelMemory, StandinRecord,
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -79,6 +79,7 @@
 	machine         rlbintake.Machine
 	intake          *rlbintake.Intake
 	origins         *streamOrigins
+	spillover       *spillover // nil: other failure domains have a fixed cost
 	// registrations are those in the latest list that this instance read as the lease
 	// holder, by name.
 	registrations map[string]observedRegistration
@@ -157,9 +158,10 @@
 	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
 	a.api, a.staleAPI = countedObjects{objects, a.registry, ""}, countedObjects{objects.WithStaleReads(), a.registry, "stale_"}
 	a.apiEra = objects.Era
+	a.spillover = newSpillover(a)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
-		Dial: rlbdispatch.DialTCP(connectTimeout), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
+		Dial: a.spillover.measured(rlbdispatch.DialTCP(connectTimeout)), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 		MaxMemory: a.machine.AnswerBytes(),
 	})
 	a.origins = newStreamOrigins(a)
@@ -178,14 +180,7 @@
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
-	a.proxy = rlbproxy.New(rlbproxy.Opts{
-		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
-		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
-		Limiter: a.limiter, ModelChanges: a.modelChanges,
-		RetryBudget: retryBudgetLimits(settings), MaxBodies: a.machine.BodyBytes(),
-		Quotas: a.quotas, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
-		Metrics: a.registry, Now: rlbclock.Now,
-	})
+	a.proxy = a.newProxy(dispatcher)
 	a.catchUp = a.newCatchUp()
 	a.holdsLease = func() bool { return a.scheduler.Fence() > 0 }
 	return a, func() {
@@ -196,6 +191,22 @@
 	}, nil
 }
 
+// newProxy returns the handler of callers' requests.
+func (a *app) newProxy(dispatcher *rlbdispatch.Dispatcher) *rlbproxy.Server {
+	opts := rlbproxy.Opts{
+		Log: a.Log, Domain: a.domain, View: a.view, Balancer: a.balancer, PeerLoad: a.peerLoad,
+		Crashes: a.crashes, Instances: func() int { return a.fleet.KnownInstances(rlbclock.Now()) }, Dispatcher: dispatcher, Adapters: a.scheduler, Origins: a.origins,
+		Limiter: a.limiter, ModelChanges: a.modelChanges,
+		RetryBudget: retryBudgetLimits(a.Settings), MaxBodies: a.machine.BodyBytes(),
+		Quotas: a.quotas, ConfigCurrent: func() bool { return a.catchUp.configCurrent() },
+		Metrics: a.registry, Now: rlbclock.Now,
+	}
+	if a.spillover != nil {
+		opts.Spillover = a.spillover
+	}
+	return rlbproxy.New(opts)
+}
+
 // linkOpts returns the options of the link to other instances that concern the view of the
 // deployment.
 func (a *app) linkOpts() rlbpeer.LinkOpts {
@@ -237,6 +248,9 @@
 	go a.link.Run(ctx)
 	go a.scheduler.Run(ctx)
 	go a.sweep(ctx)
+	if a.spillover != nil {
+		go a.spillover.run(ctx)
+	}
 }
 
 // startWatching keeps the view up to date in the background until ctx ends.
@@ -353,6 +367,9 @@
 		d.LeaseHolder.Unloaded, d.LeaseHolder.Loaded = a.scheduler.ModelChanges().Keys()
 	}
 	a.balancer.Loads(rlbclock.Now(), func(id string, load rlbbalancer.Load) { d.Loads[rlbpeer.EndpointKey(id)] = rlbpeer.NewLoad(load) })
+	if a.spillover != nil {
+		d.Spillover, d.Traffic = *a.spillover.shares.Load(), *a.spillover.traffic.Load()
+	}
 	for _, r := range a.limiter.Reports() {
 		if d.Limits == nil {
 			d.Limits = map[uint32]rlbpeer.EndpointLimit{}
--- a/rlb-node/pkg/rlbapp/settings.go
+++ b/rlb-node/pkg/rlbapp/settings.go
@@ -79,6 +79,7 @@
 	for _, key := range []*rlbsettings.Key{
 		rlbsettings.InstanceID, rlbsettings.InstanceDomain, rlbsettings.PlatformObjects, rlbsettings.NodeCallers,
 		rlbsettings.NodeReadiness, rlbsettings.NodeInternal, rlbsettings.NodeAdvertise, rlbsettings.NodeInternalPorts, rlbsettings.NodeLeaseTTL, rlbsettings.NodeLoadWindow, rlbsettings.NodeReportInterval,
+		rlbsettings.NodeSpillover, rlbsettings.NodeSpilloverGain, rlbsettings.NodeSpilloverRate,
 	} {
 		if settings.Text(key) != a.Settings.Text(key) {
 			names = append(names, key.Section+"."+key.Name)
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -36,6 +36,8 @@
 	RemovedEndpoints  []RemovedEndpoint        `msgpack:"z,omitempty"`
 	BegunStreams      []BegunStreams           `msgpack:"b,omitempty"`
 	Quotas            []QuotaUsage             `msgpack:"v,omitempty"` // of the workspaces with requests lately
+	Spillover         Spillover                `msgpack:"j,omitempty"`
+	Traffic           map[string]uint32        `msgpack:"g,omitempty"` // bytes a second with other failure domains, if there is a limit
 }
 
 // LeaseHolder is the state that the holder of the lease for orders publishes.
@@ -111,6 +113,7 @@
 	BegunStreams []BegunStreams `msgpack:"b,omitempty"`
 	Quotas       []QuotaUsage   `msgpack:"v,omitempty"`
 	QuotasKnown  bool           `msgpack:"w,omitempty"` // the delegate knows those of its domain
+	Spillover    Spillover      `msgpack:"j,omitempty"`
 }
 
 // packet is the content of a datagram. Either Digest or Summary is set.
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -69,6 +69,7 @@
 	leaseHolderSeen time.Time
 	modelChanges    ModelChanges                // of the lease holder
 	peerLoads       map[uint32]rlbbalancer.Load // sum over the live members and domains when it was computed last
+	spillover       Spillover                   // of the live members and domains, computed with peerLoads
 	loadsStale      bool
 }
 
@@ -317,7 +318,7 @@
 
 // sumLoads computes peerLoads from the live members and domains.
 func (f *Fleet) sumLoads(now time.Time) {
-	f.peerLoads, f.loadsStale = map[uint32]rlbbalancer.Load{}, false
+	f.peerLoads, f.spillover, f.loadsStale = map[uint32]rlbbalancer.Load{}, Spillover{}, false
 	add := func(loads map[uint32]Load) {
 		for key, l := range loads {
 			f.peerLoads[key] = f.peerLoads[key].Add(l.balancerLoad())
@@ -326,11 +327,13 @@
 	for _, m := range f.members {
 		if now.Sub(m.lastSeen) <= LivenessTimeout {
 			add(m.digest.Loads)
+			f.spillover.add(m.digest.Spillover)
 		}
 	}
 	for _, d := range f.domains {
 		if now.Sub(d.lastSeen) <= LivenessTimeout {
 			add(d.summary.Loads)
+			f.spillover.add(d.summary.Spillover)
 		}
 	}
 }
@@ -379,6 +382,9 @@
 		if d.LeaseHolder != nil && (s.LeaseHolder == nil || d.LeaseHolder.Fence > s.LeaseHolder.Fence) {
 			s.LeaseHolder = d.LeaseHolder
 		}
+		if len(d.Spillover) > 0 {
+			s.Spillover = d.Spillover
+		}
 		for key, l := range d.Loads {
 			s.Loads[key] = NewLoad(s.Loads[key].balancerLoad().Add(l.balancerLoad()))
 		}
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -135,7 +135,7 @@
 		}
 		return s.Limiter.Cost(id)
 	}
-	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: cost})
+	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: cost, CrossDomainCost: s.crossDomainCosts(req)})
 }
 
 // endpointsWithAdapter returns the endpoints on which the request's adapter is loaded.
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -53,6 +53,7 @@
 	begun         bool          // the caller has a part of the stream, which only endpoints of beganAt may go on with
 	beganAt       string        // software version of the endpoint that began the stream
 	limited       []string      // IDs of the endpoints whose limit ruled them out for the attempt
+	otherDomain   string        // failure domain of the endpoint of the latest attempt, if spillover counts it; empty: the own one
 	unsent        int           // number of these that could not be reached
 	lastEventID   string        // last complete event sent to the caller
 	busy          bool          // not admitted: the expected wait is too long
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -54,6 +54,7 @@
 	defer cancel()
 	defer context.AfterFunc(s.requests, cancel)()
 	outcome := rlbbalancer.OutcomeNeutral
+	s.recordDomain(req, e)
 	req.markAnswered = s.Balancer.Begin(e, req.load())
 	start := s.Now()
 	defer func() {
@@ -273,6 +274,7 @@
 		fault, _ := rlberror.KindOf[rlbroute.Fault](err)
 		return fault, false, err
 	}
+	s.recordTraffic(req, len(body))
 	got := &answer{status: in.StatusCode, header: in.Header, body: body}
 	req.releaseMemory()
 	req.releaseMemory = in.KeepMemory()
--- a/rlb-node/pkg/rlbproxy/server.go
+++ b/rlb-node/pkg/rlbproxy/server.go
@@ -44,6 +44,16 @@
 	Find(ctx context.Context, service, request string) (version string, verdict rlborigin.Verdict)
 }
 
+// Spillover decides which requests leave the failure domain, and learns of those that do.
+type Spillover interface {
+	// Costs returns the costs of the other domains for one request of a pool.
+	Costs(pool string) func(domain string) time.Duration
+	// RecordRequest records that a request was sent to another domain.
+	RecordRequest(domain string)
+	// RecordTraffic records bytes that were sent to another domain or came from it.
+	RecordTraffic(domain string, bytes int)
+}
+
 // Opts are the dependencies and settings of a server.
 type Opts struct {
 	Log        log.Interface
@@ -60,8 +70,9 @@
 	// ModelChanges returns which models endpoints serve other than their entries say.
 	ModelChanges func() rlbpeer.ModelChanges
 	RetryBudget  rlbretrybudget.Limits
-	MaxBodies    int64  // limit in bytes of the bodies of the requests in flight; 0: a default
-	Quotas       Quotas // of the workspaces
+	MaxBodies    int64     // limit in bytes of the bodies of the requests in flight; 0: a default
+	Quotas       Quotas    // of the workspaces
+	Spillover    Spillover // nil: other failure domains have a fixed cost
 	// ConfigCurrent reports whether no newer config than that of the view is known to exist,
 	// and the instance is where it would learn of one.
 	ConfigCurrent func() bool
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -42,6 +42,7 @@
 			return in.Fault(err), false, err
 		}
 		in.RecordProgress()
+		s.recordTraffic(req, len(event.Raw))
 		switch isNext, err := isNextEvent(req.lastEventID, event); {
 		case err != nil:
 			s.flushEvents(req, flusher)
