--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -28,6 +28,7 @@
 
 // endpointStats holds the load and recent failures of one endpoint incarnation.
 type endpointStats struct {
+	service       string
 	startedAt     time.Time // start of the incarnation
 	inFlight      int
 	urgent        int     // in-flight requests of the highest priority
@@ -50,7 +51,7 @@
 func (b *Balancer) statsOf(e *rlbdeployment.Endpoint) *endpointStats {
 	s := b.stats[e.ID]
 	if s == nil {
-		s = &endpointStats{startedAt: e.StartedAt}
+		s = &endpointStats{service: e.Service, startedAt: e.StartedAt}
 		b.stats[e.ID] = s
 	}
 	if e.StartedAt.After(s.startedAt) {
--- a/lib/pkg/rlbbalancer/pace.go
+++ b/lib/pkg/rlbbalancer/pace.go
@@ -58,6 +58,19 @@
 	pace.usualStep = steps[len(steps)/2]
 }
 
+// SlowEndpoints returns the number of endpoints that are slower than is usual in their service.
+func (b *Balancer) SlowEndpoints() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slow := 0
+	for _, s := range b.stats {
+		if pace := b.paces[s.service]; pace != nil && rlbpace.Speed(s.stepTime(), pace.usualStep) < 1 {
+			slow++
+		}
+	}
+	return slow
+}
+
 // speed returns how fast an endpoint is compared to its service. b.mu is held.
 func (b *Balancer) speed(e *rlbdeployment.Endpoint) float64 {
 	pace := b.paces[e.Service]
--- a/lib/pkg/rlbbalancer/pace_test.go
+++ b/lib/pkg/rlbbalancer/pace_test.go
@@ -19,6 +19,18 @@
 	return all
 }
 
+// BenchmarkComparePace compares the endpoints of a service, as is done once in paceInterval.
+func BenchmarkComparePace(b *testing.B) {
+	balancer, all, now := New(), engines(140), time.Unix(1000, 0)
+	reported := func(string) Load {
+		return Load{Steps: rlbpace.Reports{Sum: 8 * time.Millisecond, Count: 1}}
+	}
+	for b.Loop() {
+		now = now.Add(paceInterval)
+		balancer.learnPace(now, all, reported)
+	}
+}
+
 func TestPaceOfEndpoints(t *testing.T) {
 	now := time.Unix(1000, 0)
 	all := engines(8)
@@ -42,6 +54,7 @@
 				b.Begin(choice.Endpoint, RequestLoad{PromptTokens: 1000})
 			}
 			So(got["e0"]+got["e1"], ShouldBeBetween, 10, 22)
+			So(b.SlowEndpoints(), ShouldEqual, 2)
 			slow := b.Capacity(all[0], true)
 			So(slow.Speed, ShouldEqual, 0.5)
 			So(slow.PrefillRate, ShouldEqual, usual.PrefillRate/2)
