Placement pairs replicas by software version

A stream goes on only at an engine of the software version that began it. Placement counted the replicas of a model over all versions: it unloaded all but one of those of a version, and when that engine crashed its streams had nowhere to go on.

While engines that stay have several versions, a version with one replica of a model gets a second where memory is free, loads prefer versions that have the model, and an unload leaves a lone replica only for a model that has none, is asked for more and finds no other room. With one version plans are as before, and so are those of the product's controller, which states none.

--- a/lib/pkg/rlbplacement/demand.go
+++ b/lib/pkg/rlbplacement/demand.go
@@ -96,7 +96,7 @@
 		if e.Leaving || e.Frozen || !matchesRole(e, m.Role) || holds(e, m.Name, m.Version) {
 			continue
 		}
-		chosen, _, enough := p.chooseVictims(e, m.Memory, p.readyReplicas)
+		chosen, _, enough := p.chooseVictims(e, m.Memory, p.readyReplicas, 0)
 		if !enough || len(chosen) != 1 || chosen[0].Name == m.Name {
 			continue
 		}
@@ -107,7 +107,7 @@
 	if best < 0 {
 		return false
 	}
-	chosen, _, _ := p.chooseVictims(p.engines[best], m.Memory, p.readyReplicas)
+	chosen, _, _ := p.chooseVictims(p.engines[best], m.Memory, p.readyReplicas, 0)
 	p.unload(best, chosen[0], true, "makes room for "+m.Name)
 	p.reserve(best, m)
 	return true
--- a/lib/pkg/rlbplacement/eviction.go
+++ b/lib/pkg/rlbplacement/eviction.go
@@ -11,33 +11,41 @@
 
 // makeRoom frees memory for a model that fits on no engine, unless unloads under
 // way already do: it unloads replicas of models that have others, or else first
-// loads a second replica of some model on another engine.
+// loads a second replica of some model on another engine. If there is no other way, an
+// unload may leave a lone replica of a software version, if it is of a model with less demand.
 func (p *planner) makeRoom(m rlbnote.Model) {
 	if !p.allowSearch() || p.reservePendingUnload(m) {
 		return
 	}
+	if p.unloadFor(m, 0) || p.fitsAfterLoads(m) || p.loadElsewhere(m) || p.pairedSoftware == nil {
+		return
+	}
+	p.unloadFor(m, p.in.Demand[m.Name])
+}
+
+// unloadFor unloads replicas of models that have others, where that costs least, to make room
+// for a model. It reports whether there is an engine on which that suffices.
+func (p *planner) unloadFor(m rlbnote.Model, loneBelow float64) bool {
 	best, cost := -1, 0.0
 	var victims []rlbengine.Resident
 	for i, e := range p.engines {
 		if e.Frozen || !couldHold(e, m) {
 			continue
 		}
-		chosen, victimCost, enough := p.chooseVictims(e, m.Memory, p.readyReplicas)
+		chosen, victimCost, enough := p.chooseVictims(e, m.Memory, p.readyReplicas, loneBelow)
 		victimCost += p.unloadCost(e)
 		if enough && (best < 0 || victimCost < cost) {
 			best, cost, victims = i, victimCost, chosen
 		}
 	}
 	if best < 0 {
-		if !p.fitsAfterLoads(m) {
-			p.loadElsewhere(m)
-		}
-		return
+		return false
 	}
 	for _, r := range victims {
 		p.unload(best, r, true, "makes room for "+m.Name)
 	}
 	p.reserve(best, m)
+	return true
 }
 
 // reservePendingUnload looks for an engine on which unloads under way free enough
@@ -71,10 +79,11 @@
 
 // chooseVictims returns the residents of an engine to unload for need bytes, the
 // lowest removal cost first, their total cost, and whether they free enough. Only
-// models with more than one replica by the given count are evicted.
-func (p *planner) chooseVictims(e Engine, need rlbunit.Bytes, replicas func(rlbnote.Model) int) (chosen []rlbengine.Resident, cost float64, enough bool) {
+// models with more than one replica by the given count are evicted, and of those with a demand of
+// at least loneBelow none that leaves a lone replica of a software version.
+func (p *planner) chooseVictims(e Engine, need rlbunit.Bytes, replicas func(rlbnote.Model) int, loneBelow float64) (chosen []rlbengine.Resident, cost float64, enough bool) {
 	missing := need - freeMemory(e) - unloadingMemory(e)
-	candidates := p.redundantReplicas(e, replicas)
+	candidates := p.redundantReplicas(e, replicas, loneBelow)
 	for _, r := range candidates {
 		if missing <= 0 {
 			break
@@ -88,11 +97,11 @@
 
 // redundantReplicas returns the ready replicas on an engine whose models have other
 // replicas, by increasing removal cost.
-func (p *planner) redundantReplicas(e Engine, replicas func(rlbnote.Model) int) []rlbengine.Resident {
+func (p *planner) redundantReplicas(e Engine, replicas func(rlbnote.Model) int, loneBelow float64) []rlbengine.Resident {
 	var all []rlbengine.Resident
 	for _, r := range e.Residents {
 		m, inForce := p.in.Note.Models[r.Name]
-		if inForce && m.Version == r.Version && r.Phase == rlbengine.PhaseReady && replicas(m) > 1 {
+		if inForce && m.Version == r.Version && r.Phase == rlbengine.PhaseReady && replicas(m) > 1 && (p.in.Demand[r.Name] < loneBelow || !p.leavesLone(e, r)) {
 			all = append(all, r)
 		}
 	}
@@ -107,15 +116,15 @@
 		if !couldHold(e, m) {
 			return false
 		}
-		_, _, enough := p.chooseVictims(e, m.Memory, p.replicas)
+		_, _, enough := p.chooseVictims(e, m.Memory, p.replicas, 0)
 		return enough
 	})
 }
 
 // loadElsewhere prepares an eviction for m. On an engine that m could use, it picks
 // a model without other replicas and loads a second one on another engine, so that
-// the first can be unloaded later.
-func (p *planner) loadElsewhere(m rlbnote.Model) {
+// the first can be unloaded later. It reports whether it does.
+func (p *planner) loadElsewhere(m rlbnote.Model) bool {
 	for _, e := range p.engines {
 		if e.Frozen || !couldHold(e, m) {
 			continue
@@ -127,8 +136,9 @@
 			}
 			if to := p.bestEngine(other); to >= 0 {
 				p.load(to, other, "moves away for "+m.Name)
-				return
+				return true
 			}
 		}
 	}
+	return false
 }
--- a/lib/pkg/rlbplacement/plan.go
+++ b/lib/pkg/rlbplacement/plan.go
@@ -21,11 +21,16 @@
 	models       []modelDemand             // in force, by decreasing demand
 	counts       map[string]*replicaCounts // by model in force
 	searchesLeft int                       // for replicas to evict
+	// pairedSoftware holds the software versions of at least two engines; nil: there is one.
+	pairedSoftware map[string]bool
 }
 
 // replicaCounts counts the replicas of a model's version in force on engines that
 // are not leaving. Those on silent engines are present, not ready.
-type replicaCounts struct{ present, ready, silent int }
+type replicaCounts struct {
+	present, ready, silent int
+	bySoftware             map[string]int // present ones by the software version of their engines; nil: there is one version
+}
 
 // defaultSearches limits the searches for replicas to evict in one plan if
 // Opts.Searches is 0. The weight store allows no more loads than this before the
@@ -40,13 +45,18 @@
 	p.placeMissing()
 	p.scaleToDemand()
 	p.addSpareReplicas()
+	p.pairLoneReplicas()
 	return p.proposals
 }
 
 func newPlanner(in Input, opts Opts) *planner {
 	p := &planner{in: in, opts: opts, engines: slices.Clone(in.Engines), models: modelsByDemand(in), counts: map[string]*replicaCounts{}, searchesLeft: cmp.Or(opts.Searches, defaultSearches)}
+	p.pairedSoftware = pairedSoftware(p.engines)
 	for name := range in.Note.Models {
 		p.counts[name] = &replicaCounts{}
+		if p.pairedSoftware != nil {
+			p.counts[name].bySoftware = map[string]int{}
+		}
 	}
 	for i := range p.engines {
 		e := &p.engines[i]
@@ -69,6 +79,9 @@
 		return
 	}
 	p.counts[r.Name].present += delta
+	if p.pairedSoftware != nil {
+		p.counts[r.Name].bySoftware[e.Software] += delta
+	}
 	if r.Phase == rlbengine.PhaseReady && !e.Silent {
 		p.counts[r.Name].ready += delta
 	}
@@ -136,19 +149,27 @@
 func freeMemory(e Engine) rlbunit.Bytes { return e.Memory - e.Reserved }
 
 // bestEngine returns the index of the best engine to load the model on, or -1 if
-// none can: engines with a local copy first, then failure domains with the fewest
-// replicas, then the most free memory.
+// none can: engines with a local copy first, then software versions that have the model,
+// then failure domains with the fewest replicas, then the most free memory.
 func (p *planner) bestEngine(m rlbnote.Model) int {
+	return p.bestEngineOf(m, func(Engine) bool { return true })
+}
+
+// bestEngineOf is bestEngine among the engines that a function allows.
+func (p *planner) bestEngineOf(m rlbnote.Model, allowed func(Engine) bool) int {
 	best := -1
-	inDomain := p.replicasPerDomain(m)
+	placed := replicasBy{p.counts[m.Name].bySoftware, p.replicasPerDomain(m)}
 	for i, e := range p.engines {
-		if p.canLoad(e, m) && (best < 0 || betterTarget(e, p.engines[best], m.Name, inDomain)) {
+		if allowed(e) && p.canLoad(e, m) && (best < 0 || betterTarget(e, p.engines[best], m.Name, placed)) {
 			best = i
 		}
 	}
 	return best
 }
 
+// replicasBy counts the replicas of a model.
+type replicasBy struct{ software, domain map[string]int }
+
 func (p *planner) canLoad(e Engine, m rlbnote.Model) bool {
 	present := slices.ContainsFunc(e.Residents, func(r rlbengine.Resident) bool { return r.Name == m.Name && r.Version == m.Version })
 	return !e.Leaving && !e.Frozen && matchesRole(e, m.Role) && !present && freeMemory(e) >= m.Memory
@@ -160,11 +181,14 @@
 }
 
 // betterTarget reports whether a is a better engine than b to load the model on.
-func betterTarget(a, b Engine, model string, inDomain map[string]int) bool {
+func betterTarget(a, b Engine, model string, placed replicasBy) bool {
 	if hasCopyA, hasCopyB := slices.Contains(a.Near, model), slices.Contains(b.Near, model); hasCopyA != hasCopyB {
 		return hasCopyA
 	}
-	if inA, inB := inDomain[a.Domain], inDomain[b.Domain]; inA != inB {
+	if joinsA, joinsB := placed.software[a.Software] > 0, placed.software[b.Software] > 0; joinsA != joinsB {
+		return joinsA
+	}
+	if inA, inB := placed.domain[a.Domain], placed.domain[b.Domain]; inA != inB {
 		return inA < inB
 	}
 	if freeMemory(a) != freeMemory(b) {
@@ -204,7 +228,7 @@
 		if n := p.replicas(m); n == 0 || n >= p.opts.Replicas || p.growthLimitReached(m) {
 			continue
 		}
-		if p.loading >= min(p.opts.LoadsAtOnce, cmp.Or(p.opts.Spares, p.opts.LoadsAtOnce)) {
+		if p.spareLoadsReached() {
 			return
 		}
 		i := p.bestEngine(m)
@@ -214,6 +238,11 @@
 	}
 }
 
+// spareLoadsReached reports whether too many loads are under way for a spare replica.
+func (p *planner) spareLoadsReached() bool {
+	return p.loading >= min(p.opts.LoadsAtOnce, cmp.Or(p.opts.Spares, p.opts.LoadsAtOnce))
+}
+
 // load proposes a load on engine i, unless the weight store already serves as many
 // loads as it can at full speed.
 func (p *planner) load(i int, m rlbnote.Model, reason string) {
--- a/lib/pkg/rlbplacement/types.go
+++ b/lib/pkg/rlbplacement/types.go
@@ -17,6 +17,7 @@
 	ID        string
 	Domain    string
 	Role      string
+	Software  string // version of the engine's software; streams go on only at engines of the same one
 	Memory    rlbunit.Bytes
 	Reserved  rlbunit.Bytes // in use, or needed by orders that may still take effect
 	Residents []rlbengine.Resident
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -117,7 +117,7 @@
 	}
 	e := rlbplacement.Engine{
 		Frozen: !state.known || !s.takesOrders(state),
-		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Memory: modelMemory(engine), Reserved: state.usedMemory(engine), Leaving: entry.Draining,
+		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Software: entry.SoftwareVersion, Memory: modelMemory(engine), Reserved: state.usedMemory(engine), Leaving: entry.Draining,
 		Silent:   s.Silent(state.incarnation.ID),
 		InFlight: s.Load(state.incarnation.ID).InFlight,
 		Near:     slices.Concat(state.endpoint.InMemory, state.endpoint.OnDisk),
