Speed of endpoints and one priority of streams are taken out again

They were built for streams that pause at slow or full engines.

Their tests go with them; all other tests stay as they were.

--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
 // Initial values and weights of moving averages.
@@ -27,12 +26,11 @@
 	stats        map[string]*endpointStats // by endpoint ID
 	serviceTimes map[string]time.Duration  // mean time of a request, by service
 	prefillRates map[string]*prefillRate   // by service
-	paces        map[string]*servicePace   // by service
 }
 
 // New returns a balancer without any load.
 func New() *Balancer {
-	return &Balancer{stats: map[string]*endpointStats{}, serviceTimes: map[string]time.Duration{}, prefillRates: map[string]*prefillRate{}, paces: map[string]*servicePace{}}
+	return &Balancer{stats: map[string]*endpointStats{}, serviceTimes: map[string]time.Duration{}, prefillRates: map[string]*prefillRate{}}
 }
 
 // Begin records that a request is sent to an endpoint. The returned function
@@ -123,9 +121,6 @@
 		if s.reportsFailure(now) {
 			load.FailureReports = 1
 		}
-		if step := s.step.Fresh(now); step > 0 {
-			load.Steps = rlbpace.Reports{Sum: step, Count: 1}
-		}
 		if load.InFlight > 0 || load.FailureReports > 0 {
 			yield(id, load)
 		}
@@ -160,13 +155,7 @@
 	default:
 		serviceTime = initialPlainServiceTime
 	}
-	c := Capacity{Slots: e.Slots, ServiceTime: serviceTime, Engine: engine, PrefillRate: b.prefillRate(e.Service).tokensPerMS()}
-	if engine {
-		c.Speed = b.speed(e)
-		c.PrefillRate *= c.Speed
-		c.ServiceTime = c.slowed(serviceTime)
-	}
-	return c
+	return Capacity{Slots: e.Slots, ServiceTime: serviceTime, Engine: engine, PrefillRate: b.prefillRate(e.Service).tokensPerMS()}
 }
 
 // prefillRate returns the prefill rate of the engines of a service. b.mu is held.
@@ -182,10 +171,10 @@
 // RecordPrefill records how long the first event of an answer took, and how many prompt
 // tokens the engine had to read before it, with those of the request itself. Answers that
 // had to wait for a slot must not be recorded.
-func (b *Balancer) RecordPrefill(e *rlbdeployment.Endpoint, tokens int, took time.Duration) {
+func (b *Balancer) RecordPrefill(service string, tokens int, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.prefillRate(e.Service).record(int(float64(tokens)/b.speed(e)), took)
+	b.prefillRate(service).record(tokens, took)
 }
 
 // LoadVersion returns a number that increases with each change of this instance's load.
--- a/lib/pkg/rlbbalancer/balancer_test.go
+++ b/lib/pkg/rlbbalancer/balancer_test.go
@@ -143,7 +143,7 @@
 func TestCapacity(t *testing.T) {
 	Convey("the service time is a moving average over successful requests, by service", t, func() {
 		balancer, e := New(), &rlbdeployment.Endpoint{ID: "e", Service: "s", Slots: 12}
-		So(balancer.Capacity(e, true), ShouldResemble, Capacity{Slots: 12, ServiceTime: initialEngineServiceTime, Engine: true, PrefillRate: initialPrefillRate, Speed: 1})
+		So(balancer.Capacity(e, true), ShouldResemble, Capacity{Slots: 12, ServiceTime: initialEngineServiceTime, Engine: true, PrefillRate: initialPrefillRate})
 		So(balancer.Capacity(e, false).ServiceTime, ShouldEqual, initialPlainServiceTime)
 		end := func(outcome Outcome, took time.Duration) {
 			balancer.Begin(e, RequestLoad{})
--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
 // Times for which other endpoints are preferred to one that failed.
@@ -28,7 +27,6 @@
 
 // endpointStats holds the load and recent failures of one endpoint incarnation.
 type endpointStats struct {
-	service       string
 	startedAt     time.Time // start of the incarnation
 	inFlight      int
 	urgent        int     // in-flight requests of the highest priority
@@ -41,9 +39,7 @@
 	mismatched    *rlbdeployment.Endpoint // entry that the endpoint did not match
 	mismatchUntil time.Time
 	holdOff       holdOff
-	unanswered    int              // requests in flight whose answer has not begun
-	step          rlbpace.StepTime // as seen by this instance
-	peerStep      time.Duration    // time of a step that other instances reported last; 0: none did
+	unanswered    int // requests in flight whose answer has not begun
 }
 
 // statsOf returns the stats of an endpoint. When the endpoint has restarted, it resets
@@ -51,12 +47,11 @@
 func (b *Balancer) statsOf(e *rlbdeployment.Endpoint) *endpointStats {
 	s := b.stats[e.ID]
 	if s == nil {
-		s = &endpointStats{service: e.Service, startedAt: e.StartedAt}
+		s = &endpointStats{startedAt: e.StartedAt}
 		b.stats[e.ID] = s
 	}
 	if e.StartedAt.After(s.startedAt) {
 		s.startedAt, s.slowShare, s.failures, s.backoffUntil, s.noAnswerUntil, s.refusedUntil, s.holdOff = e.StartedAt, 0, 0, time.Time{}, time.Time{}, nil, holdOff{}
-		s.step, s.peerStep = rlbpace.StepTime{}, 0
 	}
 	if s.mismatched != nil && s.mismatched != e {
 		s.mismatched = nil // the entry has changed
--- a/lib/pkg/rlbbalancer/load.go
+++ b/lib/pkg/rlbbalancer/load.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
 // CrossDomainCost is the cost of an endpoint in another failure domain.
@@ -24,12 +22,11 @@
 
 // Load is the load of an endpoint.
 type Load struct {
-	InFlight       int             // requests in flight
-	Urgent         int             // in-flight requests of the highest priority
-	UnreadTokens   int             // prompt tokens of requests whose answer has not begun
-	SlowShare      float64         // moving share of streams that paused longer than their route allows
-	FailureReports int             // instances that got no answer from the endpoint or found that it does not match its entry
-	Steps          rlbpace.Reports // times of a decoding step that instances have seen lately
+	InFlight       int     // requests in flight
+	Urgent         int     // in-flight requests of the highest priority
+	UnreadTokens   int     // prompt tokens of requests whose answer has not begun
+	SlowShare      float64 // moving share of streams that paused longer than their route allows
+	FailureReports int     // instances that got no answer from the endpoint or found that it does not match its entry
 }
 
 // Capacity describes how fast an endpoint can serve requests.
@@ -38,15 +35,6 @@
 	ServiceTime time.Duration // mean time of a request
 	Engine      bool          // a model engine, which prefills the prompt before the answer begins
 	PrefillRate float64       // of an engine, in prompt tokens per millisecond
-	Speed       float64       // of an engine, compared to its service; 0 counts as 1
-}
-
-// slowed returns how long the endpoint takes for work that takes the service d.
-func (c Capacity) slowed(d time.Duration) time.Duration {
-	if c.Speed <= 0 {
-		return d
-	}
-	return time.Duration(float64(d) / c.Speed)
 }
 
 // Add returns the sum of two loads.
@@ -54,7 +42,6 @@
 	return Load{
 		InFlight: l.InFlight + other.InFlight, Urgent: l.Urgent + other.Urgent, UnreadTokens: l.UnreadTokens + other.UnreadTokens,
 		SlowShare: max(l.SlowShare, other.SlowShare), FailureReports: l.FailureReports + other.FailureReports,
-		Steps: l.Steps.Add(other.Steps),
 	}
 }
 
@@ -91,7 +78,7 @@
 // It always uses the wait of a request that is not urgent: an urgent request
 // would avoid that wait only by making another request wait instead.
 func (l Load) Cost(c Capacity, sameDomain bool) time.Duration {
-	cost := l.Wait(c, false) + l.prefillCost() + c.slowed(time.Duration(l.InFlight)*costPerRequest)
+	cost := l.Wait(c, false) + l.prefillCost() + time.Duration(l.InFlight)*costPerRequest
 	if !sameDomain {
 		cost += CrossDomainCost
 	}
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -58,7 +58,6 @@
 	Wait      time.Duration           // expected time until the answer begins
 	Ahead     int                     // prompt tokens of other requests that are unread at the endpoint
 	Queued    bool                    // the request must wait for a slot
-	Speed     float64                 // of the endpoint compared to its service, see Capacity
 	Unhealthy bool                    // only unhealthy endpoints fit
 	// HeldOffUntil is the soonest time at which an endpoint that fits wants requests again,
 	// if Endpoint is nil because each of them is held off; zero otherwise.
@@ -71,7 +70,6 @@
 func (b *Balancer) Pick(now time.Time, all []*rlbdeployment.Endpoint, req Requirements) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.learnPace(now, all, req.OtherLoad)
 	var best Choice
 	var bestCost time.Duration
 	var heldOffUntil time.Time
@@ -86,7 +84,7 @@
 		}
 		load := stats.load().Add(req.OtherLoad(e.ID))
 		capacity := b.capacity(e, req.Model != "")
-		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Ahead: load.UnreadTokens, Speed: capacity.Speed, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
+		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Ahead: load.UnreadTokens, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
 		cost := load.Cost(capacity, true) + req.distance(e) + rand.N(tieBreakJitter)
 		if req.ExtraCost != nil {
 			cost += req.ExtraCost(e.ID)
--- a/lib/pkg/rlbbalancer/prefill_rate_test.go
+++ b/lib/pkg/rlbbalancer/prefill_rate_test.go
@@ -18,7 +18,7 @@
 		for range answers {
 			tokens := 200 + random.IntN(6000)
 			ms := (20 + float64(tokens)/rate) * (0.8 + 0.4*random.Float64())
-			b.RecordPrefill(e, tokens, time.Duration(ms*float64(time.Millisecond)))
+			b.RecordPrefill("s", tokens, time.Duration(ms*float64(time.Millisecond)))
 		}
 	}
 	for _, rate := range []float64{8, 19, 38, 150} {
@@ -36,14 +36,14 @@
 	Convey("Prompts of nearly the same length leave the initial rate", t, func() {
 		b := New()
 		for n := range 3000 {
-			b.RecordPrefill(e, 1000+n%5, time.Duration(30+n%5*8)*time.Millisecond)
+			b.RecordPrefill("s", 1000+n%5, time.Duration(30+n%5*8)*time.Millisecond)
 		}
 		So(b.Capacity(e, true).PrefillRate, ShouldAlmostEqual, initialPrefillRate, 1)
 	})
 	Convey("Times that do not depend on the tokens give a bounded rate", t, func() {
 		b := New()
 		for n := range 2000 {
-			b.RecordPrefill(e, 100+n%7*500, 30*time.Millisecond)
+			b.RecordPrefill("s", 100+n%7*500, 30*time.Millisecond)
 		}
 		So(b.Capacity(e, true).PrefillRate, ShouldBeLessThanOrEqualTo, maxPrefillRate)
 		So(b.Capacity(&rlbdeployment.Endpoint{Service: "other"}, true).PrefillRate, ShouldEqual, initialPrefillRate)
--- a/lib/pkg/rlbdeployment/config.go
+++ b/lib/pkg/rlbdeployment/config.go
@@ -89,7 +89,6 @@
 	Memory         rlbunit.Bytes
 	AdapterSlots   int
 	LoadsPerSecond float64 // limit of the weight store for all endpoints together
-	EventTokens    int     // tokens in one event of a stream; 0: not stated
 	Models         map[string]Model
 }
 
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -270,12 +270,11 @@
 	a.view.ApplyRemoved(removed, sourcePeer)
 }
 
-// tidy forgets what concerns endpoints that are gone, and counts the slow ones of the others.
+// tidy forgets what concerns endpoints that are gone.
 func (a *app) tidy() {
 	a.proxy.LogQuarantine()
 	snapshot := a.view.Snapshot()
 	a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
-	metrics.GetOrRegisterGauge("endpoints_slow", a.registry).Update(int64(a.balancer.SlowEndpoints()))
 }
 
 func (a *app) sweep(ctx context.Context) {
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -11,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 )
 
 // Digest is the state that an instance publishes within its failure domain.
@@ -60,13 +59,8 @@
 	UnreadTokens   uint32 `msgpack:"u,omitempty"` // prompt tokens of requests without a first token
 	SlowPercent    uint8  `msgpack:"s,omitempty"` // percentage of the latest streams with a pause that was too long
 	FailureReports uint8  `msgpack:"d,omitempty"` // instances that got no answer from the endpoint or found that it does not match its entry
-	Step           uint16 `msgpack:"t,omitempty"` // mean time of a decoding step as instances saw it, in stepUnit
-	StepReports    uint8  `msgpack:"n,omitempty"` // number of these instances
 }
 
-// stepUnit is the unit of the time of a decoding step in digests.
-const stepUnit = 10 * time.Microsecond
-
 // NewLoad converts a load to the form in digests; values out of range are clamped.
 func NewLoad(l rlbbalancer.Load) Load {
 	return Load{
@@ -75,17 +69,12 @@
 		UnreadTokens:   uint32(min(max(l.UnreadTokens, 0), math.MaxUint32)),
 		SlowPercent:    uint8(100 * min(max(l.SlowShare, 0), 1)),
 		FailureReports: uint8(min(max(l.FailureReports, 0), math.MaxUint8)),
-		Step:           uint16(min(max(l.Steps.Mean()/stepUnit, 0), math.MaxUint16)),
-		StepReports:    uint8(min(max(l.Steps.Count, 0), math.MaxUint8)),
 	}
 }
 
 // balancerLoad converts a load from the form in digests.
 func (l Load) balancerLoad() rlbbalancer.Load {
-	return rlbbalancer.Load{
-		InFlight: int(l.InFlight), Urgent: int(l.Urgent), UnreadTokens: int(l.UnreadTokens), SlowShare: float64(l.SlowPercent) / 100, FailureReports: int(l.FailureReports),
-		Steps: rlbpace.Reports{Sum: time.Duration(l.Step) * stepUnit * time.Duration(l.StepReports), Count: int(l.StepReports)},
-	}
+	return rlbbalancer.Load{InFlight: int(l.InFlight), Urgent: int(l.Urgent), UnreadTokens: int(l.UnreadTokens), SlowShare: float64(l.SlowPercent) / 100, FailureReports: int(l.FailureReports)}
 }
 
 // Summary is the state that the delegate of a failure domain publishes for the domain.
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -8,7 +8,6 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbpace"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -29,17 +28,6 @@
 		So(f.Load(now, EndpointKey("e")), ShouldResemble, rlbbalancer.Load{InFlight: 3, UnreadTokens: 100, SlowShare: 0.5})
 		So(f.Demand(now), ShouldResemble, map[string]float64{"m": 3})
 		So(f.IsDelegate(now, func(Digest) bool { return true }), ShouldBeTrue)
-		Convey("the times of a decoding step that instances saw are averaged over the instances, also by way of a summary", func() {
-			f.ApplyDigest(now, Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 6, Loads: map[uint32]Load{
-				EndpointKey("e"): NewLoad(rlbbalancer.Load{Steps: rlbpace.Reports{Sum: 8 * time.Millisecond, Count: 1}}),
-			}})
-			f.ApplySummary(now, Summary{Domain: "y", From: "c", Incarnation: 1, Sequence: 2, Loads: map[uint32]Load{
-				EndpointKey("e"): NewLoad(rlbbalancer.Load{Steps: rlbpace.Reports{Sum: 32 * time.Millisecond, Count: 2}}),
-			}})
-			So(f.Load(now, EndpointKey("e")).Steps, ShouldResemble, rlbpace.Reports{Sum: 40 * time.Millisecond, Count: 3})
-			f.ApplyDigest(now, Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 7, Loads: map[uint32]Load{EndpointKey("e"): {InFlight: 1}}})
-			So(f.Load(now, EndpointKey("e")).Steps.Mean(), ShouldEqual, 16*time.Millisecond)
-		})
 		Convey("an outdated digest, its own, or one of another domain changes nothing", func() {
 			f.ApplyDigest(now, Digest{Name: "b", Domain: "x", Incarnation: 1, Sequence: 4, LeaseHolder: &LeaseHolder{Fence: 9}})
 			f.ApplyDigest(now, Digest{Name: "a", Domain: "x", Incarnation: 9, LeaseHolder: &LeaseHolder{Fence: 9}})
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -86,7 +86,7 @@
 	}
 	best := s.pickEndpoint(req, withAdapter)
 	req.expectedWait, req.attemptStart, req.heldOffUntil = best.Wait, s.Now(), best.HeldOffUntil
-	req.tokensAhead, req.queued, req.speed = best.Ahead, best.Queued, best.Speed
+	req.tokensAhead, req.queued = best.Ahead, best.Queued
 	switch {
 	case !best.HeldOffUntil.IsZero():
 		req.reason = "all endpoints that can serve the request want none for a while"
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -1,7 +1,6 @@
 package rlbproxy
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -117,7 +116,7 @@
 	}
 	if req.model != "" {
 		fields["expected_ms"], fields["first_ms"], fields["tokens"] = req.expectedWait.Milliseconds(), req.timeToFirst.Milliseconds(), req.promptTokens
-		fields["pause_ms"], fields["speed"] = req.longestPause.Milliseconds(), math.Round(req.speed*100)/100
+		fields["pause_ms"] = req.longestPause.Milliseconds()
 	}
 	if req.route != nil && req.route.Kind == rlbdeployment.KindStream {
 		fields["software"], fields["last_event"] = req.software, req.lastEventID
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -61,7 +61,6 @@
 	expectedWait  time.Duration // expected wait for the answer to start at the endpoint chosen last
 	tokensAhead   int           // unread prompt tokens of other requests at that endpoint
 	queued        bool          // the request had to wait for a slot there
-	speed         float64       // of that endpoint compared to its service
 	attemptStart  time.Time     // of the latest attempt
 	timeToFirst   time.Duration // from attemptStart to the first event
 	firstEventAt  time.Time     // time at which the first event of the latest attempt that brought one was relayed
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -132,7 +132,7 @@
 	header.Set(rlbplatform.HeaderExpectedInstance, e.ID)
 	rlbplatform.SetTimeLeft(header, s.Now(), req.deadline)
 	if req.model != "" {
-		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(s.enginePriority(req)))
+		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(min(max(req.priority, mostUrgentPriority), leastUrgentPriority)))
 	}
 	if req.lastEventID != "" {
 		header.Set(rlbplatform.HeaderLastEventID, req.lastEventID)
@@ -151,17 +151,6 @@
 	return out
 }
 
-// enginePriority returns the priority with which an engine gets a request. Streams whose route
-// limits the gaps between events share one: an engine preempts running requests for more urgent
-// ones, and the stream that it interrupts pauses for too long. The priority of a workspace is
-// passed on as it is.
-func (s *Server) enginePriority(req *request) int {
-	if req.route.MaxEventGap > 0 && !req.workspace.HasPriority() {
-		return mostUrgentPriority
-	}
-	return min(max(req.priority, mostUrgentPriority), leastUrgentPriority)
-}
-
 // target returns the path and query of a request as its caller sent them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -9,9 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbrelay"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 	"github.com/rhubarblb/rhubarblb/rlb-gateway/pkg/rlbdispatch"
@@ -75,8 +73,8 @@
 	req.begun, req.beganAt = true, req.software[len(req.software)-1]
 	s.recordOrigin(req)
 	req.timeToFirst = s.Now().Sub(req.attemptStart)
-	if e := s.currentEndpoint(req); e != nil && !req.queued {
-		s.Balancer.RecordPrefill(e, req.tokensAhead+req.promptTokens, req.timeToFirst)
+	if !req.queued {
+		s.Balancer.RecordPrefill(req.service, req.tokensAhead+req.promptTokens, req.timeToFirst)
 	}
 	req.exchange.MarkAnswering()
 	copyHeader(w.Header(), in.Header)
@@ -104,30 +102,9 @@
 	if !req.lastEventAt.IsZero() {
 		req.longestPause = max(req.longestPause, now.Sub(req.lastEventAt))
 	}
-	s.recordGap(req, now)
 	req.lastEventAt = now
 }
 
-// recordGap reports to the balancer the gap between two events of the latest attempt, if the
-// engine's config states how many tokens an event holds.
-func (s *Server) recordGap(req *request, now time.Time) {
-	if !req.lastEventAt.After(req.attemptStart) {
-		return
-	}
-	engine := req.snapshot.Config.Services[req.service].Engine
-	if engine == nil || engine.EventTokens == 0 {
-		return
-	}
-	if e := s.currentEndpoint(req); e != nil {
-		s.Balancer.RecordGap(now, e, now.Sub(req.lastEventAt), engine.EventTokens)
-	}
-}
-
-// currentEndpoint returns the endpoint of the latest attempt, or nil if it was removed.
-func (s *Server) currentEndpoint(req *request) *rlbdeployment.Endpoint {
-	return s.View.Snapshot().ByID[req.tried[len(req.tried)-1]]
-}
-
 func (s *Server) writeEvent(w io.Writer, flusher *http.ResponseController, event rlbrelay.Event, more bool) error {
 	if _, err := w.Write(event.Raw); err != nil {
 		return err
@@ -146,7 +123,7 @@
 	if !req.firstEventAt.IsZero() {
 		s.durations.record(req, req.firstEventAt.Sub(req.arrived), s.Now().Sub(req.arrived))
 	}
-	if e := s.currentEndpoint(req); e != nil {
+	if e := s.View.Snapshot().ByID[req.tried[len(req.tried)-1]]; e != nil {
 		s.Balancer.RecordStream(e, req.route.MaxEventGap > 0 && req.longestPause > req.route.MaxEventGap)
 	}
 	s.logEnd(req, status, "answer relayed")
