Tests of the scheduler read its state without a race

Cause: three tests read or wrote the scheduler's state and the demand of the test fleet after time.Sleep in a synctest bubble, which orders nothing for the race detector, while Scheduler.Run of the same bubble may be in a tick. The code of the product was not at fault: it holds its mutex. Change: synctest.Wait before each of these accesses. The checks are as before.

--- a/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
+++ b/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
@@ -76,6 +76,7 @@
 			t.Error("the restarted endpoint counts as not serving the model in its entry")
 		}
 		time.Sleep(2 * tickInterval)
+		synctest.Wait()
 		if !s.states["e1"].sameIncarnation(s.View.Snapshot().ByID["e1"]) {
 			t.Error("the state of the earlier incarnation is still used")
 		}
--- a/rlb-node/pkg/rlbscheduler/unloads_test.go
+++ b/rlb-node/pkg/rlbscheduler/unloads_test.go
@@ -22,6 +22,7 @@
 		f := newTestFleet(t, "e1", "e2", "e3")
 		s := f.start(t.Context(), "a")
 		time.Sleep(30 * time.Second) // until n and o have replicas
+		synctest.Wait()
 		f.demand["n"] = 100
 		var announced time.Time
 		for end := time.Now().Add(time.Minute); time.Now().Before(end) && len(unloadOrders(f, "m")) == 0; time.Sleep(tickInterval / 3) {
@@ -46,6 +47,7 @@
 		f := newTestFleet(t, "e1")
 		s := f.start(t.Context(), "a")
 		time.Sleep(20 * time.Second)
+		synctest.Wait()
 		state := s.states["e1"]
 		state.mu.Lock()
 		s.announceUnload(state, "m", "test")
