An adapter is found at its endpoint while that one loads another model

What callers saw: 'no endpoint with the model takes the adapter now' (503) for some seconds, though a replica had the adapter loaded and served it. Cause: Scheduler.candidate left out every endpoint with an order for a model in progress. Only a new adapter cannot be ordered meanwhile; what is loaded is served, as the engine says. The instances' own cache hid it for adapters that they had asked for before. Change: such an endpoint stays a candidate for the adapters that it holds. orderAdapter still refuses to load one there. Test: TestAdapterAtAnEndpointThatLoadsAModel failed before ('a loaded adapter is found at []'), passes now; rlbscheduler's tests pass.

--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -175,14 +175,15 @@
 // candidate returns an endpoint as a candidate and whether it can serve the model. The
 // caller holds state.mu.
 func (s *Scheduler) candidate(state *endpointState, entry *rlbdeployment.Endpoint, engine *rlbdeployment.Engine, q rlbpeer.AdapterQuery) (c candidate, usable bool) {
-	if !state.known || !state.canServe(q.Model) || state.inProgress() {
+	if !state.known || !state.canServe(q.Model) {
 		return candidate{}, false
 	}
 	c = candidate{state: state, cost: s.Cost(entry, q.Domain) + s.slotCost(state, engine)}
 	if a := state.models[q.Model].adapters[q.Adapter]; a != nil {
 		c.readyAt = later(a.readyAt, time.Unix(1, 0)) // not zero, also if the adapter is ready
+		return c, true
 	}
-	return c, true
+	return c, !state.inProgress() // an order for a model rules out others, but what is loaded is served
 }
 
 // slotCost returns the cost of freeing an adapter slot, or 0 if one is free. It is
