Late requests: who misses its target waits at the engine behind all others

Cause: a model that turns hot has one or two engines for the seconds that further replicas take to load. Change: rlbadmission decides who is in time, late or refused. A late request goes to the engine with the shortest wait, with a priority behind all in time, for two targets and a quarter of the caller's time at most. Instances tell each other how many wait (one optional number in digests), and do not count them for requests in time. It acts only on routes that may be repeated, at services whose routes have three priorities or more, and not on the least or the most urgent of these.

--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -41,17 +41,15 @@
 	defer b.mu.Unlock()
 	s := b.statsOf(e)
 	s.inFlight++
-	s.unanswered++
 	b.loadVersion++
-	s.unreadTokens += load.PromptTokens
+	s.addUnread(load, 1)
 	if load.Urgent {
 		s.urgent++
 	}
 	return sync.OnceFunc(func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		s.unanswered--
-		s.unreadTokens -= load.PromptTokens
+		s.addUnread(load, -1)
 		b.loadVersion++
 	})
 }
--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -30,7 +30,8 @@
 	startedAt     time.Time // start of the incarnation
 	inFlight      int
 	urgent        int     // in-flight requests of the highest priority
-	unreadTokens  int     // prompt tokens of requests whose answer has not begun
+	lateWaiting   int     // late requests whose answer has not begun
+	unreadTokens  int     // prompt tokens of requests whose answer has not begun, without the late ones
 	slowShare     float64 // moving share of streams that paused for too long
 	failures      int     // consecutive
 	backoffUntil  time.Time
@@ -76,6 +77,17 @@
 	return now.Before(s.backoffUntil) || s.hasMismatch(now)
 }
 
+// addUnread counts a request whose answer has not begun; sign is -1 once it has. The prompt of a
+// late request is read after those of the others, and does not count for them.
+func (s *endpointStats) addUnread(load RequestLoad, sign int) {
+	s.unanswered += sign
+	if load.Late {
+		s.lateWaiting += sign
+		return
+	}
+	s.unreadTokens += sign * load.PromptTokens
+}
+
 func (s *endpointStats) load() Load {
-	return Load{InFlight: s.inFlight, Urgent: s.urgent, UnreadTokens: s.unreadTokens, SlowShare: s.slowShare}
+	return Load{InFlight: s.inFlight, Urgent: s.urgent, LateWaiting: s.lateWaiting, UnreadTokens: s.unreadTokens, SlowShare: s.slowShare}
 }
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -33,6 +33,7 @@
 	Domain    string                             // failure domain of this instance
 	Model     string                             // MODEL, or MODEL/ADAPTER with an adapter; empty for a plain service
 	Urgent    bool                               // highest priority
+	Late      bool                               // misses its target: the endpoint with the shortest wait for it is chosen
 	Fits      func(*rlbdeployment.Endpoint) bool // whether the endpoint can run it
 	OtherLoad func(id string) Load               // load from the other instances
 	ExtraCost func(id string) time.Duration      // added to the cost of an endpoint; nil: nothing
@@ -52,6 +53,16 @@
 	}
 }
 
+// waitAndCost returns the expected wait for the request at an endpoint and the cost of sending it there,
+// without the way to it.
+func (r *Requirements) waitAndCost(load Load, c Capacity) (wait, cost time.Duration) {
+	if r.Late {
+		wait = load.LateWait(c)
+		return wait, wait
+	}
+	return load.Wait(c, r.Urgent), load.Cost(c, true)
+}
+
 // Choice is the endpoint chosen for a request.
 type Choice struct {
 	Endpoint  *rlbdeployment.Endpoint // nil if none fits
@@ -84,8 +95,9 @@
 		}
 		load := stats.load().Add(req.OtherLoad(e.ID))
 		capacity := b.capacity(e, req.Model != "")
-		c := Choice{Endpoint: e, Wait: load.Wait(capacity, req.Urgent), Ahead: load.UnreadTokens, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
-		cost := load.Cost(capacity, true) + req.distance(e) + rand.N(tieBreakJitter)
+		wait, cost := req.waitAndCost(load, capacity)
+		c := Choice{Endpoint: e, Wait: wait, Ahead: load.UnreadTokens, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
+		cost += req.distance(e) + rand.N(tieBreakJitter)
 		if req.ExtraCost != nil {
 			cost += req.ExtraCost(e.ID)
 		}
--- a/lib/pkg/rlbdeployment/config.go
+++ b/lib/pkg/rlbdeployment/config.go
@@ -122,16 +122,18 @@
 	Services map[string]Service
 	Limits   Limits
 
-	byHost     map[string][]*Route  // longest prefix first
-	workspaces map[string]Workspace // by name; nil: callers are not identified
+	byHost     map[string][]*Route      // longest prefix first
+	priorities map[string]priorityRange // of the routes, by service
+	workspaces map[string]Workspace     // by name; nil: callers are not identified
 }
 
 // NewConfig returns a config and indexes its routes by host.
 func NewConfig(version uint64, routes []Route, services map[string]Service, limits Limits) *Config {
-	c := &Config{Version: version, Services: services, Limits: limits, byHost: map[string][]*Route{}}
+	c := &Config{Version: version, Services: services, Limits: limits, byHost: map[string][]*Route{}, priorities: map[string]priorityRange{}}
 	for i := range routes {
 		r := &routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		c.addPriority(r)
 	}
 	for _, all := range c.byHost {
 		slices.SortStableFunc(all, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -56,7 +56,8 @@
 type Load struct {
 	InFlight       uint16 `msgpack:"i"`           // requests in flight
 	Urgent         uint16 `msgpack:"p,omitempty"` // requests in flight with the most urgent priority
-	UnreadTokens   uint32 `msgpack:"u,omitempty"` // prompt tokens of requests without a first token
+	LateWaiting    uint16 `msgpack:"w,omitempty"` // late requests without a first token
+	UnreadTokens   uint32 `msgpack:"u,omitempty"` // prompt tokens of the other requests without a first token
 	SlowPercent    uint8  `msgpack:"s,omitempty"` // percentage of the latest streams with a pause that was too long
 	FailureReports uint8  `msgpack:"d,omitempty"` // instances that got no answer from the endpoint or found that it does not match its entry
 }
@@ -66,6 +67,7 @@
 	return Load{
 		InFlight:       uint16(min(max(l.InFlight, 0), math.MaxUint16)),
 		Urgent:         uint16(min(max(l.Urgent, 0), math.MaxUint16)),
+		LateWaiting:    uint16(min(max(l.LateWaiting, 0), math.MaxUint16)),
 		UnreadTokens:   uint32(min(max(l.UnreadTokens, 0), math.MaxUint32)),
 		SlowPercent:    uint8(100 * min(max(l.SlowShare, 0), 1)),
 		FailureReports: uint8(min(max(l.FailureReports, 0), math.MaxUint8)),
@@ -74,7 +76,7 @@
 
 // balancerLoad converts a load from the form in digests.
 func (l Load) balancerLoad() rlbbalancer.Load {
-	return rlbbalancer.Load{InFlight: int(l.InFlight), Urgent: int(l.Urgent), UnreadTokens: int(l.UnreadTokens), SlowShare: float64(l.SlowPercent) / 100, FailureReports: int(l.FailureReports)}
+	return rlbbalancer.Load{InFlight: int(l.InFlight), Urgent: int(l.Urgent), LateWaiting: int(l.LateWaiting), UnreadTokens: int(l.UnreadTokens), SlowShare: float64(l.SlowPercent) / 100, FailureReports: int(l.FailureReports)}
 }
 
 // Summary is the state that the delegate of a failure domain publishes for the domain.
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbadmission"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 )
 
-// maxWaitPercent is the longest expected wait at an endpoint with which a request
-// is admitted, as a percentage of the target latency of its route.
-const maxWaitPercent = 90
-
 // proxy sends a request to endpoints until it is answered, refused or failed.
 func (s *Server) proxy(w http.ResponseWriter, req *request) {
 	if s.quarantined(req) {
@@ -45,6 +42,9 @@
 		req.exchange.Begin()
 		req.tried, req.software = append(req.tried, endpoint.ID), append(req.software, endpoint.SoftwareVersion)
 		req.harmless = false
+		if req.class == rlbadmission.Late {
+			s.requestMetrics.late.Inc(1)
+		}
 		var passed bool
 		if fault, passed = s.send(w, req, endpoint); passed {
 			return false
@@ -84,7 +84,7 @@
 	if !found {
 		return nil
 	}
-	best := s.pickEndpoint(req, withAdapter)
+	best := s.admit(req, withAdapter)
 	req.expectedWait, req.attemptStart, req.heldOffUntil = best.Wait, s.Now(), best.HeldOffUntil
 	req.tokensAhead, req.queued = best.Ahead, best.Queued
 	switch {
@@ -92,7 +92,7 @@
 		req.reason = "all endpoints that can serve the request want none for a while"
 	case best.Endpoint == nil:
 		req.reason = "no endpoint that can serve the request is left to try"
-	case !s.admits(req, best):
+	case req.class == rlbadmission.Refused:
 		req.reason = "expected wait " + best.Wait.String() + " at " + best.Endpoint.ID
 		req.busy = true
 		return nil
@@ -100,17 +100,22 @@
 	return best.Endpoint
 }
 
-// admits reports whether a request may be sent to the chosen endpoint. It is not
-// admitted if it would wait there for too long to meet its target latency. A
-// request whose answer has partly reached the caller, with an earlier request or with this
-// one, is always admitted.
-func (s *Server) admits(req *request, c rlbbalancer.Choice) bool {
-	return req.model == "" || req.begun || c.Wait <= s.maxWait(req)
-}
-
-// maxWait returns the longest expected wait with which a request is admitted.
-func (s *Server) maxWait(req *request) time.Duration {
-	return req.route.TargetLatency * maxWaitPercent / 100
+// admit returns the best endpoint for a request and sets the class with which it is sent there. A
+// request that would wait there for too long to meet its target latency waits as a late one where that
+// wait is shortest, or is refused. A request whose answer has partly reached the caller, with
+// an earlier request or with this one, is always admitted.
+func (s *Server) admit(req *request, withAdapter []string) rlbbalancer.Choice {
+	req.class = rlbadmission.InTime
+	best, terms := s.pickEndpoint(req, withAdapter), req.terms(s.Now())
+	if best.Endpoint == nil || req.model == "" || req.begun || terms.InTime(best.Wait) {
+		return best
+	}
+	req.class = rlbadmission.Late
+	if late := s.pickEndpoint(req, withAdapter); late.Endpoint != nil && terms.MayWait(late.Wait) {
+		return late
+	}
+	req.class = rlbadmission.Refused
+	return best
 }
 
 // pickEndpoint returns the best endpoint that was not tried yet; its Endpoint is
@@ -135,7 +140,7 @@
 		}
 		return s.Limiter.Cost(id)
 	}
-	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: cost, CrossDomainCost: s.crossDomainCosts(req)})
+	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Late: req.class == rlbadmission.Late, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: cost, CrossDomainCost: s.crossDomainCosts(req)})
 }
 
 // endpointsWithAdapter returns the endpoints on which the request's adapter is loaded.
@@ -200,7 +205,7 @@
 	case fault == rlbroute.FaultNoEndpoint && !req.heldOffUntil.IsZero():
 		return s.heldOffRefusal(req)
 	case req.busy:
-		return refuseBusy.withRetryAfter(req.expectedWait - s.maxWait(req))
+		return refuseBusy.withRetryAfter(req.terms(s.Now()).Excess(req.expectedWait))
 	case fault == rlbroute.FaultNoEndpoint:
 		return refuseNoEndpoint
 	case fault == rlbroute.FaultDeadline:
--- a/rlb-node/pkg/rlbproxy/metrics.go
+++ b/rlb-node/pkg/rlbproxy/metrics.go
@@ -14,6 +14,7 @@
 type requestMetrics struct {
 	registry       metrics.Registry
 	answersPassed  metrics.Counter
+	late           metrics.Counter   // attempts that were sent although the request misses its target
 	firstMs        metrics.Histogram // milliseconds until the first event or the whole answer
 	streamsResumed metrics.Counter
 	quarantined    metrics.Gauge   // properties of requests that are refused
@@ -24,6 +25,7 @@
 	return requestMetrics{
 		registry:       registry,
 		answersPassed:  metrics.GetOrRegisterCounter("answers_passed", registry),
+		late:           metrics.GetOrRegisterCounter("late_attempts", registry),
 		firstMs:        metrics.GetOrRegisterHistogram("first_ms", registry, metrics.NewUniformSample(sampleSize)),
 		streamsResumed: metrics.GetOrRegisterCounter("streams_resumed", registry),
 		quarantined:    metrics.GetOrRegisterGauge("quarantined_properties", registry),
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -116,7 +116,7 @@
 	}
 	if req.model != "" {
 		fields["expected_ms"], fields["first_ms"], fields["tokens"] = req.expectedWait.Milliseconds(), req.timeToFirst.Milliseconds(), req.promptTokens
-		fields["pause_ms"] = req.longestPause.Milliseconds()
+		fields["pause_ms"], fields["class"] = req.longestPause.Milliseconds(), req.class.String()
 	}
 	if req.route != nil && req.route.Kind == rlbdeployment.KindStream {
 		fields["software"], fields["last_event"] = req.software, req.lastEventID
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbadmission"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
@@ -46,29 +47,30 @@
 	arrived       time.Time
 	deadline      time.Time
 	exchange      *rlbroute.Exchange
-	harmless      bool          // the latest attempt has shown that the prompt does not crash endpoints
-	quarantineEnd time.Time     // until when requests like this one are refused; zero: they are not
-	tried         []string      // IDs of the endpoints of all attempts
-	software      []string      // software versions of these
-	begun         bool          // the caller has a part of the stream, which only endpoints of beganAt may go on with
-	beganAt       string        // software version of the endpoint that began the stream
-	limited       []string      // IDs of the endpoints whose limit ruled them out for the attempt
-	otherDomain   string        // failure domain of the endpoint of the latest attempt, if spillover counts it; empty: the own one
-	unsent        int           // number of these that could not be reached
-	lastEventID   string        // last complete event sent to the caller
-	busy          bool          // not admitted: the expected wait is too long
-	heldOffUntil  time.Time     // the soonest end if all endpoints that are left want no requests for a while; zero: not so
-	expectedWait  time.Duration // expected wait for the answer to start at the endpoint chosen last
-	tokensAhead   int           // unread prompt tokens of other requests at that endpoint
-	queued        bool          // the request had to wait for a slot there
-	attemptStart  time.Time     // of the latest attempt
-	timeToFirst   time.Duration // from attemptStart to the first event
-	firstEventAt  time.Time     // time at which the first event of the latest attempt that brought one was relayed
-	lastEventAt   time.Time     // time at which the latest event was relayed
-	longestPause  time.Duration // between two events
-	started       bool          // the caller has got a part of the answer
-	markAnswered  func()        // reports to the balancer that the endpoint's answer has started
-	reason        string        // why the latest attempt failed or was not made
+	harmless      bool               // the latest attempt has shown that the prompt does not crash endpoints
+	quarantineEnd time.Time          // until when requests like this one are refused; zero: they are not
+	tried         []string           // IDs of the endpoints of all attempts
+	software      []string           // software versions of these
+	begun         bool               // the caller has a part of the stream, which only endpoints of beganAt may go on with
+	beganAt       string             // software version of the endpoint that began the stream
+	limited       []string           // IDs of the endpoints whose limit ruled them out for the attempt
+	otherDomain   string             // failure domain of the endpoint of the latest attempt, if spillover counts it; empty: the own one
+	unsent        int                // number of these that could not be reached
+	lastEventID   string             // last complete event sent to the caller
+	class         rlbadmission.Class // with which the latest attempt was admitted
+	busy          bool               // not admitted: the expected wait is too long
+	heldOffUntil  time.Time          // the soonest end if all endpoints that are left want no requests for a while; zero: not so
+	expectedWait  time.Duration      // expected wait for the answer to start at the endpoint chosen last
+	tokensAhead   int                // unread prompt tokens of other requests at that endpoint
+	queued        bool               // the request had to wait for a slot there
+	attemptStart  time.Time          // of the latest attempt
+	timeToFirst   time.Duration      // from attemptStart to the first event
+	firstEventAt  time.Time          // time at which the first event of the latest attempt that brought one was relayed
+	lastEventAt   time.Time          // time at which the latest event was relayed
+	longestPause  time.Duration      // between two events
+	started       bool               // the caller has got a part of the answer
+	markAnswered  func()             // reports to the balancer that the endpoint's answer has started
+	reason        string             // why the latest attempt failed or was not made
 	// misdirected reports that the endpoint of the latest attempt answered 421: it
 	// is not the expected instance or has not loaded the expected model.
 	misdirected   bool
@@ -87,7 +89,21 @@
 
 // load returns the load that the request puts on an endpoint.
 func (req *request) load() rlbbalancer.RequestLoad {
-	return rlbbalancer.RequestLoad{PromptTokens: req.promptTokens, Urgent: req.priority <= mostUrgentPriority}
+	late := req.class == rlbadmission.Late
+	return rlbbalancer.RequestLoad{PromptTokens: req.promptTokens, Late: late, Urgent: !late && req.priority <= mostUrgentPriority}
+}
+
+// terms returns the limits that decide whether the request is admitted now.
+func (req *request) terms(now time.Time) rlbadmission.Terms {
+	return rlbadmission.NewTerms(now, now.Add(req.route.TargetLatency), req.deadline, req.mayBeLate())
+}
+
+// mayBeLate reports whether the request may wait at an engine although it misses its target. A
+// request that may not be repeated does not: if the engine crashes meanwhile, nobody knows whether it
+// has run. One of the most urgent routes of a service need not, as it goes first in any case, and
+// one of the least urgent is what an overloaded service refuses first.
+func (req *request) mayBeLate() bool {
+	return req.route.Retryable() && req.snapshot.Config.IntermediatePriority(req.service, req.route.Priority)
 }
 
 // readRequest reads a request, finds its route and sets its deadline and limits.
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbadmission"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbbalancer"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
@@ -19,6 +20,7 @@
 const (
 	resumableFirstEventTimeout = 1500 * time.Millisecond // of a resumable stream
 	resumableNextEventTimeout  = 1200 * time.Millisecond
+	lateAttemptDivisor         = 2 // a late stream waits its remaining time divided by this for its first event
 	idempotentAttemptDivisor   = 2 // an idempotent request waits its remaining time divided by this
 )
 
@@ -132,7 +134,8 @@
 	header.Set(rlbplatform.HeaderExpectedInstance, e.ID)
 	rlbplatform.SetTimeLeft(header, s.Now(), req.deadline)
 	if req.model != "" {
-		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(min(max(req.priority, mostUrgentPriority), leastUrgentPriority)))
+		rank := req.class.EngineRank(max(req.priority, mostUrgentPriority))
+		header.Set(rlbplatform.HeaderPriority, strconv.Itoa(min(rank, leastUrgentPriority)))
 	}
 	if req.lastEventID != "" {
 		header.Set(rlbplatform.HeaderLastEventID, req.lastEventID)
@@ -172,6 +175,8 @@
 	switch {
 	case req.route.Kind == rlbdeployment.KindIdempotent:
 		return max(left/idempotentAttemptDivisor, time.Millisecond), left
+	case req.class == rlbadmission.Late:
+		return left / lateAttemptDivisor, resumableNextEventTimeout
 	case req.route.Retryable():
 		return min(resumableFirstEventTimeout, left), resumableNextEventTimeout
 	default:
