A late stream fails over from a silent engine after twice the wait expected of it

Cause: a late stream waited half of its remaining time for its first event, 7.5 s of 15, before it tried another engine, also at one that had gone silent. Change: the limit of other resumable streams, 1.5 s, plus twice the expected wait, which is two targets at most.

--- a/rlb-node/pkg/rlbproxy/admission_test.go
+++ b/rlb-node/pkg/rlbproxy/admission_test.go
@@ -33,6 +33,7 @@
 		}
 		shouldBe := func(class rlbadmission.Class, priority string) {
 			choice := f.server.admit(req, nil)
+			req.expectedWait = choice.Wait
 			So(req.class, ShouldEqual, class)
 			if class != rlbadmission.Refused {
 				So(f.server.outgoingRequest(req, choice.Endpoint).Header.Get("X-Request-Priority"), ShouldEqual, priority)
@@ -46,7 +47,7 @@
 			others.InFlight = 4
 			shouldBe(rlbadmission.Late, "6")
 			first, _ := f.server.silenceTimeouts(req)
-			So(first, ShouldBeGreaterThan, resumableFirstEventTimeout)
+			So(first, ShouldEqual, resumableFirstEventTimeout+lateWaitFactor*time.Second)
 		})
 		Convey("late requests that wait at the engine do not make the next one late", func() {
 			others.InFlight, others.LateWaiting = 6, 3
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -20,7 +20,7 @@
 const (
 	resumableFirstEventTimeout = 1500 * time.Millisecond // of a resumable stream
 	resumableNextEventTimeout  = 1200 * time.Millisecond
-	lateAttemptDivisor         = 2 // a late stream waits its remaining time divided by this for its first event
+	lateWaitFactor             = 2 // a late stream may wait for its first event longer than others by this many times what it expects
 	idempotentAttemptDivisor   = 2 // an idempotent request waits its remaining time divided by this
 )
 
@@ -176,7 +176,7 @@
 	case req.route.Kind == rlbdeployment.KindIdempotent:
 		return max(left/idempotentAttemptDivisor, time.Millisecond), left
 	case req.class == rlbadmission.Late:
-		return left / lateAttemptDivisor, resumableNextEventTimeout
+		return min(resumableFirstEventTimeout+lateWaitFactor*req.expectedWait, left), resumableNextEventTimeout
 	case req.route.Retryable():
 		return min(resumableFirstEventTimeout, left), resumableNextEventTimeout
 	default:
