Adapters spread to endpoints that take orders, and only then to busy ones

Cause: with an endpoint that loads a model stayed the answer for the adapters that it holds, so that no second endpoint loaded them meanwhile. Change: such endpoints are named only when no other one has or takes the adapter, in place of a refusal. Test: TestAdapterAtAnEndpointThatLoadsAModel holds as before.

--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -102,6 +102,9 @@
 			return rlbpeer.Reply{Endpoints: []string{c.state.incarnation.ID}}
 		}
 	}
+	if ids := s.busyHolders(snapshot, q); len(ids) > 0 {
+		return rlbpeer.Reply{Endpoints: ids}
+	}
 	return rlbpeer.Reply{Reason: "no endpoint with the model takes the adapter now"}
 }
 
@@ -175,15 +178,30 @@
 // candidate returns an endpoint as a candidate and whether it can serve the model. The
 // caller holds state.mu.
 func (s *Scheduler) candidate(state *endpointState, entry *rlbdeployment.Endpoint, engine *rlbdeployment.Engine, q rlbpeer.AdapterQuery) (c candidate, usable bool) {
-	if !state.known || !state.canServe(q.Model) {
+	if !state.known || !state.canServe(q.Model) || state.inProgress() {
 		return candidate{}, false
 	}
 	c = candidate{state: state, cost: s.Cost(entry, q.Domain) + s.slotCost(state, engine)}
 	if a := state.models[q.Model].adapters[q.Adapter]; a != nil {
 		c.readyAt = later(a.readyAt, time.Unix(1, 0)) // not zero, also if the adapter is ready
-		return c, true
 	}
-	return c, !state.inProgress() // an order for a model rules out others, but what is loaded is served
+	return c, true
+}
+
+// busyHolders returns the endpoints that serve a loaded adapter while another model is loaded
+// or unloaded there. They are no candidates: adapters should spread to endpoints that take orders.
+func (s *Scheduler) busyHolders(snapshot *rlbdiscovery.Snapshot, q rlbpeer.AdapterQuery) (ids []string) {
+	for _, state := range s.serviceStates(snapshot, q.Service) {
+		entry := snapshot.ByID[state.incarnation.ID]
+		if entry == nil || entry.Draining || s.Silent(entry.ID) || slices.Contains(q.Avoid, entry.ID) || !state.mu.TryLock() {
+			continue
+		}
+		if state.known && state.inProgress() && state.holdsAdapter(q.Model, q.Adapter, s.now()) {
+			ids = append(ids, entry.ID)
+		}
+		state.mu.Unlock()
+	}
+	return ids
 }
 
 // slotCost returns the cost of freeing an adapter slot, or 0 if one is free. It is
--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -250,6 +250,15 @@
 	return total, fetching
 }
 
+// holdsAdapter reports whether a model that can serve has an adapter loaded.
+func (s *endpointState) holdsAdapter(model, adapter string, now time.Time) bool {
+	if !s.canServe(model) {
+		return false
+	}
+	a := s.models[model].adapters[adapter]
+	return a != nil && !a.readyAt.After(now)
+}
+
 // lruAdapter returns the least recently used adapter.
 func (s *endpointState) lruAdapter() (modelName, name string, lastUsed time.Time) {
 	for m, held := range s.models {
