--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 	"late-order": playLateOrder,
 	"refusal":    playRefusal,
 	"removed":    playRemoved,
+	"moved":      playMoved,
 }
 
 func main() {
