--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -92,7 +92,7 @@
 }
 
 // nextPort is where the search for free ports goes on: those returned before may not be in use yet.
-var nextPort = 20000 + os.Getpid()%120*100
+var nextPort = 20000 + os.Getpid()%60*200
 
 // freePorts returns n ports in a row that are free.
 func freePorts(n int) int {
@@ -120,7 +120,7 @@
 // newNode writes the settings of a process, as deploy/node.ini.tmpl has them, for the bounds
 // of the small deployments.
 func newNode(dir, name, zone, store string) *node {
-	base := freePorts(18)
+	base := freePorts(6)
 	n := &node{name: name, zone: zone, front: fmt.Sprintf("127.0.0.1:%d", base), ready: fmt.Sprintf("127.0.0.1:%d", base+1), settings: filepath.Join(dir, name+".ini")}
 	text := fmt.Sprintf(`[instance]
 id = %s
@@ -146,7 +146,7 @@
 load_window = 5s
 report_interval = 1200ms
 fencing = true
-`, name, zone, store, n.front, n.ready, base+2, base+17)
+`, name, zone, store, n.front, n.ready, base+2, base+5)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		fatal("%v", err)
 	}
@@ -180,6 +180,12 @@
 	n.start(dir)
 }
 
+// kill ends the process with SIGKILL.
+func (n *node) kill() {
+	_ = n.cmd.Process.Kill()
+	_ = n.cmd.Wait()
+}
+
 // waitReady waits until all nodes say that they are ready.
 func waitReady(nodes []*node) {
 	client := &http.Client{Timeout: time.Second}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 	"refusal":    playRefusal,
 	"removed":    playRemoved,
 	"moved":      playMoved,
+	"gone":       playGone,
 }
 
 func main() {
--- a/review/standin-2/refusal.go
+++ b/review/standin-2/refusal.go
@@ -20,6 +20,8 @@
 	changeAfter     = 700 * time.Millisecond  // from the start of the refusal to the ack of the config
 	configApply     = 2000 * time.Millisecond // ConfigApplyMs
 	maxStretch      = 5000 * time.Millisecond // MaxStretchMs
+	retireAfter     = 2500 * time.Millisecond // from the ack until the entries of the old service's replicas are removed
+	exitAfter       = 7700 * time.Millisecond // from the ack until these replicas exit
 )
 
 // door is the address at which one machine reaches the store. It can turn that machine away.
@@ -77,10 +79,10 @@
 // service, and one is added.
 func movedConfig(version int) map[string]any {
 	route := func(name, service string) map[string]any {
-		return map[string]any{"Name": name, "Host": "fleet.example", "PathPrefix": "/" + name + "/", "Kind": "safe", "TimeoutMs": 800, "TargetLatencyMs": 150, "Priority": 2,
-			"Service": service, "MaxAttempts": 2, "Sticky": false, "Resumable": false}
+		return map[string]any{"Name": name, "Host": "fleet.example", "PathPrefix": "/" + name + "/", "Kind": "unsafe", "TimeoutMs": 1500, "TargetLatencyMs": 600, "Priority": 2,
+			"Service": service, "MaxAttempts": 1, "Sticky": false, "Resumable": false}
 	}
-	routes := []map[string]any{route("lookup", []string{"", "dispatch-a", "dispatch-b"}[version])}
+	routes := []map[string]any{route("assign", []string{"", "dispatch-a", "dispatch-b"}[version])}
 	if version == 2 {
 		routes = append(routes, route("added", "dispatch-b"))
 	}
@@ -100,10 +102,14 @@
 	s := newStore()
 	s.set("config", "main", movedConfig(1))
 	zones := []string{"seeb", "bawshar", "muttrah"}
+	var old []*replica
 	for n, zone := range zones {
 		for _, service := range []string{"dispatch-a", "dispatch-b"} {
-			rep := &replica{id: fmt.Sprintf("i-%s%d", service, n+1), service: service, zone: zone, slots: 6, known: map[string]model{}, store: s, record: r}
+			rep := &replica{id: fmt.Sprintf("i-%s%d", service, n+1), service: service, zone: zone, slots: 6, known: map[string]model{}, store: s, record: r, work: workTime}
 			rep.begin()
+			if service == "dispatch-a" {
+				old = append(old, rep)
+			}
 		}
 	}
 	var nodes, served []*node
@@ -122,7 +128,7 @@
 	waitReady(nodes)
 	time.Sleep(8 * time.Second)
 	ask(served, r, "before the change", func(_ *node, path string, status int, service string) {
-		if path == "/lookup/x" && (status != http.StatusOK || service != "dispatch-a") {
+		if path == "/assign/x" && (status != http.StatusOK || service != "dispatch-a") {
 			fatal("before the change %s is answered %d by %q", path, status, service)
 		}
 	})
@@ -136,20 +142,36 @@
 	time.Sleep(changeAfter)
 	s.set("config", "main", movedConfig(2))
 	acked := time.Now()
-	r.add("the operator's config 2 is acknowledged: /lookup/ moves from dispatch-a to dispatch-b, /added/ is added")
+	r.add("the operator's config 2 is acknowledged: /assign/ moves from dispatch-a to dispatch-b, /added/ is added")
+	time.AfterFunc(retireAfter, func() {
+		r.add("the store acknowledges that the replicas of dispatch-a are gone; they go on serving until %v after the ack of the config", exitAfter)
+		for _, rep := range old {
+			s.remove("servers", rep.id)
+		}
+	})
+	time.AfterFunc(exitAfter, func() {
+		r.add("the replicas of dispatch-a exit")
+		for _, rep := range old {
+			rep.exit()
+		}
+	})
+	lost := 0
 	for time.Since(acked) < configApply+maxStretch+100*time.Millisecond {
 		time.Sleep(20 * time.Millisecond)
 	}
 	for round := 1; time.Since(began) < refusalTime-300*time.Millisecond; round++ {
 		ask(served, r, fmt.Sprintf("%.1f s after the ack", time.Since(acked).Seconds()), func(to *node, path string, status int, service string) {
+			if status == http.StatusBadGateway {
+				lost++
+			}
 			switch {
-			case path == "/lookup/x" && service == "dispatch-a":
+			case path == "/assign/x" && service == "dispatch-a":
 				r.breaks("%s, which the store serves, sends a request to the old service %.1f s after the ack", to.name, time.Since(acked).Seconds())
 			case path == "/added/x" && status == http.StatusNotFound:
 				r.breaks("%s, which the store serves, answers 404 on the added route %.1f s after the ack", to.name, time.Since(acked).Seconds())
 			}
 		})
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 	}
 	for time.Since(began) < refusalTime {
 		time.Sleep(20 * time.Millisecond)
@@ -158,6 +180,9 @@
 		d.refuse(false)
 	}
 	r.add("the store serves all machines again")
+	text := fmt.Sprintf("%d requests that may not be repeated were lost as the replicas of the old service left", lost)
+	r.add("%s", text)
+	fmt.Println(text)
 	time.Sleep(3 * time.Second)
 	ask(served, r, "after it all", func(*node, string, int, string) {})
 }
@@ -166,14 +191,14 @@
 
 // ask sends a request on each route to each machine, and passes on what came of it.
 func ask(nodes []*node, r *record, when string, got func(to *node, path string, status int, service string)) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	for _, to := range nodes {
-		for _, path := range []string{"/lookup/x", "/added/x"} {
+		for _, path := range []string{"/assign/x", "/added/x"} {
 			id := fmt.Sprintf("q%015d", asked.Add(1))
 			group.Go(func() {
-				req, _ := http.NewRequest(http.MethodGet, "http://"+to.front+path, nil)
+				req, _ := http.NewRequest(http.MethodPost, "http://"+to.front+path, strings.NewReader("order"))
 				req.Host = "fleet.example"
 				req.Header.Set("X-Request-Id", id)
 				req.Header.Set("X-Request-Deadline", "1500")
--- a/review/standin-2/release.go
+++ b/review/standin-2/release.go
@@ -38,10 +38,10 @@
 	}
 }
 
-// releases is how many release notes the operator writes, and releaseGap the time between two.
+// releases is how many release notes the operator writes, and releasePause the time between two.
 const (
-	releases   = 5
-	releaseGap = 12 * time.Second
+	releases     = 5
+	releasePause = 12 * time.Second
 )
 
 // playRelease plays release notes: each withdraws a model and adds another one.
@@ -74,7 +74,7 @@
 	go consumers(nodes, &current, r, stop)
 	next := 4
 	for version := range releases {
-		time.Sleep(releaseGap)
+		time.Sleep(releasePause)
 		if !trouble() {
 			continue
 		}
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -52,6 +52,8 @@
 	hold func(o order) bool
 	// work is how long a request without a model runs.
 	work time.Duration
+	// version is that of its software; empty: v1.
+	version string
 	// arrived is called with the ID of each request that begins to run.
 	arrived func(id string)
 }
@@ -132,7 +134,7 @@
 func (r *replica) publish() {
 	r.mu.Lock()
 	entry := map[string]any{
-		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": r.slots, "State": "ready",
+		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": cmpOr(r.version, "v1"), "Slots": r.slots, "State": "ready",
 		"ColdLeftMs": 0, "Seq": 1, "born": r.born, "Stage": "both", "Models": r.modelList(),
 		"AtHand": map[string]any{"InMemory": []string{}, "OnDisk": slices.Clone(r.atHand)},
 	}
