review: cases 8, 9 and 10 inside the shares of the site files

One replica of seven crashes in case 8 (was one of three), one of eight is replaced in case 9 (was one of four), one of six leaves in case 10 (was three), whose refusal ends after 8.9 s (was up to 9.1 s).

--- a/review/standin-2/late_order.go
+++ b/review/standin-2/late_order.go
@@ -83,7 +83,7 @@
 	address := serveStore(s)
 	known := map[string]model{}
 	var models []model
-	for n := range 4 {
+	for n := range 12 {
 		m := newModel(n)
 		models = append(models, m)
 		known[m.Name] = m
@@ -99,6 +99,9 @@
 	first := newReplica("i-planner1", a)
 	newReplica("i-planner2", a, b)
 	newReplica("i-planner3", c, d)
+	for n := 4; n < len(models); n += 2 { // replicas that nothing concerns: each is the only one of its models
+		newReplica(fmt.Sprintf("i-planner%d", n/2+2), models[n].Name, models[n+1].Name)
+	}
 
 	var late atomic.Pointer[order]
 	first.hold = func(o order) bool {
--- a/review/standin-2/refusal.go
+++ b/review/standin-2/refusal.go
@@ -16,12 +16,12 @@
 const (
 	machinesPerZone = 9
 	refusedPerZone  = 3 // of each zone: a third of all machines
-	refusalTime     = 9 * time.Second
+	refusalTime     = 8900 * time.Millisecond
 	changeAfter     = 700 * time.Millisecond  // from the start of the refusal to the ack of the config
 	configApply     = 2000 * time.Millisecond // ConfigApplyMs
 	maxStretch      = 5000 * time.Millisecond // MaxStretchMs
-	retireAfter     = 2500 * time.Millisecond // from the ack until the entries of the old service's replicas are removed
-	exitAfter       = 7700 * time.Millisecond // from the ack until these replicas exit
+	retireAfter     = 2500 * time.Millisecond // from the ack until the entry of a replica of the old service is removed
+	exitAfter       = 7700 * time.Millisecond // from the ack until that replica exits
 )
 
 // door is the address at which one machine reaches the store. It can turn that machine away.
@@ -102,13 +102,13 @@
 	s := newStore()
 	s.set("config", "main", movedConfig(1))
 	zones := []string{"seeb", "bawshar", "muttrah"}
-	var old []*replica
+	var old *replica
 	for n, zone := range zones {
 		for _, service := range []string{"dispatch-a", "dispatch-b"} {
 			rep := &replica{id: fmt.Sprintf("i-%s%d", service, n+1), service: service, zone: zone, slots: 6, known: map[string]model{}, store: s, record: r, work: workTime}
 			rep.begin()
 			if service == "dispatch-a" {
-				old = append(old, rep)
+				old = rep
 			}
 		}
 	}
@@ -139,27 +139,31 @@
 		r.add("the store turns away %d of %d machines: the first %d of each zone; it serves the others", len(refused), len(nodes), refusedPerZone)
 	}
 	began := time.Now()
+	servedAgain := make(chan struct{})
+	time.AfterFunc(refusalTime, func() {
+		for _, d := range refused {
+			d.refuse(false)
+		}
+		r.add("the store serves all machines again")
+		close(servedAgain)
+	})
 	time.Sleep(changeAfter)
 	s.set("config", "main", movedConfig(2))
 	acked := time.Now()
 	r.add("the operator's config 2 is acknowledged: /assign/ moves from dispatch-a to dispatch-b, /added/ is added")
 	time.AfterFunc(retireAfter, func() {
-		r.add("the store acknowledges that the replicas of dispatch-a are gone; they go on serving until %v after the ack of the config", exitAfter)
-		for _, rep := range old {
-			s.remove("servers", rep.id)
-		}
+		r.add("the store acknowledges that %s is gone; it goes on serving until %v after the ack of the config", old.id, exitAfter)
+		s.remove("servers", old.id)
 	})
 	time.AfterFunc(exitAfter, func() {
-		r.add("the replicas of dispatch-a exit")
-		for _, rep := range old {
-			rep.exit()
-		}
+		r.add("%s exits", old.id)
+		old.exit()
 	})
 	lost := 0
 	for time.Since(acked) < configApply+maxStretch+100*time.Millisecond {
 		time.Sleep(20 * time.Millisecond)
 	}
-	for round := 1; time.Since(began) < refusalTime-300*time.Millisecond; round++ {
+	for round := 1; time.Since(began) < refusalTime-time.Second; round++ {
 		ask(served, r, fmt.Sprintf("%.1f s after the ack", time.Since(acked).Seconds()), func(to *node, path string, status int, service string) {
 			if status == http.StatusBadGateway {
 				lost++
@@ -173,14 +177,8 @@
 		})
 		time.Sleep(50 * time.Millisecond)
 	}
-	for time.Since(began) < refusalTime {
-		time.Sleep(20 * time.Millisecond)
-	}
-	for _, d := range refused {
-		d.refuse(false)
-	}
-	r.add("the store serves all machines again")
-	text := fmt.Sprintf("%d requests that may not be repeated were lost as the replicas of the old service left", lost)
+	<-servedAgain
+	text := fmt.Sprintf("%d requests that may not be repeated were lost as a replica of the old service left", lost)
 	r.add("%s", text)
 	fmt.Println(text)
 	time.Sleep(3 * time.Second)
--- a/review/standin-2/removed.go
+++ b/review/standin-2/removed.go
@@ -43,7 +43,7 @@
 		return rep
 	}
 	leaving := newReplica(1, "seeb")
-	for n, zone := range []string{"seeb", "bawshar", "muttrah"} {
+	for n, zone := range []string{"seeb", "bawshar", "muttrah", "bawshar", "muttrah", "bawshar", "muttrah"} {
 		newReplica(n+2, zone)
 	}
 	var nodes []*node
@@ -79,7 +79,7 @@
 			leaving.exit()
 		})
 		time.Sleep(newReplicaAfter)
-		newReplica(5, "seeb")
+		newReplica(9, "seeb")
 		r.add("release: the replica that takes its place is registered")
 	}
 	stop := make(chan struct{})
