--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -259,7 +259,7 @@
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	now := s.now()
-	if !state.known || !state.canServe(q.Model) || state.inProgress() || now.Before(state.pausedUntil) || s.HeldOff(state.endpoint.ID) {
+	if !state.known || !state.canServe(q.Model) || state.inProgress() || !s.mayOrder(state, now) {
 		return time.Time{}, false
 	}
 	total, fetching := state.countAdapters(now)
--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -33,8 +33,6 @@
 	sequence     uint64                  // sequence number that the endpoint expects in the next order
 	models       map[string]*modelState
 	lastAccepted time.Time // time of the latest accepted order
-	inDoubtUntil time.Time // an order without an answer may take effect until then
-	blockedUntil time.Time // inDoubtUntil of the previous incarnation; no order until then
 	pausedUntil  time.Time // no order is sent and no report is read until then
 }
 
@@ -62,15 +60,6 @@
 	return s.incarnation.SameIncarnation(e)
 }
 
-// restarted returns the state of the endpoint's next incarnation. It blocks orders
-// while an order without an answer to the previous one may still arrive. The caller holds
-// s.mu.
-func (s *endpointState) restarted(e *rlbdeployment.Endpoint) *endpointState {
-	next := newEndpointState(e)
-	next.blockedUntil = s.inDoubtUntil
-	return next
-}
-
 // applyEntry updates s from a new entry of the same incarnation. If the entry lists
 // other models than s and no load or unload is in progress, the state becomes unknown.
 // An entry without local copies leaves the known ones in place.
--- a/rlb-node/pkg/rlbscheduler/endpoint_state_test.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state_test.go
@@ -88,8 +88,23 @@
 			So(state.known, ShouldBeFalse)
 		})
 		Convey("an order without an answer may still reach the next incarnation", func() {
-			state.inDoubtUntil = now.Add(inDoubtPeriod)
-			So(state.restarted(&rlbdeployment.Endpoint{ID: "e", StartedAt: now}).blockedUntil, ShouldEqual, state.inDoubtUntil)
+			next := newEndpointState(&rlbdeployment.Endpoint{ID: "e", StartedAt: now})
+			all := newDoubts()
+			settle := all.open(state.incarnation, now)
+			end := now.Add(orderTimeout + inDoubtPeriod)
+			So(all.blocks(next.incarnation, end.Add(-1)), ShouldBeTrue)
+			So(all.blocks(next.incarnation, end), ShouldBeFalse)
+			So(all.blocks(state.incarnation, now), ShouldBeFalse)
+			Convey("until its answer arrives, which ends no other doubt", func() {
+				all.open(state.incarnation, now.Add(1))
+				settle()
+				So(all.blocks(next.incarnation, end), ShouldBeTrue)
+				So(all.blocks(next.incarnation, end.Add(1)), ShouldBeFalse)
+			})
+			Convey("and is forgotten after that", func() {
+				all.open(&rlbdeployment.Endpoint{ID: "f"}, end)
+				So(all.byEndpoint, ShouldNotContainKey, "e")
+			})
 		})
 	})
 }
--- a/rlb-node/pkg/rlbscheduler/order_model_test.go
+++ b/rlb-node/pkg/rlbscheduler/order_model_test.go
@@ -18,7 +18,8 @@
 // The model consists of one endpoint with memory for two of three models, and two
 // lease holders that send orders with different fencing numbers, in turn or at the same
 // time. Each holder uses a real endpointState. The answer of an order may be lost, an
-// order may arrive late, a report may be old, and the endpoint may restart under its ID.
+// order may arrive late, a report may be old, the endpoint may restart under its ID, and a
+// holder may forget its state of the endpoint, as it does with the entry and the lease.
 
 // timeStep is the time that passes in one step.
 const timeStep = maxReportLag + 100*time.Millisecond
@@ -87,7 +88,7 @@
 func startedAt(incarnation int) time.Time { return time.Unix(int64(incarnation+1), 0) }
 
 // orderBounds limits the number of events in one exploration.
-type orderBounds struct{ orders, faults, restarts, steps int }
+type orderBounds struct{ orders, faults, restarts, forgets, steps int }
 
 // orderModel is a state of the model.
 type orderModel struct {
@@ -95,6 +96,7 @@
 	endpoint       modelEndpoint
 	pastEndpoint   modelEndpoint // earlier state that a report may still show
 	states         [2]*endpointState
+	doubts         [2]*doubts
 	lateOrders     []rlbdeployment.Order
 	remaining      orderBounds
 	checksSequence bool // whether the endpoint checks the expected sequence
@@ -106,6 +108,7 @@
 	m.pastEndpoint = m.endpoint
 	for i := range m.states {
 		m.states[i] = newEndpointState(&rlbdeployment.Endpoint{ID: "e", StartedAt: startedAt(0)})
+		m.doubts[i] = newDoubts()
 	}
 	return m
 }
@@ -130,23 +133,41 @@
 	for i, state := range m.states {
 		c := &endpointState{
 			incarnation: state.incarnation, endpoint: state.endpoint, lastEntry: state.lastEntry, known: state.known, sequence: state.sequence,
-			lastAccepted: state.lastAccepted, inDoubtUntil: state.inDoubtUntil, blockedUntil: state.blockedUntil, pausedUntil: state.pausedUntil, models: map[string]*modelState{},
+			lastAccepted: state.lastAccepted, pausedUntil: state.pausedUntil, models: map[string]*modelState{},
 		}
 		for name, held := range state.models {
 			copied := *held
 			c.models[name] = &copied
 		}
 		m.states[i] = c
+		m.doubts[i] = m.doubts[i].clone()
 	}
 	return m
 }
 
+// clone returns a copy.
+func (d *doubts) clone() *doubts {
+	c := newDoubts()
+	for id, all := range d.byEndpoint {
+		c.byEndpoint[id] = slices.Clone(all)
+	}
+	return c
+}
+
+// key returns the doubts as text, with times relative to now.
+func (d *doubts) key(now time.Time) (key string) {
+	for _, each := range d.byEndpoint["e"] {
+		key += fmt.Sprint(" ", each.incarnation.StartedAt.Unix(), max(each.until.Sub(now), 0))
+	}
+	return key
+}
+
 // Key implements rlbmodelcheck.State. Times are relative to now.
 func (m orderModel) Key() string {
 	key := fmt.Sprint(m.endpoint, m.pastEndpoint, m.remaining, m.lateOrders)
 	ahead := func(t time.Time) time.Duration { return max(t.Sub(m.now), 0) }
-	for _, state := range m.states {
-		key += fmt.Sprint("|", state.known, state.sequence, state.incarnation.StartedAt.Unix(), min(m.now.Sub(state.lastAccepted), maxReportLag), ahead(state.inDoubtUntil), ahead(state.blockedUntil), ahead(state.pausedUntil))
+	for h, state := range m.states {
+		key += fmt.Sprint("|", state.known, state.sequence, state.incarnation.StartedAt.Unix(), min(m.now.Sub(state.lastAccepted), maxReportLag), ahead(state.pausedUntil), m.doubts[h].key(m.now))
 		for _, name := range slices.Sorted(maps.Keys(state.models)) {
 			held := state.models[name]
 			key += fmt.Sprint(name, held.unloading, held.readyAt.IsZero(), ahead(held.readyAt))
@@ -211,7 +232,13 @@
 	state := m.states[h]
 	if !state.incarnation.StartedAt.Equal(startedAt(m.endpoint.incarnation)) {
 		add(fmt.Sprintf("holder %d receives the entry of the new incarnation", h), func(n *orderModel) {
-			n.states[h] = n.states[h].restarted(&rlbdeployment.Endpoint{ID: "e", StartedAt: startedAt(n.endpoint.incarnation)})
+			n.states[h] = newEndpointState(&rlbdeployment.Endpoint{ID: "e", StartedAt: startedAt(n.endpoint.incarnation)})
+		})
+	}
+	if state.known && m.remaining.forgets > 0 {
+		add(fmt.Sprintf("holder %d forgets its state of the endpoint", h), func(n *orderModel) {
+			n.remaining.forgets--
+			n.states[h] = newEndpointState(n.states[h].incarnation)
 		})
 	}
 	if state.known && !state.overdue(m.now) || m.now.Before(state.pausedUntil) {
@@ -233,7 +260,7 @@
 // same conditions as executeProposal.
 func (m orderModel) holderOrders(h int, add func(string, func(*orderModel))) {
 	state := m.states[h]
-	if m.remaining.orders == 0 || !state.known || state.busy() || m.now.Before(state.pausedUntil) || m.now.Before(state.blockedUntil) {
+	if m.remaining.orders == 0 || !state.known || state.busy() || m.now.Before(state.pausedUntil) || m.doubts[h].blocks(state.incarnation, m.now) {
 		return
 	}
 	for _, name := range modelNames {
@@ -262,6 +289,7 @@
 	unanswered := func(n *orderModel) {
 		n.remaining.orders--
 		n.remaining.faults--
+		n.doubts[h].open(n.states[h].incarnation, n.now)
 		n.scheduler().recordVerdict(n.states[h], n.engine(), o, rlbdeployment.VerdictUnknown)
 	}
 	add(event+", the answer is lost", func(n *orderModel) { n.endpoint.applyOrder(o, n.checksSequence); unanswered(n) })
@@ -273,6 +301,7 @@
 	for _, bounds := range []orderBounds{
 		{orders: 3, faults: 2, steps: 2},
 		{orders: 3, faults: 1, restarts: 1, steps: 1},
+		{orders: 3, faults: 1, restarts: 1, forgets: 1},
 	} {
 		Convey(fmt.Sprintf("in every sequence of events within %+v the endpoint is not overcommitted", bounds), t, func() {
 			result := rlbmodelcheck.Explore(newOrderModel(bounds, true), limit)
--- a/rlb-node/pkg/rlbscheduler/orders.go
+++ b/rlb-node/pkg/rlbscheduler/orders.go
@@ -58,7 +58,13 @@
 // holds state.mu.
 func (s *Scheduler) takesOrders(state *endpointState) bool {
 	now := s.now()
-	return !state.busy() && !now.Before(state.pausedUntil) && !now.Before(state.blockedUntil) && !s.HeldOff(state.endpoint.ID)
+	return !state.busy() && s.mayOrder(state, now)
+}
+
+// mayOrder reports whether the endpoint may get any order now: it has not asked for a pause,
+// and no order to an earlier incarnation may still arrive. The caller holds state.mu.
+func (s *Scheduler) mayOrder(state *endpointState, now time.Time) bool {
+	return !now.Before(state.pausedUntil) && !s.HeldOff(state.endpoint.ID) && !s.doubts.blocks(state.incarnation, now)
 }
 
 // sendOrder sends an order with the current fencing number. It reports whether the
@@ -71,7 +77,11 @@
 	o.Sequence, o.Holder, o.Fence = state.sequence, s.name, fence
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	settle := s.doubts.open(state.incarnation, s.now())
 	verdict, err := s.engines.SendOrder(ctx, state.endpoint, o)
+	if verdict != rlbdeployment.VerdictUnknown {
+		settle()
+	}
 	s.log.WithFields(log.Fields{
 		"endpoint": state.endpoint.ID, "order": o.Action.String(), "model": o.Model, "adapter": o.Adapter,
 		"sequence": o.Sequence, "fence": o.Fence, "verdict": verdict.String(), "reason": reason, "error": err,
@@ -107,7 +117,7 @@
 		}
 		return true
 	case rlbdeployment.VerdictUnknown:
-		state.known, state.inDoubtUntil = false, now.Add(inDoubtPeriod)
+		state.known = false
 	case rlbdeployment.VerdictFenced:
 		state.known = false
 		s.backOffFenced(o.Fence)
--- a/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
+++ b/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
@@ -105,3 +105,88 @@
 		}
 	})
 }
+
+// TestInDoubtOrderBlocksTheNextIncarnationWhoseStateIsNew guards against memory that is
+// overcommitted: an order without an answer may still arrive when the state of its endpoint,
+// which ends with the endpoint's entry and with the lease, is forgotten and made anew.
+func TestInDoubtOrderBlocksTheNextIncarnationWhoseStateIsNew(t *testing.T) {
+	returns := func(f *testFleet, s *Scheduler) {
+		f.engines.setDark("e1", false)
+		s.View.ApplyChanges([]rlbobject.Object{{Name: "e1", Version: 12, Value: []byte("restarted")}}, false)
+	}
+	isRemoved := func(s *Scheduler) {
+		s.View.ApplyChanges([]rlbobject.Object{{Name: "e1", Version: 11, Deleted: true}}, false)
+		time.Sleep(3 * time.Second)
+		s.View.DropRemoved()
+		time.Sleep(2 * tickInterval)
+	}
+	for name, forget := range map[string]func(f *testFleet, s *Scheduler){
+		"as its entry was removed": func(f *testFleet, s *Scheduler) {
+			isRemoved(s)
+			returns(f, s)
+		},
+		"as the lease lapsed before the restart": func(f *testFleet, s *Scheduler) {
+			f.loseLease(s, func() { returns(f, s) })
+		},
+		"as the lease lapsed after the restart": func(f *testFleet, s *Scheduler) {
+			returns(f, s)
+			time.Sleep(2 * tickInterval)
+			f.loseLease(s, func() {})
+		},
+		"as its entry was removed and the lease lapsed": func(f *testFleet, s *Scheduler) {
+			isRemoved(s)
+			f.loseLease(s, func() {})
+			returns(f, s)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "e1")
+				f.engines.dropOrders(1)
+				s := f.start(t.Context(), "a")
+				for len(f.engines.allOrders()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				inDoubtFrom, fence := time.Now(), s.Fence()
+				f.engines.setDark("e1", true)
+				forget(f, s)
+				assertNoFurtherOrder(t, f, inDoubtFrom.Add(inDoubtPeriod))
+				if s.Fence() != fence {
+					t.Errorf("fencing number %d, before it was %d", s.Fence(), fence)
+				}
+			})
+		})
+	}
+	t.Run("as its entry was removed while the order was in flight", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, "e1")
+			f.engines.orderDelay = orderTimeout
+			f.engines.dropOrders(1)
+			var inDoubtFrom time.Time
+			restartDuringOrder(t, f, func(s *Scheduler) {
+				inDoubtFrom = time.Now()
+				s.View.ApplyChanges([]rlbobject.Object{{Name: "e1", Version: 11, Deleted: true}}, false)
+				time.Sleep(3 * time.Second)
+				s.View.DropRemoved()
+				s.syncEndpoints()
+				returns(f, s)
+			})
+			time.Sleep(4 * time.Second)
+			assertNoFurtherOrder(t, f, inDoubtFrom.Add(inDoubtPeriod))
+		})
+	})
+}
+
+// assertNoFurtherOrder checks that the endpoints get no order beside the first one until a
+// time, and that they get some after it.
+func assertNoFurtherOrder(t *testing.T, f *testFleet, until time.Time) {
+	t.Helper()
+	time.Sleep(time.Until(until))
+	if all := f.engines.allOrders(); len(all) != 1 {
+		t.Errorf("%d orders while the first one may still arrive: %v", len(all), all)
+	}
+	time.Sleep(10 * time.Second)
+	if all := f.engines.allOrders(); len(all) < 2 {
+		t.Errorf("no order after the doubt has ended: %v", all)
+	}
+}
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -86,6 +86,7 @@
 	engines      rlbdeployment.EngineControl
 	leaseManager *leaseManager
 	loadLimiter  *loadLimiter
+	doubts       *doubts
 	outage       outage
 
 	lastDescribed map[string]rlbplacement.Engine // last plan input by endpoint; used by the planning goroutine only
@@ -117,6 +118,7 @@
 		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
 		leaseManager:  newLeaseManager(opts.Log, opts.API, opts.Incarnation, opts.LeaseTTL, opts.Now),
 		loadLimiter:   newLoadLimiter(opts.LoadWindow),
+		doubts:        newDoubts(),
 		lastDescribed: map[string]rlbplacement.Engine{}, states: map[string]*endpointState{}, adapterLocks: map[string]chan struct{}{}, adapterCache: map[string]cacheEntry{}, changes: map[string]modelChanges{},
 	}
 }
@@ -296,14 +298,14 @@
 }
 
 // replaceState replaces the state of an endpoint that has restarted. While an order to the
-// earlier incarnation is in flight it waits for the next tick, as the answer decides whether
-// that order may still arrive. s.mu is held.
+// earlier incarnation is in flight it waits for the next tick: the sender publishes what the
+// order changes by the state. s.mu is held.
 func (s *Scheduler) replaceState(id string, state *endpointState, e *rlbdeployment.Endpoint) {
 	if !state.mu.TryLock() {
 		return
 	}
 	defer state.mu.Unlock()
-	s.states[id] = state.restarted(e)
+	s.states[id] = newEndpointState(e)
 }
 
 func (s *Scheduler) engineOf(snapshot *rlbdiscovery.Snapshot, e *rlbdeployment.Endpoint) *rlbdeployment.Engine {
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -106,7 +106,7 @@
 }
 
 func (e *fakeEngines) ReadReport(ctx context.Context, of *rlbdeployment.Endpoint) (rlbdeployment.Report, error) {
-	if e.dark[of.ID] {
+	if e.isDark(of.ID) {
 		<-ctx.Done()
 		return rlbdeployment.Report{}, ctx.Err()
 	}
@@ -125,6 +125,19 @@
 	return r, nil
 }
 
+func (e *fakeEngines) isDark(endpoint string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dark[endpoint]
+}
+
+// setDark makes an endpoint answer no calls for its report, or answer them again.
+func (e *fakeEngines) setDark(endpoint string, dark bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dark = map[string]bool{endpoint: dark}
+}
+
 // allOrders returns the orders received so far.
 func (e *fakeEngines) allOrders() []string {
 	e.mu.Lock()
@@ -416,3 +429,19 @@
 		})
 	})
 }
+
+// loseLease makes the object API unavailable until a lease holder has lost its lease, calls
+// meanwhile, and returns when the holder has renewed the lease.
+func (f *testFleet) loseLease(s *Scheduler, meanwhile func()) {
+	f.api.SetDown(true)
+	for s.Fence() != 0 {
+		time.Sleep(tickInterval)
+	}
+	time.Sleep(2 * tickInterval)
+	meanwhile()
+	f.api.SetDown(false)
+	for s.Fence() == 0 {
+		time.Sleep(tickInterval)
+	}
+	time.Sleep(2 * tickInterval)
+}
--- a/rlb-node/pkg/rlbscheduler/unloads.go
+++ b/rlb-node/pkg/rlbscheduler/unloads.go
@@ -45,7 +45,7 @@
 	defer state.mu.Unlock()
 	now := s.now()
 	for name, m := range state.models {
-		if !m.unloadAt.IsZero() && !now.Before(m.unloadAt) && !now.Before(state.pausedUntil) {
+		if !m.unloadAt.IsZero() && !now.Before(m.unloadAt) && s.mayOrder(state, now) {
 			return name, true
 		}
 	}
