--- a/rlb-node/pkg/rlbscheduler/adapters.go
+++ b/rlb-node/pkg/rlbscheduler/adapters.go
@@ -266,8 +266,10 @@
 	if fetching >= maxAdapterFetches {
 		return time.Time{}, false
 	}
-	evict := total >= engine.AdapterSlots
-	if evict && !state.canEvictAdapter(now) || !s.Limits.Admit(state.endpoint.ID, controlRank) {
+	on := s.sizesOn(state, engine)
+	free, freeable := state.adapterMemory(on, q.Model)
+	evict := total >= engine.AdapterSlots || !free
+	if !freeable || evict && !state.canEvictAdapter(now) || !s.Limits.Admit(state.endpoint.ID, controlRank) {
 		return time.Time{}, false
 	}
 	if evict {
@@ -277,6 +279,9 @@
 		if !s.sendOrder(ctx, state, engine, o, "makes room for "+q.Model+"/"+q.Adapter) {
 			return time.Time{}, false
 		}
+		if free, _ = state.adapterMemory(on, q.Model); !free {
+			return time.Time{}, false // the next query unloads another one
+		}
 	}
 	o := rlbdeployment.Order{Action: rlbdeployment.ActionLoad, Model: q.Model, Adapter: q.Adapter}
 	if !s.sendOrder(ctx, state, engine, o, "requested by a caller") {
--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -201,28 +201,43 @@
 
 // usedMemory returns the memory of all models, including those being loaded or
 // unloaded.
-func (s *endpointState) usedMemory(engine *rlbdeployment.Engine) rlbunit.Bytes {
+func (s *endpointState) usedMemory(on sizes) rlbunit.Bytes {
 	var sum rlbunit.Bytes
 	for name := range s.models {
-		sum += engine.Models[name].Memory
+		sum += on.of(name).model
 	}
 	return sum
 }
 
 // modelMemory returns the memory available to models: all memory less the largest
 // adapter in every adapter slot.
-func modelMemory(engine *rlbdeployment.Engine) rlbunit.Bytes {
+func (s *endpointState) modelMemory(on sizes) rlbunit.Bytes {
 	var largest rlbunit.Bytes
-	for _, m := range engine.Models {
-		largest = max(largest, m.AdapterMemory)
+	for name := range on.engine.Models {
+		largest = max(largest, on.of(name).adapter)
 	}
-	return engine.Memory - rlbunit.Bytes(engine.AdapterSlots)*largest
+	for name := range s.models {
+		largest = max(largest, on.of(name).adapter)
+	}
+	return on.engine.Memory - rlbunit.Bytes(on.engine.AdapterSlots)*largest
 }
 
 // fits reports whether a model can be loaded without overcommitting memory.
-func (s *endpointState) fits(engine *rlbdeployment.Engine, name string) bool {
-	m, listed := engine.Models[name]
-	return listed && s.models[name] == nil && s.usedMemory(engine)+m.Memory <= modelMemory(engine)
+func (s *endpointState) fits(on sizes, name string) bool {
+	_, listed := on.engine.Models[name]
+	return listed && s.models[name] == nil && s.usedMemory(on)+on.of(name).model <= s.modelMemory(on)
+}
+
+// adapterMemory reports whether there is memory for an adapter of a model, and whether there
+// would be if the endpoint held no other adapters. The memory that modelMemory leaves to them
+// may be too small if the config has changed since the models were loaded.
+func (s *endpointState) adapterMemory(on sizes, model string) (free, freeable bool) {
+	needed := s.usedMemory(on) + on.of(model).adapter
+	freeable = needed <= on.engine.Memory
+	for name, m := range s.models {
+		needed += rlbunit.Bytes(len(m.adapters)) * on.of(name).adapter
+	}
+	return needed <= on.engine.Memory, freeable
 }
 
 // countAdapters returns the number of adapters, and how many of them are still being
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -115,15 +115,16 @@
 	if !state.known && len(state.models) == 0 {
 		state.applyLoadedModels(entry)
 	}
+	on := s.sizesOn(state, engine)
 	e := rlbplacement.Engine{
 		Frozen: !state.known || !s.takesOrders(state),
-		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Software: entry.SoftwareVersion, Memory: modelMemory(engine), Reserved: state.usedMemory(engine), Leaving: entry.Draining,
+		ID:     state.endpoint.ID, Domain: state.endpoint.Domain, Software: entry.SoftwareVersion, Memory: state.modelMemory(on), Reserved: state.usedMemory(on), Leaving: entry.Draining,
 		Silent:   s.Silent(state.incarnation.ID),
 		InFlight: s.Load(state.incarnation.ID).InFlight,
 		Near:     slices.Concat(state.endpoint.InMemory, state.endpoint.OnDisk),
 	}
 	for name, m := range state.models {
-		e.Residents = append(e.Residents, rlbengine.Resident{Name: name, Phase: phase(m), Memory: engine.Models[name].Memory})
+		e.Residents = append(e.Residents, rlbengine.Resident{Name: name, Phase: phase(m), Memory: on.of(name).model})
 	}
 	slices.SortFunc(e.Residents, func(a, b rlbengine.Resident) int {
 		if a.Name < b.Name {
@@ -134,6 +135,11 @@
 	return e
 }
 
+// sizesOn returns the sizes of the models on an endpoint. The caller holds state.mu.
+func (s *Scheduler) sizesOn(state *endpointState, engine *rlbdeployment.Engine) sizes {
+	return s.footprints.on(state.endpoint, engine, s.now())
+}
+
 func phase(m *modelState) rlbengine.Phase {
 	switch {
 	case m.unloading, !m.unloadAt.IsZero():
@@ -169,7 +175,7 @@
 			s.announceUnload(state, p.Name, p.Reason)
 			return
 		}
-		if !state.fits(engine, p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(s.now(), engine.LoadsPerSecond) {
+		if !state.fits(s.sizesOn(state, engine), p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(s.now(), engine.LoadsPerSecond) {
 			return
 		}
 		s.Limits.Charge(state.endpoint.ID, controlRank)
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -87,6 +87,7 @@
 	leaseManager *leaseManager
 	loadLimiter  *loadLimiter
 	doubts       *doubts
+	footprints   *footprints
 	outage       outage
 
 	lastDescribed map[string]rlbplacement.Engine // last plan input by endpoint; used by the planning goroutine only
@@ -119,6 +120,7 @@
 		leaseManager:  newLeaseManager(opts.Log, opts.API, opts.Incarnation, opts.LeaseTTL, opts.Now),
 		loadLimiter:   newLoadLimiter(opts.LoadWindow),
 		doubts:        newDoubts(),
+		footprints:    newFootprints(),
 		lastDescribed: map[string]rlbplacement.Engine{}, states: map[string]*endpointState{}, adapterLocks: map[string]chan struct{}{}, adapterCache: map[string]cacheEntry{}, changes: map[string]modelChanges{},
 	}
 }
@@ -261,6 +263,7 @@
 func (s *Scheduler) syncEndpoints() bool {
 	held := s.Fence() > 0
 	snapshot := s.View.Snapshot()
+	s.footprints.update(snapshot, s.now()) // by each instance, as it may become the lease holder
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !held {
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -164,13 +165,23 @@
 	return n
 }
 
-// fakeDecoder decodes every config as one service with the engine of testEngine, and
-// every entry as an endpoint with the model m. The length of an entry tells its incarnations
-// apart.
+// fakeDecoder decodes a config as one service with the engine of testEngine: its version is one
+// more than the length, and with a length its models are those that it names by one letter each.
+// It decodes every entry as an endpoint with the model m. The length of an entry tells its
+// incarnations apart.
 type fakeDecoder struct{}
 
-func (fakeDecoder) Config([]byte) (*rlbdeployment.Config, error) {
-	return rlbdeployment.NewConfig(1, nil, map[string]rlbdeployment.Service{"s": {Name: "s", Engine: testEngine()}}, rlbdeployment.Limits{}), nil
+func (fakeDecoder) Config(models []byte) (*rlbdeployment.Config, error) {
+	engine := testEngine()
+	if len(models) > 0 {
+		spec := engine.Models["m"]
+		engine.Models = map[string]rlbdeployment.Model{}
+		for _, name := range strings.Split(strings.TrimSpace(string(models)), "") {
+			spec.Name = name
+			engine.Models[name] = spec
+		}
+	}
+	return rlbdeployment.NewConfig(1+uint64(len(models)), nil, map[string]rlbdeployment.Service{"s": {Name: "s", Engine: engine}}, rlbdeployment.Limits{}), nil
 }
 
 func (fakeDecoder) Endpoint(id string, value []byte) (*rlbdeployment.Endpoint, error) {
