--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -383,9 +383,10 @@
 func (a *app) viewDigest() rlbpeer.Digest {
 	a.digestNumber++
 	draining, removed := a.view.Leavings()
+	fingerprint, revision := a.view.Fingerprint()
 	return rlbpeer.Digest{
 		Name: a.name, Domain: a.domain, Address: a.address, Incarnation: a.incarnation, Sequence: a.digestNumber,
-		APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision()),
+		APIUnavailable: a.catchUp.unavailable(), APIAvailable: a.catchUp.available(), ConfigVersion: a.configVersion(), EntryRevision: uint64(revision), Fingerprint: fingerprint,
 		DrainingEndpoints: append(draining, a.view.MarkedDraining()...), RemovedEndpoints: rlbpeer.NewRemovedEndpoints(a.now(), removed),
 	}
 }
@@ -397,6 +398,8 @@
 		return a.scheduler.ServeAdapterQuery(ctx, *q.Adapter)
 	case q.Adapter != nil:
 		return rlbpeer.Reply{Reason: "this instance does not hold the lease for orders"}
+	case q.Changes != nil && q.Changes.Known:
+		return a.knownEntries()
 	case q.Changes != nil:
 		return a.changesSince(*q.Changes)
 	default:
--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -32,6 +32,7 @@
 	query           func(ctx context.Context, address string, q rlbpeer.Query) (rlbpeer.Reply, error)
 	configWatcher   *rlbdiscovery.Watcher
 	endpointWatcher *rlbdiscovery.Watcher
+	comparison      comparison
 	stepsBehind     int           // consecutive steps in which another instance was ahead of this watcher
 	behindSince     time.Time     // start of the period in which others had a newer config than stuckVersion; zero: none
 	stuckVersion    uint64        // config version in force at behindSince
@@ -148,6 +149,7 @@
 	if !found {
 		c.stepsBehind = 0
 		c.behindSince = time.Time{}
+		c.compareEntries(ctx, watcher)
 		return
 	}
 	if !watcher && c.configOverdue(from) {
@@ -162,13 +164,18 @@
 			return
 		}
 	}
+	c.startQuery(func() { c.fetchChanges(ctx, from, uint64(c.app.view.Revision())) })
+}
+
+// startQuery runs a query of another instance in the background, unless one is in progress.
+func (c *catchUp) startQuery(query func()) {
 	select {
 	case c.querying <- struct{}{}:
 		go func() {
-			c.fetchChanges(ctx, from)
+			query()
 			<-c.querying
 		}()
-	default: // a query is in progress
+	default:
 	}
 }
 
@@ -187,12 +194,13 @@
 	return true
 }
 
-// fetchChanges gets newer configs and entries from another instance.
-func (c *catchUp) fetchChanges(ctx context.Context, from source) {
+// fetchChanges gets a newer config, and entries that are newer than a revision, from another
+// instance.
+func (c *catchUp) fetchChanges(ctx context.Context, from source, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	a := c.app
-	query := rlbpeer.ChangesQuery{ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision())}
+	query := rlbpeer.ChangesQuery{ConfigVersion: a.configVersion(), EntryRevision: after}
 	reply, err := c.query(ctx, from.address, rlbpeer.Query{Changes: &query})
 	if err != nil {
 		a.Log.WithError(err).WithField("peer", from.name).Warn("failed to query another instance for changes")
@@ -213,6 +221,10 @@
 	a.view.ApplyChanges(objects, false)
 	a.view.ApplyChanges(lapsed, true)
 	a.Log.WithFields(log.Fields{"peer": from.name, "entries": len(reply.Entries), "revision": a.view.Revision().String()}).Debug("applied changes from another instance")
+	if c.readsEntries() || !c.comparison.differs(a.view, reply.EntryRevision, reply.Fingerprint) {
+		return
+	}
+	c.fetchKnown(ctx, from)
 }
 
 func (c *catchUp) applyPeerConfig(compressed []byte, from source) {
@@ -240,7 +252,8 @@
 // changesSince answers another instance's query for newer configs and entries.
 func (a *app) changesSince(query rlbpeer.ChangesQuery) rlbpeer.Reply {
 	changes := a.view.ChangesSince(query.ConfigVersion, rlbobject.Version(query.EntryRevision))
-	reply := rlbpeer.Reply{Config: changes.Config}
+	fingerprint, revision := a.view.Fingerprint()
+	reply := rlbpeer.Reply{Config: changes.Config, EntryRevision: uint64(revision), Fingerprint: fingerprint}
 	add := func(objects []rlbobject.Object, lapsed bool) {
 		for _, o := range objects {
 			reply.Entries = append(reply.Entries, rlbpeer.Entry{Name: o.Name, Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted, Lapsed: lapsed})
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -60,6 +60,7 @@
 	leavings         leavingSet
 	nextDrop         time.Time     // end of the first grace period; zero: none
 	leavingCount     atomic.Uint64 // number of leavings that became known
+	fingerprint      fingerprint
 
 	snapshot atomic.Pointer[Snapshot]
 }
@@ -67,6 +68,7 @@
 type entry struct {
 	raw      []byte
 	version  rlbobject.Version
+	sum      uint64                  // part of the fingerprint
 	endpoint *rlbdeployment.Endpoint // nil: the entry cannot be decoded
 	dropAt   time.Time               // end of the grace period after a removal; zero: not removed
 	lapsed   bool                    // removed in an outage: it may come back
@@ -259,7 +261,7 @@
 	if known && o.Version == old.version && old.dropAt.IsZero() {
 		return true
 	}
-	next := &entry{raw: o.Value, version: o.Version}
+	next := &entry{raw: o.Value, version: o.Version, sum: sumOf(o.Name, o.Version)}
 	decoded, err := v.decoder.Endpoint(o.Name, o.Value)
 	if err != nil {
 		next.raw = nil // of any size; other instances need to know only that there is no endpoint
@@ -323,6 +325,7 @@
 // dropBy ends the grace period of an entry at a time.
 func (v *View) dropBy(e *entry, at time.Time) {
 	e.dropAt = at
+	v.fingerprint.valid = false
 	if v.nextDrop.IsZero() || at.Before(v.nextDrop) {
 		v.nextDrop = at
 	}
@@ -347,6 +350,7 @@
 		s.ByService[e.endpoint.Service] = append(s.ByService[e.endpoint.Service], e.endpoint)
 	}
 	v.snapshot.Store(s)
+	v.fingerprint.valid = false
 }
 
 // Changes are configs and entries in the encoding of the object API.
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -25,6 +25,7 @@
 	APIAvailable   bool               `msgpack:"w,omitempty"` // the object API answered the latest call of this instance
 	ConfigVersion  uint64             `msgpack:"c,omitempty"` // config version in force
 	EntryRevision  uint64             `msgpack:"e,omitempty"` // newest revision of an endpoint's entry
+	Fingerprint    uint64             `msgpack:"f,omitempty"` // of the endpoints' entries, see rlbdiscovery.View.Fingerprint; 0: not known
 	LeaseHolder    *LeaseHolder       `msgpack:"h,omitempty"` // set by the holder of the lease for orders
 	Loads          map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see EndpointKey
 	Demand         map[string]float32 `msgpack:"m,omitempty"` // requests in flight or refused, by model
@@ -91,6 +92,7 @@
 	APIUnavailable bool               `msgpack:"o,omitempty"` // the object API answers none of the instances that call it
 	ConfigVersion  uint64             `msgpack:"c,omitempty"` // newest config version in force
 	EntryRevision  uint64             `msgpack:"e,omitempty"`
+	Fingerprint    uint64             `msgpack:"f,omitempty"` // of an instance with that revision; 0: not known
 	LeaseHolder    *LeaseHolder       `msgpack:"h,omitempty"`
 	Loads          map[uint32]Load    `msgpack:"i,omitempty"`
 	Demand         map[string]float32 `msgpack:"m,omitempty"`
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -360,6 +360,15 @@
 	}
 }
 
+// addEntries adds what a digest says about the endpoints' entries. Of instances that know the
+// same changes the one that reads them from the object API has no entries too many.
+func (s *Summary) addEntries(d Digest) {
+	newer := d.EntryRevision > s.EntryRevision || s.Fingerprint == 0
+	if newer || d.EntryRevision == s.EntryRevision && d.APIAvailable {
+		s.EntryRevision, s.Fingerprint = d.EntryRevision, d.Fingerprint
+	}
+}
+
 // Summarize aggregates the own digest and those of the live members into a summary of
 // the domain.
 func (f *Fleet) Summarize(now time.Time, own Digest) Summary {
@@ -378,7 +387,8 @@
 	for _, d := range append(live, own) {
 		s.Members++
 		s.APIUnavailable, available = s.APIUnavailable || d.APIUnavailable, available || d.APIAvailable
-		s.ConfigVersion, s.EntryRevision = max(s.ConfigVersion, d.ConfigVersion), max(s.EntryRevision, d.EntryRevision)
+		s.ConfigVersion = max(s.ConfigVersion, d.ConfigVersion)
+		s.addEntries(d)
 		if d.LeaseHolder != nil && (s.LeaseHolder == nil || d.LeaseHolder.Fence > s.LeaseHolder.Fence) {
 			s.LeaseHolder = d.LeaseHolder
 		}
--- a/rlb-node/pkg/rlbpeer/fuzz_test.go
+++ b/rlb-node/pkg/rlbpeer/fuzz_test.go
@@ -68,7 +68,7 @@
 
 // FuzzQuery decodes queries and replies of any content.
 func FuzzQuery(f *testing.F) {
-	for _, v := range []any{&Query{Adapter: &AdapterQuery{Service: "s", Model: "m", Adapter: "a"}}, &Query{Changes: &ChangesQuery{3, 4}}, &Reply{Reason: "r", Entries: []Entry{{Name: "e", Version: 3}}}} {
+	for _, v := range []any{&Query{Adapter: &AdapterQuery{Service: "s", Model: "m", Adapter: "a"}}, &Query{Changes: &ChangesQuery{3, 4, false}}, &Reply{Reason: "r", Entries: []Entry{{Name: "e", Version: 3}}}} {
 		data, err := msgpack.Marshal(v)
 		if err != nil {
 			f.Fatal(err)
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -45,8 +45,9 @@
 // ChangesQuery requests the parts of the deployment that are newer at the receiver than
 // at the sender.
 type ChangesQuery struct {
-	ConfigVersion uint64 `msgpack:"c"` // sender's config version in force
-	EntryRevision uint64 `msgpack:"e"` // sender's newest entry revision
+	ConfigVersion uint64 `msgpack:"c"`           // sender's config version in force
+	EntryRevision uint64 `msgpack:"e"`           // sender's newest entry revision
+	Known         bool   `msgpack:"n,omitempty"` // the sender compares all its entries with those of the receiver
 }
 
 // Reply answers a query.
@@ -55,6 +56,16 @@
 	Reason    string   `msgpack:"r,omitempty"` // why there is no endpoint; the texts sent to other instances are part of the protocol and stay as they are
 	Config    []byte   `msgpack:"c,omitempty"`
 	Entries   []Entry  `msgpack:"n,omitempty"`
+
+	EntryRevision uint64         `msgpack:"v,omitempty"` // newest revision of an entry at the sender
+	Fingerprint   uint64         `msgpack:"f,omitempty"` // of the sender's entries; 0: not known
+	Known         []KnownVersion `msgpack:"k,omitempty"` // all entries of the sender
+}
+
+// KnownVersion is the version of an entry that an instance knows.
+type KnownVersion struct {
+	Name    string `msgpack:"n"`
+	Version uint64 `msgpack:"v"`
 }
 
 // Entry is an endpoint's entry as stored in the object API.
