--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -18,7 +19,7 @@
 const (
 	stepsUntilList       = 3                  // consecutive steps with a newer source before a list call is triggered
 	stepsUntilQuery      = 2 * stepsUntilList // the same before a watcher queries the source, as the list did not help
-	maxWatcherCandidates = 3                  // limit of the instances of a domain that call the object API while it is unavailable
+	maxWatcherCandidates = 3                  // the instances of a domain that call the object API all the time while it is unavailable
 	queryTimeout         = time.Second
 	configReadDelay      = time.Second // after which an outdated config is read from the object API
 	sourcePeer           = "another instance"
@@ -33,6 +34,7 @@
 	configWatcher   *rlbdiscovery.Watcher
 	endpointWatcher *rlbdiscovery.Watcher
 	comparison      comparison
+	standIn         standIn
 	stepsBehind     int           // consecutive steps in which another instance was ahead of this watcher
 	behindSince     time.Time     // start of the period in which others had a newer config than stuckVersion; zero: none
 	stuckVersion    uint64        // config version in force at behindSince
@@ -86,21 +88,30 @@
 // isWatcher reports whether this instance watches the object API for its domain: it is
 // one of the first maxWatcherCandidates instances by name, and the object API is
 // unavailable to all instances before it. Leaving instances do not count, nor do silent ones.
+// If it answers none of these, the others try in turn, see standIn.
 // An instance that already watches goes on until the object API answers one before it.
 func (a *app) isWatcher() bool {
 	if !a.settled() {
 		return false
 	}
-	before, watching := 0, a.catchUp.available()
-	for _, d := range a.fleet.DigestsWithin(a.now(), a.view.Budget().Silence()) {
-		if d.Name > a.name || d.Draining {
-			continue
-		}
-		if before++; !d.APIUnavailable && (d.APIAvailable || !watching) {
-			return false
-		}
+	now, watching := a.now(), a.catchUp.available()
+	others := a.fleet.DigestsWithin(now, a.view.Budget().Silence())
+	others = slices.DeleteFunc(others, func(d rlbpeer.Digest) bool { return d.Draining })
+	before := others[:sort.Search(len(others), func(i int) bool { return others[i].Name > a.name })]
+	available := func(d rlbpeer.Digest) bool { return d.APIAvailable }
+	unavailable := func(d rlbpeer.Digest) bool { return d.APIUnavailable }
+	needed := slices.ContainsFunc(others, unavailable) && !slices.ContainsFunc(others, available)
+	standIn := a.catchUp.standIn.due(now, needed, len(before)-maxWatcherCandidates, len(others)+1)
+	switch {
+	case slices.ContainsFunc(before, available):
+		return false
+	case watching:
+		return true
+	case len(before) >= maxWatcherCandidates:
+		return standIn
+	default:
+		return !slices.ContainsFunc(before, func(d rlbpeer.Digest) bool { return !d.APIUnavailable })
 	}
-	return before < maxWatcherCandidates
 }
 
 // limitGraces limits the grace periods of the entries that are missing as this instance takes
--- a/rlb-node/pkg/rlbapp/entry_comparison_test.go
+++ b/rlb-node/pkg/rlbapp/entry_comparison_test.go
@@ -35,7 +35,7 @@
 	i := f.add(before.name, before.domain, before.address)
 	i.incarnation = before.incarnation + 1
 	if revision > 0 {
-		i.staleAPI = oldList{storeClient{f.store, i.cut.Load}, revision}
+		i.staleAPI = oldList{storeClient{f.store, i.cut.Load, i.refused.Load, &i.calls}, revision}
 	}
 	f.start(i)
 	f.instances[n] = i
--- a/rlb-node/pkg/rlbapp/leaving_test.go
+++ b/rlb-node/pkg/rlbapp/leaving_test.go
@@ -58,6 +58,9 @@
 type storeClient struct {
 	*eventStore
 	cut func() bool
+	// refused reports whether the object API turns the instance away at once; nil: it does not.
+	refused func() bool
+	calls   *atomic.Int64 // of the instance; nil: not counted
 }
 
 func (c storeClient) List(ctx context.Context, kind string) (rlbobject.Changes, error) {
@@ -99,6 +102,12 @@
 }
 
 func (c storeClient) respond(ctx context.Context, changes rlbobject.Changes) (rlbobject.Changes, error) {
+	if c.calls != nil {
+		c.calls.Add(1)
+	}
+	if c.refused != nil && c.refused() {
+		return rlbobject.Changes{}, rlberror.New("call", rlbobject.KindUnavailable, errors.New("turned away"))
+	}
 	if c.cut() {
 		<-ctx.Done()
 		return rlbobject.Changes{}, rlberror.New("call", rlbobject.KindUnknown, ctx.Err())
@@ -153,6 +162,8 @@
 	datagrams *datagrams
 	lost      atomic.Bool // has lost power
 	cut       atomic.Bool // from the object API
+	refused   atomic.Bool // by the object API
+	calls     atomic.Int64
 	stop      func()
 }
 
@@ -175,12 +186,18 @@
 	return &rlbdeployment.Endpoint{ID: id, Service: "s", Draining: state == "leaving"}, nil
 }
 
-// startTestFleet starts instances a, b and c in domain x and d and e in y. They see two
-// endpoints.
-func startTestFleet() *testFleet {
+// newTestFleet returns a fleet without instances, which will see two endpoints.
+func newTestFleet() *testFleet {
 	f := &testFleet{store: &eventStore{changed: make(chan struct{})}, byAddress: map[string]*testInstance{}}
 	f.store.append(rlbobject.Object{Name: "stays", Value: []byte(`"ready"`)})
 	f.store.append(rlbobject.Object{Name: "leaves", Value: []byte(`"ready"`)})
+	return f
+}
+
+// startTestFleet starts instances a, b and c in domain x and d and e in y. They see two
+// endpoints.
+func startTestFleet() *testFleet {
+	f := newTestFleet()
 	for n, name := range []string{"a", "b", "c", "d", "e"} {
 		f.instances = append(f.instances, f.add(name, []string{"x", "x", "x", "y", "y"}[n], fmt.Sprintf("10.0.0.%d:1", n+1)))
 	}
@@ -202,7 +219,7 @@
 func (f *testFleet) add(name, domain, address string) *testInstance {
 	i := &testInstance{app: newTestApp(name, nil, false)}
 	i.domain, i.address, i.now = domain, address, time.Now
-	client := storeClient{f.store, i.cut.Load}
+	client := storeClient{f.store, i.cut.Load, i.refused.Load, &i.calls}
 	i.api, i.staleAPI = client, client
 	i.fleet = rlbpeer.NewFleet(name, domain)
 	i.view = rlbdiscovery.New(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, stateDecoder{}, time.Now, time.Second)
