--- a/lib/pkg/rlborigin/record.go
+++ b/lib/pkg/rlborigin/record.go
@@ -29,12 +29,16 @@
 type Error = rlberror.Error[Kind]
 
 // storedOrigin is a version that serves, with the streams that began there. These are left
-// out while the service has only one version: then the origin of each stream is clear.
+// out while the service, with those whose streams move there or from it, has only one version:
+// then the origin of each stream is clear.
 type storedOrigin struct {
 	Service string         `json:"service"`
 	Version string         `json:"version"`
 	Era     uint64         `json:"era,omitempty"` // of the object API when the record was written
 	Streams []storedStream `json:"streams,omitempty"`
+	// MovedTo holds the services that callers of such streams go to since a config has moved
+	// their route, and for how long that matters, in leftUnit.
+	MovedTo map[string]uint64 `json:"moved_to,omitempty"`
 }
 
 func (o storedOrigin) origin() Origin { return Origin{o.Service, o.Version} }
@@ -63,8 +67,8 @@
 		if !now.Before(r.serving[origin]) {
 			continue
 		}
-		stored := storedOrigin{Service: origin.Service, Version: origin.Version, Era: era}
-		if len(r.servingVersions(origin.Service)) > 1 {
+		stored := storedOrigin{Service: origin.Service, Version: origin.Version, Era: era, MovedTo: r.movesFrom(origin.Service)}
+		if len(r.servingVersions(r.joined(origin.Service))) > 1 {
 			stored.Streams = r.ownStreams(origin)
 		}
 		origins, record.origins = append(origins, stored), append(record.origins, origin)
@@ -104,6 +108,9 @@
 func (o storedOrigin) addTo(digest *xxhash.Digest) {
 	_, _ = digest.WriteString(o.Service + "\x00" + o.Version + "\x00")
 	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, o.Era))
+	for _, to := range slices.Sorted(maps.Keys(o.MovedTo)) {
+		_, _ = digest.WriteString("\x01" + to)
+	}
 	for _, s := range o.Streams {
 		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, s[0]))
 	}
@@ -147,7 +154,7 @@
 	}
 	restoredLately := r.now().Sub(r.eraSeenAt) < longestRequest
 	var failed []error
-	r.recorded, r.complete = map[Origin]bool{}, true
+	r.recorded, r.recordedMoves, r.complete = map[Origin]bool{}, map[move]bool{}, true
 	for _, record := range records {
 		var origins []storedOrigin
 		if err := json.Unmarshal(record.Value, &origins); err != nil {
@@ -173,15 +180,29 @@
 			r.stored[o.origin()] = true
 			r.extend(o.origin(), now.Add(longestRequest))
 		}
+		r.mergeMoves(o, ofPredecessor, now)
 		for _, s := range o.Streams {
 			r.merge(s, o.origin(), own, now)
 		}
 	}
 }
 
+// mergeMoves adds the moves of a record. r.mu is held.
+func (r *Registry) mergeMoves(o storedOrigin, ofPredecessor bool, now time.Time) {
+	for to, left := range o.MovedTo {
+		m := move{o.Service, to}
+		r.recordedMoves[m] = true
+		if ofPredecessor {
+			r.extendMove(m, now.Add(time.Duration(min(left, maxLeft))*leftUnit))
+		}
+	}
+}
+
+// maxLeft limits the times in a record, whatever it says, in leftUnit.
+const maxLeft = uint64(24 * time.Hour / leftUnit)
+
 // merge adds a stream of a record unless it is known. r.mu is held.
 func (r *Registry) merge(s storedStream, origin Origin, own bool, now time.Time) {
-	const maxLeft = uint64(24 * time.Hour / leftUnit)
 	if _, known := r.streams[s[0]]; known || len(r.streams) >= maxStreams {
 		return
 	}
--- a/lib/pkg/rlborigin/registry.go
+++ b/lib/pkg/rlborigin/registry.go
@@ -54,7 +54,11 @@
 	stored   map[Origin]bool      // in the stored record of this instance
 	recorded map[Origin]bool      // in the records of all instances that were merged last
 	complete bool                 // these records contain all versions that may have begun streams
-	merged   bool                 // the records from before the start of the process were merged
+
+	moves         map[move]time.Time // observed by this process; until when streams from before may be taken up
+	recordedMoves map[move]bool      // in the records of all instances that were merged last
+
+	merged bool // the records from before the start of the process were merged
 
 	begun      []begunStream // to be announced
 	begunCount uint64
@@ -72,7 +76,7 @@
 
 // New returns an empty registry.
 func New(now func() time.Time) *Registry {
-	return &Registry{now: now, streams: map[uint64]stream{}, serving: map[Origin]time.Time{}, stored: map[Origin]bool{}, recorded: map[Origin]bool{}}
+	return &Registry{now: now, streams: map[uint64]stream{}, serving: map[Origin]time.Time{}, stored: map[Origin]bool{}, recorded: map[Origin]bool{}, moves: map[move]time.Time{}, recordedMoves: map[move]bool{}}
 }
 
 func keyOf(request string) uint64 { return xxhash.Sum64String(request) }
@@ -127,15 +131,15 @@
 	return s.origin, known
 }
 
-// Check returns what is known about the stream that a request of a service began, and its
-// version if that is known. About a stream that is not remembered it holds only if the
-// records of all instances were merged since the caller took the stream up: other instances
-// may have begun it at a version of which this one has not heard.
+// Check returns what is known about the stream that a request began, and its version if that
+// is known; service is the one that the request goes to now. A config may have moved the route
+// since, so that a remembered stream may be of another service: it goes on at its version all
+// the same. About a stream that is not remembered the verdict holds only if the records of all
+// instances were merged since the caller took the stream up: other instances may have begun it
+// at a version of which this one has not heard.
 func (r *Registry) Check(service, request string) (version string, verdict Verdict) {
-	if origin, known := r.Lookup(request); known && origin.Service == service {
+	if origin, known := r.Lookup(request); known {
 		return origin.Version, Known
-	} else if known {
-		return "", Unknown // the stream is none of this service
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,32 +149,34 @@
 	return "", Unknown
 }
 
-// versionsOf returns the versions of a service that may have begun streams which can be
-// taken up now: those that this process has observed, and those that any instance has
-// stored. r.mu is held.
+// versionsOf returns the versions that may have begun the streams which can be taken up at a
+// service now: those that this process has observed, and those that any instance has
+// stored, of the service and of those whose streams have moved there. r.mu is held.
 func (r *Registry) versionsOf(service string) []string {
 	var versions []string
+	services := r.joined(service)
 	for origin := range r.recorded {
-		if origin.Service == service {
+		if slices.Contains(services, origin.Service) {
 			versions = append(versions, origin.Version)
 		}
 	}
-	versions = append(versions, r.servingVersions(service)...)
+	versions = append(versions, r.servingVersions(services)...)
 	slices.Sort(versions)
 	return slices.Compact(versions)
 }
 
-// servingVersions returns the versions of a service that this process has observed and
+// servingVersions returns the versions of services that this process has observed and
 // whose streams can be taken up now. r.mu is held.
-func (r *Registry) servingVersions(service string) []string {
+func (r *Registry) servingVersions(services []string) []string {
 	now := r.now()
 	var versions []string
 	for origin, until := range r.serving {
-		if origin.Service == service && now.Before(until) {
+		if now.Before(until) && slices.Contains(services, origin.Service) {
 			versions = append(versions, origin.Version)
 		}
 	}
-	return versions
+	slices.Sort(versions)
+	return slices.Compact(versions)
 }
 
 // MayBegin reports whether a stream may begin at an origin: it is in the stored record of
@@ -203,4 +209,9 @@
 			delete(r.serving, origin)
 		}
 	}
+	for m, until := range r.moves {
+		if !now.Before(until) {
+			delete(r.moves, m)
+		}
+	}
 }
--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -47,6 +47,9 @@
 	readFailed  atomic.Bool       // a read of the records has failed since the start of the process
 	resumable   atomic.Pointer[resumableStreams]
 
+	observed        *rlbdeployment.Config // latest one that observe has seen
+	longestObserved time.Duration         // longest request under it
+
 	mu       sync.Mutex // held while the objects are read, which takes no longer than originReadTimeout
 	lastRead time.Time  // when the latest read began
 	readDone bool       // it succeeded
@@ -124,9 +127,28 @@
 		return
 	}
 	resumable := o.resumableOf(snapshot.Config)
+	o.observeMoves(snapshot.Config, resumable.longest)
 	o.Observe(servingOrigins(snapshot, resumable.services), resumable.longest)
 }
 
+// observeMoves records which services streams have moved between since the config that was
+// observed before.
+func (o *streamOrigins) observeMoves(config *rlbdeployment.Config, longest time.Duration) {
+	before, longestBefore := o.observed, o.longestObserved
+	o.observed, o.longestObserved = config, longest
+	if before == nil || before == config {
+		return
+	}
+	for _, m := range before.Moves(config, isResumable) {
+		o.Moved(m.From, m.To, max(longest, longestBefore))
+	}
+}
+
+// isResumable reports whether the answers of a route are streams that callers may take up again.
+func isResumable(r *rlbdeployment.Route) bool {
+	return r.Kind == rlbdeployment.KindStream && r.Resumable
+}
+
 // learn remembers streams that other instances have begun to relay.
 func (o *streamOrigins) learn(announcements []rlborigin.Announcement) {
 	if config := o.app.view.Snapshot().Config; config != nil && len(announcements) > 0 {
@@ -149,7 +171,7 @@
 	}
 	found := &resumableStreams{config: config, services: map[string]bool{}}
 	for route := range config.AllRoutes() {
-		if route.Kind != rlbdeployment.KindStream || !route.Resumable {
+		if !isResumable(route) {
 			continue
 		}
 		found.longest = max(found.longest, route.Timeout)
