--- a/lib/pkg/rlbbalancer/balancer.go
+++ b/lib/pkg/rlbbalancer/balancer.go
@@ -200,12 +200,19 @@
 	return b.statsOf(e).unhealthy(now)
 }
 
-// Prune removes the stats of idle endpoints that are no longer known.
-func (b *Balancer) Prune(known func(id string) bool) {
+// Prune removes the stats of idle endpoints that have not been known for statsTTL, unless a
+// hold-off lasts longer: the entry of a live endpoint may lapse and come back, and the
+// endpoint still wants what it wanted before.
+func (b *Balancer) Prune(now time.Time, known func(id string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.stats {
-		if s.inFlight == 0 && !known(id) {
+		switch {
+		case known(id):
+			s.unknownSince = time.Time{}
+		case s.unknownSince.IsZero():
+			s.unknownSince = now
+		case s.inFlight == 0 && now.Sub(s.unknownSince) >= statsTTL && !s.holdOff.active(now, 1):
 			delete(b.stats, id)
 		}
 	}
--- a/lib/pkg/rlbbalancer/balancer_test.go
+++ b/lib/pkg/rlbbalancer/balancer_test.go
@@ -157,6 +157,40 @@
 	})
 }
 
+// TestStatsSurviveTheRemovalOfTheEntry guards against requests to an endpoint that asked for
+// none: its entry lapses and comes back, and the statement was forgotten in between.
+func TestStatsSurviveTheRemovalOfTheEntry(t *testing.T) {
+	start := time.Unix(1000, 0)
+	nobody := func(string) bool { return false }
+	Convey("Given an endpoint whose entry is gone", t, func() {
+		balancer := New()
+		e := &rlbdeployment.Endpoint{ID: "a", Slots: 4}
+		Convey("what it asked for holds until its end", func() {
+			balancer.RecordHoldOff(start, e, 3*time.Minute)
+			balancer.Prune(start, nobody)
+			balancer.Prune(start.Add(3*time.Minute-1), nobody)
+			So(balancer.HeldOff(start.Add(3*time.Minute-1), "a"), ShouldBeTrue)
+			So(balancer.HeldOffEndpoints(start.Add(3*time.Minute-1)), ShouldResemble, []string{"a"})
+			Convey("and is forgotten then", func() {
+				balancer.Prune(start.Add(3*time.Minute+trialPeriod), nobody)
+				So(balancer.stats, ShouldBeEmpty)
+			})
+		})
+		Convey("its failures are known if the entry comes back soon", func() {
+			balancer.Begin(e, RequestLoad{})
+			balancer.End(start, e, RequestLoad{}, OutcomeNoAnswer, 0)
+			balancer.RecordMismatch(start, e)
+			balancer.Prune(start, nobody)
+			So(balancer.Unhealthy(start, e), ShouldBeTrue)
+			balancer.Prune(start, func(string) bool { return true })
+			balancer.Prune(start.Add(2*statsTTL), nobody)
+			So(balancer.stats, ShouldNotBeEmpty)
+			balancer.Prune(start.Add(3*statsTTL), nobody)
+			So(balancer.stats, ShouldBeEmpty)
+		})
+	})
+}
+
 func TestHoldOff(t *testing.T) {
 	start := time.Unix(1000, 0)
 	Convey("with an endpoint that wants no requests for 4 s and one that wants none for 8 s", t, func() {
--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -14,6 +14,9 @@
 	mismatchBackoff = 2 * time.Second        // for an endpoint that does not match its entry, unless the entry changes first
 )
 
+// statsTTL is how long the stats of an endpoint without an entry are kept.
+const statsTTL = time.Minute
+
 // Outcome is the result of a request as far as it concerns the health of the endpoint.
 type Outcome int
 
@@ -40,7 +43,8 @@
 	mismatched    *rlbdeployment.Endpoint // entry that the endpoint did not match
 	mismatchUntil time.Time
 	holdOff       holdOff
-	unanswered    int // requests in flight whose answer has not begun
+	unanswered    int       // requests in flight whose answer has not begun
+	unknownSince  time.Time // since when the endpoint has no entry; zero: it has one
 }
 
 // statsOf returns the stats of an endpoint. When the endpoint has restarted, it resets
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -274,7 +274,7 @@
 func (a *app) tidy() {
 	a.proxy.LogQuarantine()
 	snapshot := a.view.Snapshot()
-	a.balancer.Prune(func(id string) bool { return snapshot.ByID[id] != nil })
+	a.balancer.Prune(rlbclock.Now(), func(id string) bool { return snapshot.ByID[id] != nil })
 }
 
 func (a *app) sweep(ctx context.Context) {
