--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -261,7 +261,8 @@
 // syncEndpoints creates, replaces and removes endpoint states to match the
 // endpoints' entries. It reports whether orders may be sent.
 func (s *Scheduler) syncEndpoints() bool {
-	held := s.Fence() > 0
+	fence := s.Fence()
+	held := fence > 0
 	snapshot := s.View.Snapshot()
 	s.footprints.update(snapshot, s.now()) // by each instance, as it may become the lease holder
 	s.mu.Lock()
@@ -276,7 +277,7 @@
 		s.publishChanges()
 		clear(s.states) // another holder may have sent orders in the meantime
 		lastSeen, starts := s.Fleet.HolderLoads(s.now())
-		s.loadLimiter.takeOver(s.now(), lastSeen, starts)
+		s.loadLimiter.takeOver(s.now(), fence, lastSeen, starts)
 	}
 	for id, e := range snapshot.ByID {
 		if s.engineOf(snapshot, e) == nil {
