--- a/rlb-node/pkg/rlbapp/stream_origins.go
+++ b/rlb-node/pkg/rlbapp/stream_origins.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbdeployment"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
@@ -47,6 +46,8 @@
 	readFailed  atomic.Bool       // a read of the records has failed since the start of the process
 	resumable   atomic.Pointer[resumableStreams]
 
+	departed departedRecords
+
 	observed        *rlbdeployment.Config // latest one that observe has seen
 	longestObserved time.Duration         // longest request under it
 
@@ -56,7 +57,7 @@
 }
 
 func newStreamOrigins(a *app) *streamOrigins {
-	o := &streamOrigins{Registry: rlborigin.New(rlbclock.Now), app: a, now: rlbclock.Now, storeNow: make(chan struct{}, 1)}
+	o := &streamOrigins{Registry: rlborigin.New(a.now), app: a, now: a.now, storeNow: make(chan struct{}, 1)}
 	empty, _ := o.Record(0) // not stored
 	o.fingerprint = empty.Fingerprint
 	return o
@@ -68,11 +69,13 @@
 		if o.app.view.Snapshot().Config == nil {
 			continue
 		}
-		o.observe()
+		serving, longest := o.observe()
 		o.Expire()
 		if !o.save(ctx) {
 			rlbcommon.Sleep(ctx, originStorePause)
+			continue
 		}
+		o.pruneDeparted(ctx, serving, longest)
 	}
 }
 
@@ -120,15 +123,18 @@
 	return max(originStoreInterval, time.Duration(o.app.fleet.KnownInstances(o.now()))*originStoreSpacing)
 }
 
-// observe records which versions serve now.
-func (o *streamOrigins) observe() {
+// observe records which versions serve now. It returns them, and how long a request lasts at
+// most.
+func (o *streamOrigins) observe() (serving []rlborigin.Origin, longest time.Duration) {
 	snapshot := o.app.view.Snapshot()
 	if snapshot.Config == nil {
-		return
+		return nil, 0
 	}
 	resumable := o.resumableOf(snapshot.Config)
 	o.observeMoves(snapshot.Config, resumable.longest)
-	o.Observe(servingOrigins(snapshot, resumable.services), resumable.longest)
+	serving = servingOrigins(snapshot, resumable.services)
+	o.Observe(serving, resumable.longest)
+	return serving, resumable.longest
 }
 
 // observeMoves records which services streams have moved between since the config that was
