--- a/lib/pkg/rlbcrash/evidence.go
+++ b/lib/pkg/rlbcrash/evidence.go
@@ -59,12 +59,13 @@
 }
 
 // RecordCrash records that the incarnation of an endpoint crashed while it ran a request
-// with the property. The ID is equal at all instances that count the same crash.
-func (e *Evidence) RecordCrash(p Property, id, endpoint uint64) {
+// with the property, in an attempt that began at a time; zero: not known. The ID is equal at all
+// instances that count the same crash.
+func (e *Evidence) RecordCrash(p Property, id, endpoint uint64, began time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.opts.Now()
-	e.update(now, p, func(r *Record) bool { return r.add(Crash{ID: id, Endpoint: endpoint, At: now}) })
+	e.update(now, p, func(r *Record) bool { return r.add(Crash{ID: id, Endpoint: endpoint, At: now, Began: began}) })
 }
 
 // RecordAnswer records that requests with the properties did not crash the endpoint: it
--- a/lib/pkg/rlbcrash/record.go
+++ b/lib/pkg/rlbcrash/record.go
@@ -7,7 +7,7 @@
 // nothing tells which of them caused it. Three rules find the cause: an answer to a
 // request with a property refutes the evidence against it, a crash that one property
 // explains is no evidence against another, and crashes at the same moment count once, as
-// machines fail together. Instances exchange their records and merge them; merging is
+// machines fail together, or equal requests run at one endpoint. Instances exchange their records and merge them; merging is
 // commutative and idempotent. The package does no I/O.
 package rlbcrash
 
@@ -39,6 +39,7 @@
 	ID       uint64 // equal at all instances that count the same crash against the property
 	Endpoint uint64 // identifies the endpoint's incarnation, which can crash only once
 	At       time.Time
+	Began    time.Time // start of the attempt that it cut off; zero: not known
 	Refuted  bool // a request with the property was answered: it did not cause the crash
 }
 
--- a/lib/pkg/rlbcrash/verdict.go
+++ b/lib/pkg/rlbcrash/verdict.go
@@ -11,8 +11,8 @@
 	// crashThreshold is the number of crashes that only the property explains from which
 	// on requests with it are refused.
 	crashThreshold = 3
-	// simultaneousCrashes is the time within which crashes count as one for a prompt part:
-	// endpoints that fail together were running many requests with the same parts.
+	// simultaneousCrashes is the time within which crashes count as one: endpoints that fail
+	// together were running many requests with the same parts, and maybe equal ones.
 	simultaneousCrashes = 50 * time.Millisecond
 	// refusalTime is how long requests are refused after the crash that reaches the
 	// threshold. Each further crash doubles it.
@@ -78,16 +78,16 @@
 	return verdicts
 }
 
-// countSeparate returns the number of crashes; those of a prompt part at the same moment
-// count as one.
+// countSeparate returns the number of crashes; those at the same moment count as one. A whole
+// request that is sent on after a crash may bring about the next one within that moment: its
+// attempt has begun after the crash before, while the attempts that one failure cuts off
+// have all begun earlier.
 func countSeparate(crashes []Crash, kind Kind) int {
-	if kind == WholeRequest {
-		return len(crashes)
-	}
 	n := 0
 	var last time.Time
 	for _, c := range crashes {
-		if n == 0 || c.At.Sub(last) >= simultaneousCrashes {
+		sentOn := kind == WholeRequest && c.Began.After(last)
+		if n == 0 || sentOn || c.At.Sub(last) >= simultaneousCrashes {
 			n, last = n+1, c.At
 		}
 	}
--- a/rlb-gateway/pkg/rlbfleet/quarantine.go
+++ b/rlb-gateway/pkg/rlbfleet/quarantine.go
@@ -49,7 +49,7 @@
 		}
 		endpoint := xxhash.Sum64String(crash.Endpoint) ^ crash.Incarnation
 		for _, p := range partProperties(crash.Parts) {
-			f.crashCauses.RecordCrash(p, endpoint, endpoint)
+			f.crashCauses.RecordCrash(p, endpoint, endpoint, time.Time{})
 		}
 	}
 }
--- a/rlb-node/pkg/rlbapp/crash_store.go
+++ b/rlb-node/pkg/rlbapp/crash_store.go
@@ -31,7 +31,8 @@
 type storedCrash struct {
 	ID           uint64 `json:"id"`
 	Endpoint     uint64 `json:"endpoint"`
-	MsBeforeLast int64  `json:"ms_before_last"` // milliseconds before the latest crash of the property
+	MsBeforeLast int64  `json:"ms_before_last"`   // milliseconds before the latest crash of the property
+	RanMs        int64  `json:"ran_ms,omitempty"` // milliseconds for which the attempt had been running; 0: not known
 }
 
 // crashStore keeps the refused properties in the object API. Only the lease holder writes.
@@ -70,7 +71,11 @@
 		r := rlbcrash.Record{Property: rlbcrash.Property{Kind: c.Kind, ID: c.ID}, Answered: c.Answered}
 		for _, crash := range c.Crashes {
 			at := now.Add(-time.Duration(crash.MsBeforeLast) * time.Millisecond)
-			r.Crashes = append(r.Crashes, rlbcrash.Crash{ID: crash.ID, Endpoint: crash.Endpoint, At: at})
+			loaded := rlbcrash.Crash{ID: crash.ID, Endpoint: crash.Endpoint, At: at}
+			if crash.RanMs > 0 {
+				loaded.Began = at.Add(-time.Duration(crash.RanMs) * time.Millisecond)
+			}
+			r.Crashes = append(r.Crashes, loaded)
 		}
 		records = append(records, r)
 		s.stored = append(s.stored, r.Property)
@@ -149,7 +154,11 @@
 		last := r.Crashes[len(r.Crashes)-1].At
 		for _, crash := range r.Crashes {
 			if !crash.Refuted {
-				c.Crashes = append(c.Crashes, storedCrash{ID: crash.ID, Endpoint: crash.Endpoint, MsBeforeLast: last.Sub(crash.At).Milliseconds()})
+				stored := storedCrash{ID: crash.ID, Endpoint: crash.Endpoint, MsBeforeLast: last.Sub(crash.At).Milliseconds()}
+				if !crash.Began.IsZero() {
+					stored.RanMs = max(crash.At.Sub(crash.Began).Milliseconds(), 1)
+				}
+				c.Crashes = append(c.Crashes, stored)
 			}
 		}
 		causes = append(causes, c)
--- a/rlb-node/pkg/rlbproxy/quarantine.go
+++ b/rlb-node/pkg/rlbproxy/quarantine.go
@@ -54,10 +54,10 @@
 	answering := s.answeringFor(req)
 	endpoint := e.IncarnationKey()
 	attempt := xxhash.Sum64String(e.ID + "/" + req.id + "/" + strconv.FormatInt(req.attemptStart.UnixNano(), 10))
-	s.Crashes.RecordCrash(rlbcrash.Property{Kind: rlbcrash.WholeRequest, ID: req.fingerprint}, attempt, endpoint)
+	s.Crashes.RecordCrash(rlbcrash.Property{Kind: rlbcrash.WholeRequest, ID: req.fingerprint}, attempt, endpoint, req.attemptStart)
 	if answering < harmlessAfter {
 		for _, part := range req.partProperties() {
-			s.Crashes.RecordCrash(part, endpoint, endpoint)
+			s.Crashes.RecordCrash(part, endpoint, endpoint, req.attemptStart)
 		}
 	}
 	s.requestMetrics.crashes.Inc(1)
