--- a/lib/pkg/rlbcrash/record.go
+++ b/lib/pkg/rlbcrash/record.go
@@ -40,7 +40,7 @@
 	Endpoint uint64 // identifies the endpoint's incarnation, which can crash only once
 	At       time.Time
 	Began    time.Time // start of the attempt that it cut off; zero: not known
-	Refuted  bool // a request with the property was answered: it did not cause the crash
+	Refuted  bool      // a request with the property was answered: it did not cause the crash
 }
 
 // Record is the evidence about one property.
