--- a/lib/pkg/rlbhttp/client.go
+++ b/lib/pkg/rlbhttp/client.go
@@ -8,9 +8,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
@@ -72,7 +75,7 @@
 // statuses from 300 it returns the response and an error of KindStatus.
 func Do(ctx context.Context, client *http.Client, method, url string, header http.Header, body []byte) (Response, error) {
 	op := method + " " + url
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(withInterimCheck(ctx), method, url, bytes.NewReader(body))
 	if err != nil {
 		return Response{}, rlberror.New(op, KindNotSent, err)
 	}
@@ -84,6 +87,9 @@
 		return Response{}, rlberror.New(op, kindOfError(err), err)
 	}
 	defer resp.Body.Close()
+	if !IsFinal(resp.StatusCode) {
+		return Response{}, rlberror.Newf(op, KindUnknown, "the status is that of no answer: %q", resp.Status)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody))
 	response := Response{Status: resp.StatusCode, Header: resp.Header, Body: data}
 	if err != nil {
@@ -95,6 +101,26 @@
 	return response, nil
 }
 
+// withInterimCheck makes a call fail at an interim answer that says how long its body is. It can
+// have none, so that the bytes after it would be taken for the final answer.
+func withInterimCheck(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+			if length := header.Get("Content-Length"); length != "" && length != "0" {
+				return fmt.Errorf("an interim answer with status %d has a body", code)
+			}
+			return nil
+		},
+	})
+}
+
+// IsFinal reports whether an answer with a status ends a request. Others are interim answers, or
+// none at all, such as 000, whatever their header says.
+func IsFinal(status int) bool {
+	const last = 599
+	return status >= http.StatusOK && status <= last
+}
+
 func kindOfError(err error) Kind {
 	if NotSent(err) {
 		return KindNotSent
@@ -125,5 +151,7 @@
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
 	}
-	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+	// A redirection is an answer like others: a call is meant for the host that it was sent to.
+	keepRedirections := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: transport, CheckRedirect: keepRedirections}, transport.CloseIdleConnections
 }
--- a/lib/pkg/rlbobject/client.go
+++ b/lib/pkg/rlbobject/client.go
@@ -150,11 +150,11 @@
 		return KindTooLarge
 	case http.StatusGone:
 		return KindExpired
-	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+	}
+	if status < http.StatusBadRequest || status >= http.StatusInternalServerError {
 		return KindUnknown
-	default:
-		return KindInvalid
 	}
+	return KindInvalid
 }
 
 func precondition(expected Version) http.Header {
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
+	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbhttp"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbroute"
 )
 
@@ -273,19 +275,36 @@
 	return n, nil
 }
 
-// readResponse reads the header of an answer and skips interim (1xx) responses.
+// errNotFinal is returned for an answer whose status is that of no final answer, nor of an
+// interim one. Nothing that follows on the connection belongs to a request.
+var errNotFinal = errors.New("the status is that of no answer to the request")
+
+// readResponse reads the header of an answer and skips interim responses.
 func readResponse(c *conn, request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, request)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, cmp.Or(c.readError, err) // a head that ends early counts as malformed there, whatever ended it
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		case rlbhttp.IsFinal(response.StatusCode):
 			return response, nil
+		case !isInterim(response):
+			return nil, fmt.Errorf("%w: %q", errNotFinal, response.Status)
 		}
 	}
 }
 
+// isInterim reports whether a response precedes the final one. It has no body: one that says
+// how its body ends is malformed, and so are the bytes after it.
+func isInterim(response *http.Response) bool {
+	const first, last = http.StatusContinue, 199
+	if response.StatusCode < first || response.StatusCode > last || response.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
+	length := response.Header.Get("Content-Length")
+	return len(response.TransferEncoding) == 0 && (length == "" || length == "0")
+}
+
 // classifyError returns the fault that an error stands for. If the connection went
 // silent, it also closes the idle connections to the same address, so that later
 // requests use new ones.
@@ -306,7 +325,7 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return rlbroute.FaultSilent
 	}
-	if errors.Is(err, errNoAnswer) {
+	if errors.Is(err, errNoAnswer) || errors.Is(err, errNotFinal) {
 		return rlbroute.FaultMalformed
 	}
 	if errors.Is(err, ErrMemory) {
--- a/rlb-node/pkg/rlbproxy/server_test.go
+++ b/rlb-node/pkg/rlbproxy/server_test.go
@@ -19,7 +19,9 @@
 
 func encodeEntry(replica *rlbfakedeployment.Replica) []byte {
 	raw, err := json.Marshal(replica.Entry("ready"))
-	So(err, ShouldBeNil)
+	if err != nil {
+		panic(err) // the entry consists of plain values
+	}
 	return raw
 }
 
