--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -178,7 +178,7 @@
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Query: link.Query,
 		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, Silent: a.silent, Settled: a.settled, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
-		APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
+		APIAvailable: func() bool { return a.catchUp.available() }, APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
 	a.proxy = a.newProxy(dispatcher)
 	a.catchUp = a.newCatchUp()
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -67,6 +67,9 @@
 	// Settled reports whether this instance knows which others there are, and may contend
 	// for the lease.
 	Settled func() bool
+	// APIAvailable reports whether the object API answers this instance, as far as it calls it
+	// for other reasons.
+	APIAvailable func() bool
 	// APIUnavailable reports whether the object API answers none of the known
 	// instances.
 	APIUnavailable func() bool
@@ -233,7 +236,7 @@
 }
 
 // contendsForLease reports whether this instance should acquire or renew the lease.
-// This applies to the current holder, and to the delegate of a failure domain if no
+// This applies to the current holder, and to one instance of a failure domain if no
 // lease holder is live or the domain is among the first contendingDomains by name.
 func (s *Scheduler) contendsForLease() bool {
 	now := s.now()
@@ -243,7 +246,7 @@
 	if _, held := s.orderFence(); held {
 		return true
 	}
-	if !s.Settled() || !s.Fleet.IsDelegate(now, func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.APIUnavailable }) {
+	if !s.Settled() || !s.contendsForDomain(now) {
 		return false
 	}
 	if _, known := s.Fleet.LeaseHolder(now); !known {
@@ -258,6 +261,21 @@
 	return before < contendingDomains
 }
 
+// contendsForDomain reports whether this instance is the one of its failure domain that
+// contends: the first one that the object API answers. If it answers none, it is the first one
+// that it does not turn away, as far as is known: most instances do not call it.
+func (s *Scheduler) contendsForDomain(now time.Time) bool {
+	answered := func(peer rlbpeer.Digest) bool { return !peer.Draining && peer.APIAvailable }
+	switch {
+	case s.APIAvailable():
+		return s.Fleet.IsDelegate(now, answered)
+	case slices.ContainsFunc(s.Fleet.LiveDigests(now), answered):
+		return false
+	default:
+		return s.Fleet.IsDelegate(now, func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.APIUnavailable })
+	}
+}
+
 // syncEndpoints creates, replaces and removes endpoint states to match the
 // endpoints' entries. It reports whether orders may be sent.
 func (s *Scheduler) syncEndpoints() bool {
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -194,6 +194,7 @@
 	engines        *fakeEngines
 	demand         map[string]float32
 	takeoverDelay  time.Duration
+	apiAvailable   atomic.Bool // what Opts.APIAvailable returns
 	apiUnavailable atomic.Bool // what Opts.APIUnavailable returns
 	limits         *fakeLimits
 	heldOff        map[string]bool // endpoints that want no requests
@@ -246,7 +247,7 @@
 			return rlbpeer.Reply{}, errors.New("nobody")
 		},
 		Demand: func() map[string]float32 { return f.demand }, Load: func(string) rlbbalancer.Load { return rlbbalancer.Load{} }, Cost: func(*rlbdeployment.Endpoint, string) time.Duration { return 0 }, Limits: f.limits, HeldOff: func(id string) bool { return f.heldOff[id] }, Silent: func(id string) bool { return f.silent[id] }, Settled: func() bool { return true },
-		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, TakeoverDelay: f.takeoverDelay, APIUnavailable: f.apiUnavailable.Load, Now: time.Now,
+		LeaseTTL: 3 * time.Second, LoadWindow: 5 * time.Second, TakeoverDelay: f.takeoverDelay, APIAvailable: f.apiAvailable.Load, APIUnavailable: f.apiUnavailable.Load, Now: time.Now,
 	})
 	go s.Run(ctx)
 	return s
