--- a/rlb-node/pkg/rlbapp/crash_store.go
+++ b/rlb-node/pkg/rlbapp/crash_store.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcommon"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbcrash"
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbobject"
@@ -43,9 +42,10 @@
 	era     uint64              // of the object API when the object was read
 }
 
-// run loads the stored properties and then writes them when they change, until ctx ends.
+// run loads the stored properties and then writes them when they change, until ctx ends. They
+// are read up to date: after a restart of all instances nobody knows what an older read lacks.
 func (s *crashStore) run(ctx context.Context) {
-	for ctx.Err() == nil && !s.load(ctx, s.app.staleAPI) {
+	for ctx.Err() == nil && !s.load(ctx, s.app.api) {
 		rlbcommon.Sleep(ctx, retryDelay)
 	}
 	for rlbcommon.Sleep(ctx, crashStoreInterval) {
@@ -64,7 +64,7 @@
 		s.app.Log.WithError(err).Warn("failed to read which requests crash endpoints")
 		return false
 	}
-	now := rlbclock.Now()
+	now := s.app.now()
 	var records []rlbcrash.Record
 	s.stored = nil
 	for _, c := range causes {
--- a/rlb-node/pkg/rlbapp/crash_store_test.go
+++ b/rlb-node/pkg/rlbapp/crash_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlbclock"
@@ -105,3 +106,31 @@
 		So(causes, ShouldHaveLength, 1)
 	})
 }
+
+// TestRefusedRequestsAreReadUpToDate guards against requests that crash endpoints and run again
+// after a restart of all instances: the read at the start was seconds old.
+func TestRefusedRequestsAreReadUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := rlbcrash.Property{Kind: rlbcrash.PromptPart, ID: 7}
+		api := rlbfake.NewObjects()
+		holder := newTestApp("a", api, true)
+		holder.crashes = rlbcrash.New(rlbcrash.Opts{Instance: "a", Now: time.Now})
+		for n := range uint64(3) {
+			holder.crashes.RecordCrash(part, n, n, time.Now())
+			time.Sleep(time.Second)
+		}
+		(&crashStore{app: holder}).saveChanges(t.Context())
+		next := newTestApp("b", api, false)
+		next.now = time.Now
+		next.staleAPI = rlbfake.NewObjects() // from before the crashes
+		next.crashes = rlbcrash.New(rlbcrash.Opts{Instance: "b", Now: time.Now})
+		ctx, cancel := context.WithCancel(t.Context())
+		go (&crashStore{app: next}).run(ctx)
+		time.Sleep(time.Second)
+		if next.crashes.Refused() != 1 {
+			t.Error("the part is not refused after a restart")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
