--- a/rlb-node/pkg/rlbscheduler/doubts.go
+++ b/rlb-node/pkg/rlbscheduler/doubts.go
@@ -39,6 +39,15 @@
 	return func() { d.remove(to.ID, func(each *doubt) bool { return each == opened }) }
 }
 
+// openUnknown notes that an unknown sender may have sent orders to an incarnation that take
+// effect until a time.
+func (d *doubts) openUnknown(to *rlbdeployment.Endpoint, now, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	d.byEndpoint[to.ID] = append(d.byEndpoint[to.ID], &doubt{to, until})
+}
+
 // blocks reports whether an order to an earlier incarnation of an endpoint may still arrive.
 func (d *doubts) blocks(e *rlbdeployment.Endpoint, now time.Time) bool {
 	d.mu.Lock()
--- a/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
+++ b/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
@@ -1,6 +1,7 @@
 package rlbscheduler
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,3 +191,64 @@
 		t.Errorf("no order after the doubt has ended: %v", all)
 	}
 }
+
+// TestOrderOfTheHolderBeforeBlocksTheNextIncarnation guards against memory that is
+// overcommitted where endpoints do not check fencing numbers: an order without an answer of the
+// lease holder before may reach an endpoint that has restarted since.
+func TestOrderOfTheHolderBeforeBlocksTheNextIncarnation(t *testing.T) {
+	restart := func(s *Scheduler) {
+		s.View.ApplyChanges([]rlbobject.Object{{Name: "e1", Version: 12, Value: []byte("restarted")}}, false)
+	}
+	remove := func(s *Scheduler) {
+		s.View.ApplyChanges([]rlbobject.Object{{Name: "e1", Version: 11, Deleted: true}}, false)
+		time.Sleep(3 * time.Second)
+		s.View.DropRemoved()
+	}
+	for name, play := range map[string]struct {
+		before, after func(s *Scheduler) // the next instance takes the lease
+		blocked       bool
+	}{
+		"as it restarts before the change":                   {restart, nil, true},
+		"as its entry is gone meanwhile":                     {func(s *Scheduler) { remove(s); restart(s) }, nil, true},
+		"as it restarts after the change":                    {nil, restart, true},
+		"but not if it has not restarted":                    {nil, nil, false},
+		"but not if it restarts once such orders have ended": {nil, func(s *Scheduler) { time.Sleep(inDoubtPeriod + 10*time.Second); restart(s) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "e1")
+				f.takeoverDelay = testLeaseTTL
+				ctx, stop := context.WithCancel(t.Context())
+				f.start(ctx, "a")
+				time.Sleep(testLeaseTTL)
+				next := f.start(t.Context(), "b")
+				f.engines.dropOrders(1)
+				for len(f.engines.allOrders()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				inDoubtFrom := time.Now()
+				f.engines.setDark("e1", true)
+				stop()
+				if play.before != nil {
+					play.before(next)
+				}
+				for next.Fence() == 0 {
+					time.Sleep(tickInterval)
+				}
+				time.Sleep(2 * tickInterval)
+				if play.after != nil {
+					play.after(next)
+				}
+				f.engines.setDark("e1", false)
+				if play.blocked {
+					assertNoFurtherOrder(t, f, inDoubtFrom.Add(inDoubtPeriod))
+					return
+				}
+				time.Sleep(f.takeoverDelay + 2*time.Second)
+				if all := f.engines.allOrders(); len(all) < 2 {
+					t.Errorf("no order to an endpoint that no earlier order can reach: %v", all)
+				}
+			})
+		})
+	}
+}
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -93,6 +93,8 @@
 	footprints   *footprints
 	outage       outage
 
+	restarts restarts
+
 	lastDescribed map[string]rlbplacement.Engine // last plan input by endpoint; used by the planning goroutine only
 
 	// mu may be acquired while holding the mutex of an endpointState, never the other way
@@ -123,6 +125,7 @@
 		leaseManager:  newLeaseManager(opts.Log, opts.API, opts.Incarnation, opts.LeaseTTL, opts.Now),
 		loadLimiter:   newLoadLimiter(opts.LoadWindow),
 		doubts:        newDoubts(),
+		restarts:      restarts{seen: map[string]seenIncarnation{}},
 		footprints:    newFootprints(),
 		lastDescribed: map[string]rlbplacement.Engine{}, states: map[string]*endpointState{}, adapterLocks: map[string]chan struct{}{}, adapterCache: map[string]cacheEntry{}, changes: map[string]modelChanges{},
 	}
@@ -283,6 +286,9 @@
 	held := fence > 0
 	snapshot := s.View.Snapshot()
 	s.footprints.update(snapshot, s.now()) // by each instance, as it may become the lease holder
+	if s.TakeoverDelay > 0 {
+		s.restarts.update(snapshot, s.now(), held, s.TakeoverDelay, s.doubts)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !held {
