--- a/rlb-node/pkg/rlbscheduler/footprint_test.go
+++ b/rlb-node/pkg/rlbscheduler/footprint_test.go
@@ -62,6 +62,55 @@
 	}
 }
 
+// TestSizeFromBeforeAChangeSurvivesItsWitnesses guards against memory that is overcommitted: a
+// config makes a model smaller that endpoints hold, and an instance that has started since
+// becomes the lease holder.
+func TestSizeFromBeforeAChangeSurvivesItsWitnesses(t *testing.T) {
+	smaller := []byte("Mno")
+	for name, lose := range map[string]func(f *testFleet, stop func(), start func() *Scheduler){
+		"that has seen it": func(*testFleet, func(), func() *Scheduler) {},
+		"that starts as the holder is lost": func(_ *testFleet, stop func(), start func() *Scheduler) {
+			stop()
+			start()
+		},
+		"that starts beside the holder": func(_ *testFleet, stop func(), start func() *Scheduler) {
+			start()
+			time.Sleep(5 * time.Second)
+			stop()
+		},
+		"that cannot read at first what is stored": func(f *testFleet, stop func(), start func() *Scheduler) {
+			stop()
+			s := start()
+			for s.Fence() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			f.api.SetDown(true)
+			time.Sleep(time.Second)
+			f.api.SetDown(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "e1")
+				f.engines.endpoints["e1"].models["n"] = map[string]bool{}
+				f.demand["o"] = 50
+				ctx, stop := context.WithCancel(t.Context())
+				s := f.start(ctx, "a")
+				time.Sleep(2 * time.Second)
+				s.View.ApplyConfig(smaller, "test")
+				time.Sleep(time.Second)
+				lose(f, stop, func() *Scheduler {
+					next := f.start(t.Context(), "b")
+					next.View.ApplyConfig(smaller, "test")
+					return next
+				})
+				time.Sleep(2 * time.Minute) // the fake reports memory that is overcommitted
+				stop()
+			})
+		})
+	}
+}
+
 // assertHeld checks which models the endpoints hold together.
 func assertHeld(t *testing.T, f *testFleet, want []string) {
 	t.Helper()
--- a/rlb-node/pkg/rlbscheduler/plan.go
+++ b/rlb-node/pkg/rlbscheduler/plan.go
@@ -153,7 +153,8 @@
 
 // executeProposal sends the order of a proposal in the background, or announces it if it
 // is an unload. It does neither if the order would unload the last ready replica of a listed
-// model, or if the endpoint's state or the load limit does not allow it.
+// model, or if the endpoint's state or the load limit does not allow it. It orders no load
+// before it knows what models took under earlier configs.
 func (s *Scheduler) executeProposal(ctx context.Context, states []*endpointState, engine *rlbdeployment.Engine, p rlbplacement.Proposal) {
 	i := slices.IndexFunc(states, func(state *endpointState) bool { return state.incarnation.ID == p.Endpoint })
 	if i < 0 {
@@ -175,7 +176,7 @@
 			s.announceUnload(state, p.Name, p.Reason)
 			return
 		}
-		if !state.fits(s.sizesOn(state, engine), p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(s.now(), engine.LoadsPerSecond) {
+		if !s.storedSizes.loadedWith(s.Fence()) || !state.fits(s.sizesOn(state, engine), p.Name) || !state.endpoint.HasLocalCopy(p.Name) && !s.loadLimiter.allow(s.now(), engine.LoadsPerSecond) {
 			return
 		}
 		s.Limits.Charge(state.endpoint.ID, controlRank)
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -91,6 +91,7 @@
 	loadLimiter  *loadLimiter
 	doubts       *doubts
 	footprints   *footprints
+	storedSizes  *footprintStore
 	outage       outage
 
 	restarts restarts
@@ -120,7 +121,7 @@
 
 // New returns a scheduler.
 func New(opts Opts) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
 		leaseManager:  newLeaseManager(opts.Log, opts.API, opts.Incarnation, opts.LeaseTTL, opts.Now),
 		loadLimiter:   newLoadLimiter(opts.LoadWindow),
@@ -129,12 +130,15 @@
 		footprints:    newFootprints(),
 		lastDescribed: map[string]rlbplacement.Engine{}, states: map[string]*endpointState{}, adapterLocks: map[string]chan struct{}{}, adapterCache: map[string]cacheEntry{}, changes: map[string]modelChanges{},
 	}
+	s.storedSizes = &footprintStore{scheduler: s}
+	return s
 }
 
 // Run maintains the lease and, while it is held, plans and sends orders. It returns
 // when ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
 	go s.maintainLease(ctx)
+	go s.storedSizes.run(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/rlb-node/pkg/rlbscheduler/scheduler_test.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler_test.go
@@ -166,7 +166,8 @@
 }
 
 // fakeDecoder decodes a config as one service with the engine of testEngine: its version is one
-// more than the length, and with a length its models are those that it names by one letter each.
+// more than the length, and with a length its models are those that it names by one letter each;
+// one in upper case has half the size.
 // It decodes every entry as an endpoint with the model m. The length of an entry tells its
 // incarnations apart.
 type fakeDecoder struct{}
@@ -177,8 +178,11 @@
 		spec := engine.Models["m"]
 		engine.Models = map[string]rlbdeployment.Model{}
 		for _, name := range strings.Split(strings.TrimSpace(string(models)), "") {
-			spec.Name = name
-			engine.Models[name] = spec
+			resized := spec
+			if resized.Name = strings.ToLower(name); resized.Name != name {
+				resized.Memory /= 2
+			}
+			engine.Models[resized.Name] = resized
 		}
 	}
 	return rlbdeployment.NewConfig(1+uint64(len(models)), nil, map[string]rlbdeployment.Service{"s": {Name: "s", Engine: engine}}, rlbdeployment.Limits{}), nil
