--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -97,7 +96,7 @@
 	now, watching := a.now(), a.catchUp.available()
 	others := a.fleet.DigestsWithin(now, a.view.Budget().Silence())
 	others = slices.DeleteFunc(others, func(d rlbpeer.Digest) bool { return d.Draining })
-	before := others[:sort.Search(len(others), func(i int) bool { return others[i].Name > a.name })]
+	before := slices.DeleteFunc(slices.Clone(others), func(d rlbpeer.Digest) bool { return d.Name > a.name })
 	available := func(d rlbpeer.Digest) bool { return d.APIAvailable }
 	unavailable := func(d rlbpeer.Digest) bool { return d.APIUnavailable }
 	needed := slices.ContainsFunc(others, unavailable) && !slices.ContainsFunc(others, available)
@@ -232,7 +231,7 @@
 	a.view.ApplyChanges(objects, false)
 	a.view.ApplyChanges(lapsed, true)
 	a.Log.WithFields(log.Fields{"peer": from.name, "entries": len(reply.Entries), "revision": a.view.Revision().String()}).Debug("applied changes from another instance")
-	if c.readsEntries() || !c.comparison.differs(a.view, reply.EntryRevision, reply.Fingerprint) {
+	if c.readsEntries() || !c.comparison.mustCompareAll(a.view, reply.EntryRevision, reply.Fingerprint) {
 		return
 	}
 	c.fetchKnown(ctx, from)
--- a/rlb-node/pkg/rlbapp/entry_comparison.go
+++ b/rlb-node/pkg/rlbapp/entry_comparison.go
@@ -21,9 +21,9 @@
 	differences int // in a row
 }
 
-// differs compares the entries of a view with those of another instance. It reports whether
-// they have differed so often that they must be compared one by one.
-func (c *comparison) differs(view *rlbdiscovery.View, revision, fingerprint uint64) bool {
+// mustCompareAll records whether the entries of a view differ from those of another instance. It
+// reports whether they have differed so often that they must be compared one by one.
+func (c *comparison) mustCompareAll(view *rlbdiscovery.View, revision, fingerprint uint64) bool {
 	own, ownRevision := view.Fingerprint()
 	if fingerprint == 0 || uint64(ownRevision) != revision {
 		return false // one of them knows newer changes, or runs an earlier version
@@ -50,8 +50,8 @@
 // changes. The list that this instance read at its start may have been old, and others
 // may have started after what it lacks was removed.
 func (c *catchUp) compareEntries(ctx context.Context, otherDomains bool) {
-	from, fingerprint, found := c.comparable(otherDomains)
-	if !found || c.readsEntries() || !c.comparison.differs(c.app.view, from.entryRevision, fingerprint) {
+	from, fingerprint, found := c.comparisonSource(otherDomains)
+	if !found || c.readsEntries() || !c.comparison.mustCompareAll(c.app.view, from.entryRevision, fingerprint) {
 		return
 	}
 	c.startQuery(func() {
@@ -61,10 +61,10 @@
 	})
 }
 
-// comparable returns the instance to compare entries with, and their fingerprint: one of the
+// comparisonSource returns the instance to compare entries with, and their fingerprint: one of the
 // domain that reads the object API, or else one of another domain, or else the first of
 // the domain.
-func (c *catchUp) comparable(otherDomains bool) (from source, fingerprint uint64, found bool) {
+func (c *catchUp) comparisonSource(otherDomains bool) (from source, fingerprint uint64, found bool) {
 	now := c.app.now()
 	own := c.app.fleet.LiveDigests(now)
 	at := slices.IndexFunc(own, func(d rlbpeer.Digest) bool { return d.APIAvailable })
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -363,9 +363,11 @@
 // addEntries adds what a digest says about the endpoints' entries. Of instances that know the
 // same changes the one that reads them from the object API has no entries too many.
 func (s *Summary) addEntries(d Digest) {
-	newer := d.EntryRevision > s.EntryRevision || s.Fingerprint == 0
-	if newer || d.EntryRevision == s.EntryRevision && d.APIAvailable {
+	switch {
+	case d.EntryRevision > s.EntryRevision:
 		s.EntryRevision, s.Fingerprint = d.EntryRevision, d.Fingerprint
+	case d.EntryRevision == s.EntryRevision && (d.APIAvailable || s.Fingerprint == 0):
+		s.Fingerprint = d.Fingerprint
 	}
 }
 
--- a/rlb-node/pkg/rlbpeer/fleet_test.go
+++ b/rlb-node/pkg/rlbpeer/fleet_test.go
@@ -130,3 +130,30 @@
 		}
 	})
 }
+
+// TestSummaryNamesTheFingerprintOfItsRevision guards against entries that are compared with those
+// of another revision.
+func TestSummaryNamesTheFingerprintOfItsRevision(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		digests           []Digest
+		revision, printed uint64
+	}{
+		"the newest one counts":                   {[]Digest{{EntryRevision: 5, Fingerprint: 50}, {EntryRevision: 9, Fingerprint: 90}, {EntryRevision: 7, Fingerprint: 70}}, 9, 90},
+		"of an earlier build it is not known":     {[]Digest{{EntryRevision: 9}, {EntryRevision: 5, Fingerprint: 50}}, 9, 0},
+		"of equal ones that of the watcher":       {[]Digest{{EntryRevision: 9, Fingerprint: 91}, {EntryRevision: 9, Fingerprint: 90, APIAvailable: true}, {EntryRevision: 9, Fingerprint: 92}}, 9, 90},
+		"of equal ones without a watcher any one": {[]Digest{{EntryRevision: 9}, {EntryRevision: 9, Fingerprint: 90}}, 9, 90},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := NewFleet("own", "x")
+			for i, d := range test.digests {
+				d.Name, d.Domain, d.Address, d.Sequence = string(rune('a'+i)), "x", string(rune('a'+i))+":1", 1
+				fleet.ApplyDigest(now, d)
+			}
+			got := fleet.Summarize(now, Digest{Name: "own", Domain: "x"})
+			if got.EntryRevision != test.revision || got.Fingerprint != test.printed {
+				t.Errorf("revision %d, fingerprint %d", got.EntryRevision, got.Fingerprint)
+			}
+		})
+	}
+}
--- a/rlb-node/pkg/rlbscheduler/endpoint_state.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state.go
@@ -212,10 +212,7 @@
 // modelMemory returns the memory available to models: all memory less the largest
 // adapter in every adapter slot.
 func (s *endpointState) modelMemory(on sizes) rlbunit.Bytes {
-	var largest rlbunit.Bytes
-	for name := range on.engine.Models {
-		largest = max(largest, on.of(name).adapter)
-	}
+	largest := on.largestAdapter
 	for name := range s.models {
 		largest = max(largest, on.of(name).adapter)
 	}
--- a/rlb-node/pkg/rlbscheduler/endpoint_state_test.go
+++ b/rlb-node/pkg/rlbscheduler/endpoint_state_test.go
@@ -41,16 +41,16 @@
 			state.applyOrder(rlbdeployment.Order{Model: model}, engine, now)
 		}
 		Convey("a model that is being loaded takes memory and keeps the endpoint busy", func() {
-			So(state.fits(sizes{engine: engine}, "n"), ShouldBeTrue)
+			So(state.fits(newSizes(engine), "n"), ShouldBeTrue)
 			load("n")
 			So(state.busy(), ShouldBeTrue)
 			So(state.canServe("n"), ShouldBeFalse)
-			So(state.fits(sizes{engine: engine}, "o"), ShouldBeFalse)
+			So(state.fits(newSizes(engine), "o"), ShouldBeFalse)
 			So(state.models["n"].readyAt, ShouldEqual, now.Add(2*time.Second+loadTimeMargin))
 			Convey("also if a later report does not list it yet", func() {
 				now = now.Add(time.Second)
 				So(state.applyReport(report(4, true, "m"), now), ShouldBeTrue)
-				So(state.fits(sizes{engine: engine}, "o"), ShouldBeFalse)
+				So(state.fits(newSizes(engine), "o"), ShouldBeFalse)
 				So(state.applyReport(report(4, false, "m", "n"), now), ShouldBeTrue)
 				So(state.canServe("n"), ShouldBeTrue)
 			})
@@ -69,9 +69,9 @@
 			So(state.canServe("m"), ShouldBeFalse)
 			So(state.applyReport(report(3, true, "m"), now.Add(time.Second)), ShouldBeTrue)
 			So(state.models["m"].unloading, ShouldBeTrue)
-			So(state.usedMemory(sizes{engine: engine}), ShouldEqual, 72*gigabyte)
+			So(state.usedMemory(newSizes(engine)), ShouldEqual, 72*gigabyte)
 			So(state.applyReport(report(4, false), now.Add(2*time.Second)), ShouldBeTrue)
-			So(state.usedMemory(sizes{engine: engine}), ShouldEqual, 0)
+			So(state.usedMemory(newSizes(engine)), ShouldEqual, 0)
 		})
 		Convey("adapters that are being fetched count", func() {
 			r := report(4, false, "m")
--- a/rlb-node/pkg/rlbscheduler/footprint.go
+++ b/rlb-node/pkg/rlbscheduler/footprint.go
@@ -39,6 +39,8 @@
 	config    *rlbdeployment.Config // latest one
 	earlier   map[serviceModel]*earlierFootprint
 	nextCheck time.Time // of the holders
+
+	largestAdapters map[*rlbdeployment.Engine]rlbunit.Bytes // of the engines of config, as far as they were needed
 }
 
 // serviceModel names a model of a service.
@@ -52,7 +54,9 @@
 	holders   map[uint64]bool // incarnations that hold the model with it
 }
 
-func newFootprints() *footprints { return &footprints{earlier: map[serviceModel]*earlierFootprint{}} }
+func newFootprints() *footprints {
+	return &footprints{earlier: map[serviceModel]*earlierFootprint{}, largestAdapters: map[*rlbdeployment.Engine]rlbunit.Bytes{}}
+}
 
 // update takes over the config in force, and forgets what no endpoint holds any more.
 func (f *footprints) update(snapshot *rlbdiscovery.Snapshot, now time.Time) {
@@ -60,7 +64,7 @@
 	defer f.mu.Unlock()
 	if f.config != snapshot.Config {
 		f.compare(snapshot.Config, now)
-		f.config = snapshot.Config
+		f.config, f.largestAdapters = snapshot.Config, map[*rlbdeployment.Engine]rlbunit.Bytes{}
 	}
 	if len(f.earlier) == 0 || now.Before(f.nextCheck) {
 		return
@@ -126,7 +130,7 @@
 func (f *footprints) on(e *rlbdeployment.Endpoint, engine *rlbdeployment.Engine, now time.Time) sizes {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	on := sizes{engine: engine}
+	on := sizes{engine: engine, largestAdapter: f.largestAdapter(engine)}
 	if len(f.earlier) == 0 {
 		return on
 	}
@@ -140,10 +144,34 @@
 	return on
 }
 
+// largestAdapter returns the size of the largest adapter of an engine's models. It is worked out
+// once for each config, which may list many. f.mu is held.
+func (f *footprints) largestAdapter(engine *rlbdeployment.Engine) rlbunit.Bytes {
+	largest, known := f.largestAdapters[engine]
+	if !known {
+		largest = largestAdapter(engine)
+		f.largestAdapters[engine] = largest
+	}
+	return largest
+}
+
+func largestAdapter(engine *rlbdeployment.Engine) (largest rlbunit.Bytes) {
+	for _, m := range engine.Models {
+		largest = max(largest, m.AdapterMemory)
+	}
+	return largest
+}
+
 // sizes are the sizes of the models on one endpoint.
 type sizes struct {
-	engine  *rlbdeployment.Engine // in force
-	earlier map[string]footprint  // of models that the endpoint may hold from before
+	engine         *rlbdeployment.Engine // in force
+	largestAdapter rlbunit.Bytes         // of the models that it lists
+	earlier        map[string]footprint  // of models that the endpoint may hold from before
+}
+
+// newSizes returns the sizes on an endpoint that holds nothing from before.
+func newSizes(engine *rlbdeployment.Engine) sizes {
+	return sizes{engine: engine, largestAdapter: largestAdapter(engine)}
 }
 
 // of returns what a model takes. One that no known config lists may take all memory.
--- a/rlb-node/pkg/rlbscheduler/order_model_test.go
+++ b/rlb-node/pkg/rlbscheduler/order_model_test.go
@@ -268,7 +268,7 @@
 		switch {
 		case state.canServe(name):
 			o.Action = rlbdeployment.ActionUnload
-		case !state.fits(sizes{engine: m.engine()}, name):
+		case !state.fits(newSizes(m.engine()), name):
 			continue
 		}
 		m.sendOrder(h, o, add)
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -93,8 +93,7 @@
 	footprints   *footprints
 	storedSizes  *footprintStore
 	outage       outage
-
-	restarts restarts
+	restarts     restarts // used by the planning goroutine only
 
 	lastDescribed map[string]rlbplacement.Engine // last plan input by endpoint; used by the planning goroutine only
 
