--- a/rlb-node/pkg/rlbapp/departed_records_test.go
+++ b/rlb-node/pkg/rlbapp/departed_records_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +31,7 @@
 	version rlbobject.Version // of the latest entry
 	serving []string          // by endpoint
 	running []*runningOrigins
+	holder  atomic.Pointer[runningOrigins] // of the lease: the one that has run for longest
 }
 
 type runningOrigins struct {
@@ -36,7 +39,7 @@
 	stop context.CancelFunc
 }
 
-// start starts a new process of an instance. The first one to run holds the lease.
+// start starts a new process of an instance.
 func (f *originFleet) start(name string) *runningOrigins {
 	a := newTestApp(name, f.api, false)
 	a.now = time.Now
@@ -45,8 +48,9 @@
 	a.fleet = rlbpeer.NewFleet(name, "x")
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &runningOrigins{newStreamOrigins(a), cancel}
-	a.holdsLease = func() bool { return f.running[0] == o }
+	a.holdsLease = func() bool { return f.holder.Load() == o }
 	f.running = append(f.running, o)
+	f.holder.Store(f.running[0])
 	f.show(a)
 	go o.run(ctx)
 	return o
@@ -55,11 +59,10 @@
 // end ends a process for good, or as it is killed.
 func (f *originFleet) end(o *runningOrigins) {
 	o.stop()
-	for i, each := range f.running {
-		if each == o {
-			f.running = append(f.running[:i:i], f.running[i+1:]...)
-			return
-		}
+	synctest.Wait()
+	f.running = slices.DeleteFunc(f.running, func(each *runningOrigins) bool { return each == o })
+	if len(f.running) > 0 {
+		f.holder.Store(f.running[0])
 	}
 }
 
--- a/rlb-node/pkg/rlbapp/entry_comparison_test.go
+++ b/rlb-node/pkg/rlbapp/entry_comparison_test.go
@@ -28,6 +28,12 @@
 	return all, nil
 }
 
+// restartedFleet is a fleet in which two instances restart, and something may happen after that.
+type restartedFleet struct {
+	*testFleet
+	afterRestart func() // nil: nothing
+}
+
 // restart starts a new process of an instance that was stopped. Its first list is of a
 // revision; 0: up to date.
 func (f *testFleet) restart(n int, revision rlbobject.Version) *testInstance {
@@ -50,20 +56,20 @@
 	const contact = 3 * time.Second
 	gone := rlbobject.Object{Name: "leaves", Deleted: true}
 	later := rlbobject.Object{Name: "joins", Value: []byte(`"ready"`)}
-	for name, play := range map[string]func(f *testFleet){
-		"the removal is the latest change": func(f *testFleet) {
+	for name, play := range map[string]func(f *restartedFleet){
+		"the removal is the latest change": func(f *restartedFleet) {
 			f.store.append(gone)
 			time.Sleep(2 * time.Second)
 			f.restart(first, 0)
 		},
-		"other changes precede and follow": func(f *testFleet) {
+		"other changes precede and follow": func(f *restartedFleet) {
 			f.store.append(later)
 			f.store.append(gone)
 			f.store.append(later)
 			time.Sleep(2 * time.Second)
 			f.restart(first, 0)
 		},
-		"the entries change all the time": func(f *testFleet) {
+		"the entries change all the time": func(f *restartedFleet) {
 			f.store.append(gone)
 			f.store.append(later)
 			time.Sleep(2 * time.Second)
@@ -75,7 +81,7 @@
 				}
 			}()
 		},
-		"many others were removed since": func(f *testFleet) {
+		"many others were removed since": func(f *restartedFleet) {
 			f.store.append(gone)
 			for n := range 400 {
 				f.store.append(rlbobject.Object{Name: fmt.Sprint(n), Value: []byte(`"ready"`)})
@@ -85,20 +91,21 @@
 			time.Sleep(2 * time.Second)
 			f.restart(first, 0)
 		},
-		"the object API does not answer the domain afterwards": func(f *testFleet) {
+		"the object API does not answer the domain afterwards": func(f *restartedFleet) {
 			f.store.append(later)
 			f.store.append(gone)
 			time.Sleep(2 * time.Second)
 			f.restart(first, 0)
-			time.AfterFunc(500*time.Millisecond, func() {
+			f.afterRestart = func() {
+				time.Sleep(200 * time.Millisecond)
 				f.instances[first].cut.Store(true)
 				f.instances[second].cut.Store(true)
-			})
+			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := startTestFleet()
+				f := &restartedFleet{testFleet: startTestFleet()}
 				defer f.stop()
 				time.Sleep(2 * time.Second)
 				f.instances[first].stop()
@@ -107,7 +114,11 @@
 				play(f)
 				time.Sleep(300 * time.Millisecond)
 				stale := f.restart(second, 2)
-				time.Sleep(contact)
+				startedAt := time.Now()
+				if f.afterRestart != nil {
+					f.afterRestart()
+				}
+				time.Sleep(time.Until(startedAt.Add(contact)))
 				if stale.used("leaves") {
 					t.Errorf("the instance still uses the endpoint %v after its start", contact)
 				}
@@ -115,7 +126,7 @@
 					t.Error("the instance does not use the endpoint that stays")
 				}
 				time.Sleep(4 * time.Second)
-				assertSameEntries(t, f)
+				assertSameEntries(t, f.testFleet)
 			})
 		})
 	}
--- a/rlb-node/pkg/rlbapp/leaving_test.go
+++ b/rlb-node/pkg/rlbapp/leaving_test.go
@@ -134,7 +134,7 @@
 }
 
 func (d *datagrams) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
-	target, data := d.fleet.byAddress[to.String()], slices.Clone(data)
+	target, data := d.fleet.at(to.String()), slices.Clone(data)
 	time.AfterFunc(transit, func() {
 		if !d.self.lost.Load() && !target.lost.Load() {
 			target.datagrams.queue <- data
@@ -172,9 +172,17 @@
 	store     *eventStore
 	instances []*testInstance
 	spare     *testInstance // not started yet
+	mu        sync.Mutex
 	byAddress map[string]*testInstance
 }
 
+// at returns the instance at an address.
+func (f *testFleet) at(address string) *testInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byAddress[address]
+}
+
 // stateDecoder decodes "ready" and "leaving" as entries.
 type stateDecoder struct{ decoder }
 
@@ -224,6 +232,8 @@
 	i.fleet = rlbpeer.NewFleet(name, domain)
 	i.view = rlbdiscovery.New(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, stateDecoder{}, time.Now, time.Second)
 	i.datagrams = &datagrams{fleet: f, self: i, queue: make(chan []byte, 1000), closed: make(chan struct{})}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.byAddress[address] = i
 	return i
 }
@@ -264,7 +274,7 @@
 func (f *testFleet) query(from *testInstance) func(context.Context, string, rlbpeer.Query) (rlbpeer.Reply, error) {
 	return func(ctx context.Context, address string, q rlbpeer.Query) (rlbpeer.Reply, error) {
 		time.Sleep(2 * transit)
-		if to := f.byAddress[address]; !to.lost.Load() && !from.lost.Load() {
+		if to := f.at(address); !to.lost.Load() && !from.lost.Load() {
 			return to.handleQuery(ctx, q), nil
 		}
 		<-ctx.Done()
--- a/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
+++ b/rlb-node/pkg/rlbscheduler/restarted_endpoint_test.go
@@ -163,15 +163,16 @@
 			f := newTestFleet(t, "e1")
 			f.engines.orderDelay = orderTimeout
 			f.engines.dropOrders(1)
-			var inDoubtFrom time.Time
+			inDoubt := make(chan time.Time, 1)
 			restartDuringOrder(t, f, func(s *Scheduler) {
-				inDoubtFrom = time.Now()
+				inDoubt <- time.Now()
 				s.View.ApplyChanges([]rlbobject.Object{{Name: "e1", Version: 11, Deleted: true}}, false)
 				time.Sleep(3 * time.Second)
 				s.View.DropRemoved()
 				s.syncEndpoints()
 				returns(f, s)
 			})
+			inDoubtFrom := <-inDoubt
 			time.Sleep(4 * time.Second)
 			assertNoFurtherOrder(t, f, inDoubtFrom.Add(inDoubtPeriod))
 		})
