--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -174,7 +174,7 @@
 			return
 		}
 	}
-	c.startQuery(func() { c.fetchChanges(ctx, from, uint64(c.app.view.Revision())) })
+	c.startQuery(func() { c.fetchChanges(ctx, from) })
 }
 
 // startQuery runs a query of another instance in the background, unless one is in progress.
@@ -204,13 +204,12 @@
 	return true
 }
 
-// fetchChanges gets a newer config, and entries that are newer than a revision, from another
-// instance.
-func (c *catchUp) fetchChanges(ctx context.Context, from source, after uint64) {
+// fetchChanges gets newer configs and entries from another instance.
+func (c *catchUp) fetchChanges(ctx context.Context, from source) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	a := c.app
-	query := rlbpeer.ChangesQuery{ConfigVersion: a.configVersion(), EntryRevision: after}
+	query := rlbpeer.ChangesQuery{ConfigVersion: a.configVersion(), EntryRevision: uint64(a.view.Revision())}
 	reply, err := c.query(ctx, from.address, rlbpeer.Query{Changes: &query})
 	if err != nil {
 		a.Log.WithError(err).WithField("peer", from.name).Warn("failed to query another instance for changes")
--- a/rlb-node/pkg/rlbapp/entry_comparison.go
+++ b/rlb-node/pkg/rlbapp/entry_comparison.go
@@ -98,9 +98,7 @@
 	for _, k := range reply.Known {
 		known[k.Name] = rlbobject.Version(k.Version)
 	}
-	if after, missing := a.view.KeepKnown(known, rlbobject.Version(reply.EntryRevision), from.name); missing {
-		c.fetchChanges(ctx, from, uint64(after))
-	}
+	a.view.KeepKnown(known, rlbobject.Version(reply.EntryRevision), from.name)
 }
 
 // knownEntries answers another instance's query for all known entries.
--- a/rlb-node/pkg/rlbapp/entry_comparison_test.go
+++ b/rlb-node/pkg/rlbapp/entry_comparison_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+// TestRemovedEntryIsNotTakenFromAnInstanceThatStillHasIt guards against requests to an endpoint
+// that is gone: an instance that has dropped it compared its entries with those of a watcher that
+// has just come back from an outage of its own, and whose grace period lasts longer.
+func TestRemovedEntryIsNotTakenFromAnInstanceThatStillHasIt(t *testing.T) {
+	const bound, watched = 2 * time.Second, 4 * time.Second
+	for offset := 50 * time.Millisecond; offset <= 800*time.Millisecond; offset += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := startTestFleet()
+			defer f.stop()
+			time.Sleep(2 * time.Second)
+			watcher := f.instances[0]
+			watcher.refused.Store(true)
+			time.Sleep(9 * time.Second)
+			watcher.refused.Store(false)
+			time.Sleep(offset)
+			f.store.append(rlbobject.Object{Name: "leaves", Deleted: true})
+			time.Sleep(bound)
+			for range watched / sweepPeriod {
+				for _, i := range f.instances {
+					if i.used("leaves") {
+						t.Fatalf("the watcher is back %v before the removal: %s uses the endpoint later than %v after it", offset, i.name, bound)
+					}
+				}
+				time.Sleep(sweepPeriod)
+			}
+		})
+	}
+}
+
 // assertSameEntries checks that all instances use the same endpoints.
 func assertSameEntries(t *testing.T, f *testFleet) {
 	t.Helper()
--- a/rlb-node/pkg/rlbdiscovery/fingerprint.go
+++ b/rlb-node/pkg/rlbdiscovery/fingerprint.go
@@ -33,7 +33,7 @@
 	if !v.fingerprint.valid {
 		sum := uint64(0)
 		for _, e := range v.entries {
-			if e.dropAt.IsZero() || e.lapsed {
+			if e.dropAt.IsZero() { // grace periods differ: who reads a removal first has the longest one
 				sum ^= e.sum
 			}
 		}
@@ -55,24 +55,20 @@
 }
 
 // KeepKnown drops the entries that another instance does not know although it knows the
-// changes up to a revision: they were removed before, so that no grace period is left. It
-// returns the revision after which entries are missing here, and whether there are any.
-func (v *View) KeepKnown(known map[string]rlbobject.Version, revision rlbobject.Version, source string) (after rlbobject.Version, missing bool) {
+// changes up to a revision: they were removed before, so that no grace period is left. It takes
+// over none: what is missing here up to that revision was removed here.
+func (v *View) KeepKnown(known map[string]rlbobject.Version, revision rlbobject.Version, source string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	dropped := 0
 	for id, e := range v.entries {
 		if _, kept := known[id]; kept || e.version > revision {
 			continue
 		}
 		v.keepRemoval(id, revision, false)
 		v.dropEntry(id, "another instance that knows the same changes does not have the entry")
-	}
-	for id, version := range known {
-		if e := v.entries[id]; (e == nil || e.version < version) && (!missing || version <= after) {
-			after, missing = version-1, true
-		}
+		dropped++
 	}
 	v.publish()
-	v.log.WithFields(log.Fields{"source": source, "revision": revision.String(), "missing": missing}).Warn("compared all entries with those of another instance")
-	return after, missing
+	v.log.WithFields(log.Fields{"source": source, "revision": revision.String(), "dropped": dropped}).Warn("compared all entries with those of another instance")
 }
