--- a/lib/pkg/rlborigin/move.go
+++ b/lib/pkg/rlborigin/move.go
@@ -45,14 +45,13 @@
 				all = append(all, m.from)
 			}
 		}
-		for m, until := range r.moves {
-			if now.Before(until) {
-				add(m)
+		for _, moves := range []map[move]time.Time{r.moves, r.recordedMoves} {
+			for m, until := range moves {
+				if now.Before(until) {
+					add(m)
+				}
 			}
 		}
-		for m := range r.recordedMoves {
-			add(m)
-		}
 	}
 	return all
 }
--- a/lib/pkg/rlborigin/move_test.go
+++ b/lib/pkg/rlborigin/move_test.go
@@ -44,6 +44,11 @@
 			merge(next, firstEra, value)
 			shouldBeAt(next, "next", "", Unknown)
 			shouldBe(next, "x", "v1", Known)
+			Convey("until those from before can no longer be taken up, also if it reads no record any more", func() {
+				c.advance(2 * longest)
+				next.Observe([]Origin{moved}, longest)
+				So(next.joined("next"), ShouldResemble, []string{"next"})
+			})
 			Convey("until the record says otherwise", func() {
 				c.advance(2 * longest)
 				r.Observe([]Origin{moved}, longest)
--- a/lib/pkg/rlborigin/record.go
+++ b/lib/pkg/rlborigin/record.go
@@ -154,7 +154,7 @@
 	}
 	restoredLately := r.now().Sub(r.eraSeenAt) < longestRequest
 	var failed []error
-	r.recorded, r.recordedMoves, r.complete = map[Origin]bool{}, map[move]bool{}, true
+	r.recorded, r.recordedMoves, r.complete = map[Origin]bool{}, map[move]time.Time{}, true
 	for _, record := range records {
 		var origins []storedOrigin
 		if err := json.Unmarshal(record.Value, &origins); err != nil {
@@ -190,10 +190,12 @@
 // mergeMoves adds the moves of a record. r.mu is held.
 func (r *Registry) mergeMoves(o storedOrigin, ofPredecessor bool, now time.Time) {
 	for to, left := range o.MovedTo {
-		m := move{o.Service, to}
-		r.recordedMoves[m] = true
+		m, until := move{o.Service, to}, now.Add(time.Duration(min(left, maxLeft))*leftUnit)
+		if until.After(r.recordedMoves[m]) {
+			r.recordedMoves[m] = until
+		}
 		if ofPredecessor {
-			r.extendMove(m, now.Add(time.Duration(min(left, maxLeft))*leftUnit))
+			r.extendMove(m, until)
 		}
 	}
 }
--- a/lib/pkg/rlborigin/registry.go
+++ b/lib/pkg/rlborigin/registry.go
@@ -56,7 +56,7 @@
 	complete bool                 // these records contain all versions that may have begun streams
 
 	moves         map[move]time.Time // observed by this process; until when streams from before may be taken up
-	recordedMoves map[move]bool      // in the records of all instances that were merged last
+	recordedMoves map[move]time.Time // the same in the records of all instances that were merged last
 
 	merged bool // the records from before the start of the process were merged
 
@@ -76,7 +76,7 @@
 
 // New returns an empty registry.
 func New(now func() time.Time) *Registry {
-	return &Registry{now: now, streams: map[uint64]stream{}, serving: map[Origin]time.Time{}, stored: map[Origin]bool{}, recorded: map[Origin]bool{}, moves: map[move]time.Time{}, recordedMoves: map[move]bool{}}
+	return &Registry{now: now, streams: map[uint64]stream{}, serving: map[Origin]time.Time{}, stored: map[Origin]bool{}, recorded: map[Origin]bool{}, moves: map[move]time.Time{}, recordedMoves: map[move]time.Time{}}
 }
 
 func keyOf(request string) uint64 { return xxhash.Sum64String(request) }
