--- a/rlb-node/pkg/rlbapp/entry_comparison.go
+++ b/rlb-node/pkg/rlbapp/entry_comparison.go
@@ -25,8 +25,8 @@
 // reports whether they have differed so often that they must be compared one by one.
 func (c *comparison) mustCompareAll(view *rlbdiscovery.View, revision, fingerprint uint64) bool {
 	own, ownRevision := view.Fingerprint()
-	if fingerprint == 0 || uint64(ownRevision) != revision {
-		return false // one of them knows newer changes, or runs an earlier version
+	if fingerprint == 0 || own == 0 || uint64(ownRevision) != revision {
+		return false // one of them knows newer changes, lacks some, or runs an earlier version
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,7 +92,7 @@
 		return
 	}
 	if reply.EntryRevision == 0 {
-		return // it runs an earlier version, or knows nothing
+		return // it runs an earlier version, or may lack entries
 	}
 	known := make(map[string]rlbobject.Version, len(reply.Known))
 	for _, k := range reply.Known {
--- a/rlb-node/pkg/rlbdiscovery/fingerprint.go
+++ b/rlb-node/pkg/rlbdiscovery/fingerprint.go
@@ -26,10 +26,13 @@
 // Fingerprint returns a number that other instances compare with theirs, and the revision of
 // the entries. What one instance knows up to a revision another one may lack for good if it
 // read a list that was old and learned of the removals before that list from nobody: changes
-// alone do not show it.
+// alone do not show it. It returns 0 while entries up to the revision may be missing.
 func (v *View) Fingerprint() (uint64, rlbobject.Version) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.beyondList {
+		return 0, v.revision
+	}
 	if !v.fingerprint.valid {
 		sum := uint64(0)
 		for _, e := range v.entries {
@@ -43,10 +46,13 @@
 }
 
 // Known returns the versions of all entries by name, also of those in their grace period, and
-// the revision up to which no entry is missing.
+// the revision up to which no entry is missing; 0: some may be.
 func (v *View) Known() (map[string]rlbobject.Version, rlbobject.Version) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.beyondList {
+		return nil, 0
+	}
 	known := make(map[string]rlbobject.Version, len(v.entries))
 	for id, e := range v.entries {
 		known[id] = e.version
--- a/rlb-node/pkg/rlbdiscovery/view.go
+++ b/rlb-node/pkg/rlbdiscovery/view.go
@@ -61,6 +61,9 @@
 	nextDrop         time.Time     // end of the first grace period; zero: none
 	leavingCount     atomic.Uint64 // number of leavings that became known
 	fingerprint      fingerprint
+	// beyondList reports that entries are newer than the list they came from, of several pages:
+	// others up to their revision are missing until the changes since the list are read.
+	beyondList bool
 
 	snapshot atomic.Pointer[Snapshot]
 }
@@ -149,8 +152,10 @@
 	defer v.mu.Unlock()
 	listed := map[string]bool{}
 	outdated := 0
+	v.beyondList = false
 	for _, o := range objects {
 		listed[o.Name] = true
+		v.beyondList = v.beyondList || o.Version > revision
 		if !v.applyEntry(o) {
 			outdated++
 		}
@@ -169,6 +174,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	outdated, newest := 0, rlbobject.Version(0)
+	v.beyondList = false
 	for _, o := range objects {
 		newest = max(newest, o.Version)
 		if !o.Deleted {
