--- a/rlb-node/pkg/rlbapp/catch_up.go
+++ b/rlb-node/pkg/rlbapp/catch_up.go
@@ -33,7 +33,7 @@
 	configWatcher   *rlbdiscovery.Watcher
 	endpointWatcher *rlbdiscovery.Watcher
 	comparison      comparison
-	standIn         standIn
+	reserve         reserveWatcher
 	stepsBehind     int           // consecutive steps in which another instance was ahead of this watcher
 	behindSince     time.Time     // start of the period in which others had a newer config than stuckVersion; zero: none
 	stuckVersion    uint64        // config version in force at behindSince
@@ -87,7 +87,7 @@
 // isWatcher reports whether this instance watches the object API for its domain: it is
 // one of the first maxWatcherCandidates instances by name, and the object API is
 // unavailable to all instances before it. Leaving instances do not count, nor do silent ones.
-// If it answers none of these, the others try in turn, see standIn.
+// If it answers none of these, the others try in turn, see reserveWatcher.
 // An instance that already watches goes on until the object API answers one before it.
 func (a *app) isWatcher() bool {
 	if !a.settled() {
@@ -100,14 +100,14 @@
 	available := func(d rlbpeer.Digest) bool { return d.APIAvailable }
 	unavailable := func(d rlbpeer.Digest) bool { return d.APIUnavailable }
 	needed := slices.ContainsFunc(others, unavailable) && !slices.ContainsFunc(others, available)
-	standIn := a.catchUp.standIn.due(now, needed, len(before)-maxWatcherCandidates, len(others)+1)
+	tries := a.catchUp.reserve.due(now, needed, len(before)-maxWatcherCandidates, len(others)+1)
 	switch {
 	case slices.ContainsFunc(before, available):
 		return false
 	case watching:
 		return true
 	case len(before) >= maxWatcherCandidates:
-		return standIn
+		return tries
 	default:
 		return !slices.ContainsFunc(before, func(d rlbpeer.Digest) bool { return !d.APIUnavailable })
 	}
