Log how an answer marks its end

Cause: open at this point. The log of a request said "answer relayed" for each of the suspected causes, so they could not be told apart: an end of the connection that is none of the answer, an end that the instance itself writes, and an endpoint that ends too soon. Change: "request ended" and "attempt failed" name the framing of the endpoint's answer; the latter also the last event. A short stream with framing "connection" points to the connection, one with "caller disconnected" to the caller's side. Measured result: none; only log fields. Tests of rlbproxy and rlbdispatch pass.

--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -64,6 +64,7 @@
 func (s *Server) logFault(req *request, endpoint *rlbdeployment.Endpoint, fault rlbroute.Fault) {
 	s.Log.WithFields(log.Fields{
 		"request": req.id, "endpoint": endpoint.ID, "address": endpoint.Address, "fault": fault.String(), "reason": req.reason,
+		"framing": req.framing, "last_event": req.lastEventID,
 		"after_ms": s.Now().Sub(req.arrived).Milliseconds(),
 	}).Info("attempt failed")
 }
--- a/rlb-node/pkg/rlbproxy/refusal.go
+++ b/rlb-node/pkg/rlbproxy/refusal.go
@@ -125,6 +125,9 @@
 	if req.snapshot.Config != nil {
 		fields["config"] = req.snapshot.Config.Version
 	}
+	if req.framing != "" {
+		fields["framing"] = req.framing
+	}
 	if req.reason != "" {
 		fields["reason"] = req.reason
 	}
--- a/rlb-node/pkg/rlbproxy/request.go
+++ b/rlb-node/pkg/rlbproxy/request.go
@@ -47,30 +47,31 @@
 	arrived       time.Time
 	deadline      time.Time
 	exchange      *rlbroute.Exchange
-	harmless      bool               // the latest attempt has shown that the prompt does not crash endpoints
-	quarantineEnd time.Time          // until when requests like this one are refused; zero: they are not
-	tried         []string           // IDs of the endpoints of all attempts
-	software      []string           // software versions of these
-	begun         bool               // the caller has a part of the stream, which only endpoints of beganAt may go on with
-	beganAt       string             // software version of the endpoint that began the stream
-	limited       []string           // IDs of the endpoints whose limit ruled them out for the attempt
-	otherDomain   string             // failure domain of the endpoint of the latest attempt, if spillover counts it; empty: the own one
-	unsent        int                // number of these that could not be reached
-	lastEventID   string             // last complete event sent to the caller
-	class         rlbadmission.Class // with which the latest attempt was admitted
-	busy          bool               // not admitted: the expected wait is too long
-	heldOffUntil  time.Time          // the soonest end if all endpoints that are left want no requests for a while; zero: not so
-	expectedWait  time.Duration      // expected wait for the answer to start at the endpoint chosen last
-	tokensAhead   int                // unread prompt tokens of other requests at that endpoint
-	queued        bool               // the request had to wait for a slot there
-	attemptStart  time.Time          // of the latest attempt
-	timeToFirst   time.Duration      // from attemptStart to the first event
-	firstEventAt  time.Time          // time at which the first event of the latest attempt that brought one was relayed
-	lastEventAt   time.Time          // time at which the latest event was relayed
-	longestPause  time.Duration      // between two events
-	started       bool               // the caller has got a part of the answer
-	markAnswered  func()             // reports to the balancer that the endpoint's answer has started
-	reason        string             // why the latest attempt failed or was not made
+	harmless      bool                // the latest attempt has shown that the prompt does not crash endpoints
+	quarantineEnd time.Time           // until when requests like this one are refused; zero: they are not
+	tried         []string            // IDs of the endpoints of all attempts
+	software      []string            // software versions of these
+	begun         bool                // the caller has a part of the stream, which only endpoints of beganAt may go on with
+	beganAt       string              // software version of the endpoint that began the stream
+	limited       []string            // IDs of the endpoints whose limit ruled them out for the attempt
+	otherDomain   string              // failure domain of the endpoint of the latest attempt, if spillover counts it; empty: the own one
+	unsent        int                 // number of these that could not be reached
+	lastEventID   string              // last complete event sent to the caller
+	class         rlbadmission.Class  // with which the latest attempt was admitted
+	busy          bool                // not admitted: the expected wait is too long
+	heldOffUntil  time.Time           // the soonest end if all endpoints that are left want no requests for a while; zero: not so
+	expectedWait  time.Duration       // expected wait for the answer to start at the endpoint chosen last
+	tokensAhead   int                 // unread prompt tokens of other requests at that endpoint
+	queued        bool                // the request had to wait for a slot there
+	attemptStart  time.Time           // of the latest attempt
+	timeToFirst   time.Duration       // from attemptStart to the first event
+	firstEventAt  time.Time           // time at which the first event of the latest attempt that brought one was relayed
+	lastEventAt   time.Time           // time at which the latest event was relayed
+	longestPause  time.Duration       // between two events
+	started       bool                // the caller has got a part of the answer
+	markAnswered  func()              // reports to the balancer that the endpoint's answer has started
+	reason        string              // why the latest attempt failed or was not made
+	framing       rlbdispatch.Framing // of the latest answer of an endpoint; empty: none
 	// misdirected reports that the endpoint of the latest attempt answered 421: it
 	// is not the expected instance or has not loaded the expected model.
 	misdirected   bool
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -64,7 +64,9 @@
 		s.Balancer.End(s.Now(), e, req.load(), outcome, s.Now().Sub(start))
 	}()
 	in, err := s.Dispatcher.Send(ctx, e.Address, s.outgoingRequest(req, e), req.exchange.MarkSent)
+	req.framing = ""
 	if err == nil {
+		req.framing = in.Framing()
 		s.recordStatements(req, e, in)
 		fault, passed, err = s.relayAnswer(w, req, in)
 	} else {
