A connection that broke stays broken for later reads

What callers saw: a stream that ended as complete before its last event, in chunks (ORDER); the same on any answer that ends with its connection (MIXED). Cause: the kernel reports what broke a TCP connection to one call only; later reads return the end of the stream. Keep-alive probes that get no answer report ETIMEDOUT, which is a timeout to Go as an own read deadline is. conn.Read took it for one, asked whether to wait on, read again and got the end: of an answer without a length, the end of its body. On routes that may not be repeated the wait is always repeated, so a link that fails for 4 s during such a stream is enough. Evidence: TestAnswerOfABrokenConnectionIsIncompleteAlthoughItsErrorIsReportedOnce failed before: the answer without a length had no error, the others counted as cut and not as silent, because the error was lost there too. Ruled out: answers in chunks or with a length (their readers report an early end). Change: only an own deadline is waited out; the first other error of a connection is kept and returned by all later reads.

--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -5,9 +5,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -39,6 +43,9 @@
 	readError   error         // of the latest read
 	notReusable bool          // the next bytes on it may belong to another request
 	failedIDs   []string      // IDs of requests that were answered on it with an error status
+
+	mu     sync.Mutex
+	broken error // what ended the connection other than its peer's end of the stream
 }
 
 // maxFailedIDs is how many requests are answered with an error status on a connection
@@ -63,15 +70,18 @@
 }
 
 // Read implements io.Reader. A read that times out is repeated as long as
-// keepWaiting returns true and the deadline has not passed.
+// keepWaiting returns true and the deadline has not passed. A connection that broke stays
+// broken: the kernel reports that to one call only, and the end of the stream to later reads.
 func (c *conn) Read(p []byte) (n int, err error) {
 	defer func() { c.readError = err }()
 	for {
 		n, err := c.readOnce(p)
-		var timeout net.Error
-		if err == nil || n > 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+		if err == nil || n > 0 {
 			return n, err
 		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, c.endedBy(err)
+		}
 		if c.keepWaiting == nil || !time.Now().Before(c.deadline) || !c.keepWaiting() {
 			return n, err
 		}
@@ -79,6 +89,23 @@
 	}
 }
 
+// endedBy returns what ended the connection, given the error of a read.
+func (c *conn) endedBy(err error) error {
+	if !errors.Is(err, io.EOF) {
+		c.recordBroken(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.broken, err)
+}
+
+// recordBroken remembers the first error that broke the connection.
+func (c *conn) recordBroken(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = cmp.Or(c.broken, err)
+}
+
 func (c *conn) readOnce(p []byte) (int, error) {
 	deadline := c.progress.Add(c.readTimeout)
 	if c.countsBytes {
