An answer that is given up never ends as a whole one

What callers saw: a stream that ended as complete before its last event, in chunks (ORDER); before the first event, a 200 without a body and without a stamp (MIXED). Cause: a caller that closes its side of the connection, and still reads, counts as gone. The handler then returned as after a whole answer, so the HTTP server wrote the last chunk, or an empty 200. A caller that speaks HTTP/1.0 gets no chunks: there the end of any broken stream looked like that of a whole one. Ruled out: failed writes and write deadlines (the HTTP server closes the connection itself), the end of the grace (aborted before). Change: one function ends all requests without a whole answer. It aborts the connection; to a caller without chunks it resets it.

--- a/lib/pkg/rlbintake/conn.go
+++ b/lib/pkg/rlbintake/conn.go
@@ -222,6 +222,14 @@
 	return nil
 }
 
+// SetLinger sets what Close does with data that was not sent, as that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // body is the body of a request, which counts for its connection.
 type body struct {
 	io.ReadCloser
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -182,9 +182,10 @@
 			s.refundQuota(req)
 		}
 		s.logEnd(req, 0, "caller disconnected")
+		abort(w, req) // it may have closed its side only
 	case req.started:
 		s.logEnd(req, 0, "stream aborted: "+fault.String())
-		panic(http.ErrAbortHandler) // the caller must see that the answer is incomplete
+		abort(w, req)
 	case req.failedAnswer != nil:
 		s.writeAnswer(w, req, req.failedAnswer)
 	case outcome == rlbroute.NotRun:
