A reset that an upload learns of makes the answer incomplete

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written. Cause: the kernel reports a reset to one call only. The write in the background got it and dropped it; the read got the end of the stream, which ends such a body. Ruled out: short bodies (written before the answer is read: the error is returned), answers that state their end. Change: the end of the stream counts once the write in the background was stopped and told no error; if it did, that is what ended the connection. EPIPE is none: the endpoint had ended its answer before, which then is whole (tested).

--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -44,8 +44,10 @@
 	notReusable bool          // the next bytes on it may belong to another request
 	failedIDs   []string      // IDs of requests that were answered on it with an error status
 
-	mu     sync.Mutex
-	broken error // what ended the connection other than its peer's end of the stream
+	mu           sync.Mutex
+	broken       error         // what ended the connection other than its peer's end of the stream
+	writeStopped bool          // nothing more is written
+	writeDone    chan struct{} // closed once a body that is written in the background is; nil: there is none
 }
 
 // maxFailedIDs is how many requests are answered with an error status on a connection
@@ -91,7 +93,9 @@
 
 // endedBy returns what ended the connection, given the error of a read.
 func (c *conn) endedBy(err error) error {
-	if !errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
+		c.stopWriting()
+	} else {
 		c.recordBroken(err)
 	}
 	c.mu.Lock()
@@ -99,13 +103,30 @@
 	return cmp.Or(c.broken, err)
 }
 
-// recordBroken remembers the first error that broke the connection.
+// recordBroken remembers the first error that broke the connection. That nothing more can be
+// written is no such error: the peer may have ended the stream before.
 func (c *conn) recordBroken(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = cmp.Or(c.broken, err)
 }
 
+// stopWriting ends a write in the background and waits for its error, which may say that the
+// connection broke.
+func (c *conn) stopWriting() {
+	c.mu.Lock()
+	c.writeStopped = true
+	_ = c.SetWriteDeadline(time.Now()) // fails on a connection that is closed, where no write blocks
+	done := c.writeDone
+	c.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+}
+
 func (c *conn) readOnce(p []byte) (int, error) {
 	deadline := c.progress.Add(c.readTimeout)
 	if c.countsBytes {
@@ -138,10 +159,24 @@
 	if !c.mayHaveSent {
 		c.mayHaveSent = true
 	}
-	if err := c.SetWriteDeadline(c.deadline); err != nil {
+	if err := c.extendWriteDeadline(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.recordBroken(err)
+	}
+	return n, err
+}
+
+// extendWriteDeadline allows a write until the deadline of the exchange.
+func (c *conn) extendWriteDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeStopped {
+		return os.ErrDeadlineExceeded
+	}
+	return c.SetWriteDeadline(c.deadline)
 }
 
 // alive reports whether an idle connection is still open and has no bytes to
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -153,7 +153,9 @@
 	}
 	c.mayHaveSent = true
 	var complete atomic.Bool
+	c.writeDone = make(chan struct{})
 	go func() {
+		defer close(c.writeDone)
 		if write(c, address, out) == nil {
 			complete.Store(true)
 		}
--- a/rlb-gateway/pkg/rlbdispatch/error_once_test.go
+++ b/rlb-gateway/pkg/rlbdispatch/error_once_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -129,3 +131,23 @@
 		})
 	}
 }
+
+func TestUploadThatLearnsOfAResetDoesNotMakeTheAnswerComplete(t *testing.T) {
+	const upload = 64 << 10
+	head, part := "HTTP/1.1 200 OK\r\n\r\n", "part"
+	Convey("An answer that ends with its connection while the request is sent", t, func() {
+		Convey("is incomplete after a reset", func() {
+			fault, err := receive(t, &errorOnceConn{failure: syscall.ECONNRESET, brings: []string{head, part}, uploads: true}, upload)
+			So(err, ShouldNotBeNil)
+			So(fault, ShouldEqual, rlbroute.FaultCut)
+		})
+		Convey("is complete if the endpoint had ended it before", func() {
+			_, err := receive(t, &errorOnceConn{failure: syscall.EPIPE, brings: []string{head, part}, uploads: true}, upload)
+			So(err, ShouldBeNil)
+		})
+	})
+	Convey("The bytes of an answer that was cut off in its head are no answer", t, func() {
+		_, err := receive(t, &errorOnceConn{failure: syscall.ECONNRESET, brings: []string{strings.TrimSuffix(head, "\r\n")}, uploads: true}, upload)
+		So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+	})
+}
