Instances cut off from the endpoints connect through others

Cause: an instance knew one way to an endpoint, its own link, and took each failure of that for one of the endpoint. Others reached all of them. Ruled out: dead idle connections (closed at the first silence; new ones fail too); not being ready (open connections stay, and a domain with fewer than half of its instances in rotation gets all of them back). Change: rlbpath decides from direct failures and from what others reach; the dialer then connects through another instance, which dials known endpoints only, directly, and not while it drains. The tunnel states how the endpoint's connection ended, so that the loss of the instance in between is no end of an answer. Shutdowns wait for tunnels. TestInstanceCutOffFromAllEndpointsServesThroughOthers failed to compile before (there was no such way); tests of the tunnel, the paths and the dialer pass with the race detector.

--- a/lib/pkg/rlbhttp/client.go
+++ b/lib/pkg/rlbhttp/client.go
@@ -144,8 +144,17 @@
 // connecting, the time after which an idle connection is closed, and the maximum
 // number of idle connections per host.
 func NewClient(connect, idle time.Duration, perHost int) (*http.Client, func()) {
+	dialer := &net.Dialer{Timeout: connect, KeepAlive: idle}
+	return NewClientWithDial(dialer.DialContext, idle, perHost)
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClientWithDial returns a client like NewClient whose connections dial opens.
+func NewClientWithDial(dial Dial, idle time.Duration, perHost int) (*http.Client, func()) {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connect, KeepAlive: idle}).DialContext,
+		DialContext:         dial,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     idle,
--- a/rlb-gateway/pkg/rlbdispatch/conn.go
+++ b/rlb-gateway/pkg/rlbdispatch/conn.go
@@ -179,13 +179,27 @@
 	return c.SetWriteDeadline(c.deadline)
 }
 
+// tunnel is a connection that carries that to the endpoint.
+type tunnel interface {
+	// Alive reports whether the tunnel is idle, given whether a connection is.
+	Alive(open func(net.Conn) bool) bool
+}
+
 // alive reports whether an idle connection is still open and has no bytes to
 // read. Bytes on an idle connection are a late answer to an earlier request.
 func (c *conn) alive() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	source, ok := c.Conn.(syscall.Conn)
+	if t, ok := c.Conn.(tunnel); ok {
+		return t.Alive(isIdle)
+	}
+	return isIdle(c.Conn)
+}
+
+// isIdle reports whether a connection is open and has no bytes to read.
+func isIdle(c net.Conn) bool {
+	source, ok := c.(syscall.Conn)
 	if !ok {
 		return true // an in-memory connection can't be checked
 	}
--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// DropIdle closes all idle connections, after the links that they use have failed.
+func (d *Dispatcher) DropIdle() { d.pool.close() }
+
 // Outgoing is a request to an endpoint.
 type Outgoing struct {
 	Method        string
--- a/rlb-gateway/pkg/rlbdispatch/pool.go
+++ b/rlb-gateway/pkg/rlbdispatch/pool.go
@@ -97,6 +97,7 @@
 	delete(p.idle, address)
 }
 
+// close closes all idle connections. The pool can be used further.
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -80,6 +80,7 @@
 	intake          *rlbintake.Intake
 	origins         *streamOrigins
 	spillover       *spillover // nil: other failure domains have a fixed cost
+	dialer          *endpointDialer
 	// registrations are those in the latest list that this instance read as the lease
 	// holder, by name.
 	registrations map[string]observedRegistration
@@ -154,19 +155,22 @@
 	a.view = rlbdiscovery.New(a.Log, decoder{}, rlbclock.Now, silenceIntervals*settings.Duration(rlbsettings.NodeReportInterval))
 	a.view.SetBound(settings.Duration(rlbsettings.NodeDrain))
 	objectClient, closeObjects := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
-	engineClient, closeEngines := rlbhttp.NewClient(connectTimeout, idleTimeout, maxIdleConnsPerHost)
+	a.dialer = a.newDialer()
+	engineClient, closeEngines := rlbhttp.NewClientWithDial(a.dialer.dialControl, idleTimeout, maxIdleConnsPerHost)
 	objects := rlbplatform.NewObjects(settings.Text(rlbsettings.PlatformObjects), objectClient)
 	a.api, a.staleAPI = countedObjects{objects, a.registry, ""}, countedObjects{objects.WithStaleReads(), a.registry, "stale_"}
 	a.apiEra = objects.Era
 	a.spillover = newSpillover(a)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
-		Dial: a.spillover.measured(rlbdispatch.DialTCP(connectTimeout)), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
+		Dial: a.spillover.measured(a.dialer.dial), FirstByteTimeout: endpointTimeout, ReusedFirstByteTimeout: endpointTimeout, IdleTimeout: endpointTimeout, SweepInterval: sweepPeriod,
 		MaxMemory: a.machine.AnswerBytes(),
 	})
+	a.dialer.dropIdle = dispatcher.DropIdle
 	a.origins = newStreamOrigins(a)
 	linkOpts := a.linkOpts()
 	linkOpts.Listen, linkOpts.Intake, linkOpts.Crashes, linkOpts.Learn, linkOpts.Quotas, linkOpts.Digest = listen, a.acceptPeers, a.crashes, a.origins.learn, a.quotas, a.nextDigest
+	linkOpts.Connect = a.dialer.dialFor
 	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() + a.view.LeavingCount() }
 	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
@@ -270,9 +274,20 @@
 	a.view.ApplyRemoved(removed, sourcePeer)
 }
 
+// knowsEndpoint reports whether an endpoint has an address.
+func (a *app) knowsEndpoint(address string) bool {
+	for _, e := range a.view.Snapshot().ByID {
+		if e.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // tidy forgets what concerns endpoints that are gone.
 func (a *app) tidy() {
 	a.proxy.LogQuarantine()
+	a.dialer.paths.Prune()
 	snapshot := a.view.Snapshot()
 	a.balancer.Prune(rlbclock.Now(), func(id string) bool { return snapshot.ByID[id] != nil })
 }
--- a/rlb-node/pkg/rlbapp/servers.go
+++ b/rlb-node/pkg/rlbapp/servers.go
@@ -92,6 +92,7 @@
 	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, a.registry).Update(value) }
 	snapshot, now := a.view.Snapshot(), rlbclock.Now()
 	set("requests_in_progress", a.proxy.InFlight())
+	set("tunnels_for_others", a.link.Tunnels())
 	set("endpoints_known", int64(len(snapshot.ByID)))
 	set("instances_known", int64(a.fleet.KnownInstances(now)))
 	set("domain_instances_live", int64(len(a.fleet.LiveDigests(now))+1))
@@ -146,9 +147,10 @@
 	return err
 }
 
-// waitForRequests waits until no request is in flight, or until a time.
+// waitForRequests waits until no request is in flight, neither of an own caller nor through a
+// tunnel of another instance, or until a time.
 func (a *app) waitForRequests(until time.Time) {
-	for a.proxy.InFlight() > 0 && rlbclock.Now().Before(until) {
+	for a.proxy.InFlight()+a.link.Tunnels() > 0 && rlbclock.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/rlb-node/pkg/rlbpeer/fleet.go
+++ b/rlb-node/pkg/rlbpeer/fleet.go
@@ -156,6 +156,23 @@
 	return own, others
 }
 
+// Addresses returns the addresses of the registered instances of the own domain and of the
+// others, this one included.
+func (f *Fleet) Addresses(now time.Time) (own, others []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, r := range f.addresses {
+		switch {
+		case now.After(r.expires):
+		case r.domain == f.domain:
+			own = append(own, address)
+		default:
+			others = append(others, address)
+		}
+	}
+	return own, others
+}
+
 // LiveDigests returns the digests of the other live instances of the own domain, sorted
 // by name.
 func (f *Fleet) LiveDigests(now time.Time) []Digest {
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -31,6 +32,7 @@
 type Query struct {
 	Adapter *AdapterQuery `msgpack:"a,omitempty"`
 	Changes *ChangesQuery `msgpack:"k,omitempty"`
+	Connect *ConnectQuery `msgpack:"o,omitempty"`
 }
 
 // AdapterQuery requests endpoints on which an adapter is loaded.
@@ -56,6 +58,7 @@
 	Reason    string   `msgpack:"r,omitempty"` // why there is no endpoint; the texts sent to other instances are part of the protocol and stay as they are
 	Config    []byte   `msgpack:"c,omitempty"`
 	Entries   []Entry  `msgpack:"n,omitempty"`
+	Connected bool     `msgpack:"t,omitempty"` // the connection is a tunnel from here on, see ConnectQuery
 
 	EntryRevision uint64         `msgpack:"v,omitempty"` // newest revision of an entry at the sender
 	Fingerprint   uint64         `msgpack:"f,omitempty"` // of the sender's entries; 0: not known
@@ -109,6 +112,8 @@
 	Leavings func(draining []uint64, removed []rlbdiscovery.Removed)
 	Now      func() time.Time
 	Handler  Handler
+	// Connect opens a connection to an endpoint for another instance; nil: none is opened.
+	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Digest returns the digest to publish. It is called once for each publication.
 	Digest func() Digest
 	// Changes returns a number that increases with each change of the instance's load, each
@@ -129,6 +134,8 @@
 	packets  Datagrams
 	listener net.Listener
 	handler  Handler
+	connect  func(ctx context.Context, address string) (net.Conn, error)
+	tunnels  atomic.Int64 // open for other instances
 	digest   func() Digest
 	changes  func() uint64
 	limiter  digestLimiter
@@ -148,7 +155,7 @@
 	if opts.Intake != nil {
 		listener = opts.Intake(listener)
 	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, digest: opts.Digest, changes: opts.Changes}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, connect: opts.Connect, digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
@@ -299,12 +306,16 @@
 		if err != nil {
 			return // closed at shutdown
 		}
-		go l.serveQuery(rlbwire.NewConn(conn, queryTimeout))
+		go l.serveQuery(conn)
 	}
 }
 
+// Tunnels returns the number of connections that are open for other instances.
+func (l *Link) Tunnels() int64 { return l.tunnels.Load() }
+
 // serveQuery answers the one query of a connection.
-func (l *Link) serveQuery(conn *rlbwire.Conn) {
+func (l *Link) serveQuery(raw net.Conn) {
+	conn := rlbwire.NewConn(raw, queryTimeout)
 	defer func() { _ = conn.Close() }()
 	frame, err := conn.Receive()
 	if err != nil {
@@ -317,6 +328,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
+	if q.Connect != nil {
+		l.serveTunnel(ctx, raw, conn, frame.Call, *q.Connect)
+		return
+	}
 	if err := conn.Send(frameReply, frame.Call, l.handler(ctx, q)); err != nil {
 		l.log.WithError(err).Debug("failed to send the reply to a query")
 	}
