Instances cut off from the endpoints leave orders and verdicts to others

Cause: a lease holder without links to endpoints kept the lease, with orders that reach none, so that adapters and models are not loaded anywhere. Two such instances that report each endpoint as silent make it unhealthy for all. Ruled out: sending orders through another instance: they would count as those of two holders. Change: such an instance says so in its digest, does not contend for the lease, releases it and reports no endpoint as silent.

--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -180,7 +180,7 @@
 	a.scheduler = rlbscheduler.New(rlbscheduler.Opts{
 		Log: a.Log, Name: a.name, Domain: a.domain, Incarnation: a.name + "/" + strconv.FormatInt(a.incarnation, 36),
 		API: a.api, Engines: rlbplatform.NewEngines(engineClient), View: a.view, Fleet: a.fleet, Query: link.Query,
-		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, Silent: a.silent, Settled: a.settled, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
+		Demand: a.demand, Load: a.totalLoad, Cost: a.cost, Limits: a.limiter, HeldOff: func(id string) bool { return a.balancer.HeldOff(rlbclock.Now(), id) }, Silent: a.silent, Settled: a.settled, CutOff: a.dialer.cutOff, LeaseTTL: settings.Duration(rlbsettings.NodeLeaseTTL),
 		LoadWindow: settings.Duration(rlbsettings.NodeLoadWindow), TakeoverDelay: takeoverDelay(settings),
 		APIAvailable: func() bool { return a.catchUp.available() }, APIUnavailable: func() bool { return a.catchUp.unavailableEverywhere() }, Now: rlbclock.Now,
 	})
@@ -381,7 +381,13 @@
 		d.LeaseHolder.AddLoadAges(rlbclock.Now(), a.scheduler.RecentLoads())
 		d.LeaseHolder.Unloaded, d.LeaseHolder.Loaded = a.scheduler.ModelChanges().Keys()
 	}
-	a.balancer.Loads(rlbclock.Now(), func(id string, load rlbbalancer.Load) { d.Loads[rlbpeer.EndpointKey(id)] = rlbpeer.NewLoad(load) })
+	d.CutOff = !a.dialer.paths.CutOffSince().IsZero()
+	a.balancer.Loads(rlbclock.Now(), func(id string, load rlbbalancer.Load) {
+		if d.CutOff {
+			load.FailureReports = 0 // the links of this instance are to blame
+		}
+		d.Loads[rlbpeer.EndpointKey(id)] = rlbpeer.NewLoad(load)
+	})
 	if a.spillover != nil {
 		d.Spillover, d.Traffic = *a.spillover.shares.Load(), *a.spillover.traffic.Load()
 	}
--- a/rlb-node/pkg/rlbpeer/digest.go
+++ b/rlb-node/pkg/rlbpeer/digest.go
@@ -21,15 +21,16 @@
 	Incarnation    int64              `msgpack:"l"` // increases with each start of the instance
 	Sequence       uint64             `msgpack:"s"` // increases within an incarnation
 	Draining       bool               `msgpack:"x,omitempty"`
-	APIUnavailable bool               `msgpack:"o,omitempty"` // the object API does not answer this instance
-	APIAvailable   bool               `msgpack:"w,omitempty"` // the object API answered the latest call of this instance
-	ConfigVersion  uint64             `msgpack:"c,omitempty"` // config version in force
-	EntryRevision  uint64             `msgpack:"e,omitempty"` // newest revision of an endpoint's entry
-	Fingerprint    uint64             `msgpack:"f,omitempty"` // of the endpoints' entries, see rlbdiscovery.View.Fingerprint; 0: not known
-	LeaseHolder    *LeaseHolder       `msgpack:"h,omitempty"` // set by the holder of the lease for orders
-	Loads          map[uint32]Load    `msgpack:"i,omitempty"` // by endpoint, see EndpointKey
-	Demand         map[string]float32 `msgpack:"m,omitempty"` // requests in flight or refused, by model
-	Crashes        []CrashRecord      `msgpack:"q,omitempty"` // "k" was used by earlier versions
+	APIUnavailable bool               `msgpack:"o,omitempty"`   // the object API does not answer this instance
+	CutOff         bool               `msgpack:"cut,omitempty"` // this instance reaches no endpoint directly while others do
+	APIAvailable   bool               `msgpack:"w,omitempty"`   // the object API answered the latest call of this instance
+	ConfigVersion  uint64             `msgpack:"c,omitempty"`   // config version in force
+	EntryRevision  uint64             `msgpack:"e,omitempty"`   // newest revision of an endpoint's entry
+	Fingerprint    uint64             `msgpack:"f,omitempty"`   // of the endpoints' entries, see rlbdiscovery.View.Fingerprint; 0: not known
+	LeaseHolder    *LeaseHolder       `msgpack:"h,omitempty"`   // set by the holder of the lease for orders
+	Loads          map[uint32]Load    `msgpack:"i,omitempty"`   // by endpoint, see EndpointKey
+	Demand         map[string]float32 `msgpack:"m,omitempty"`   // requests in flight or refused, by model
+	Crashes        []CrashRecord      `msgpack:"q,omitempty"`   // "k" was used by earlier versions
 
 	Limits            map[uint32]EndpointLimit `msgpack:"r,omitempty"` // endpoints that limit their requests, see EndpointKey
 	DrainingEndpoints []uint64                 `msgpack:"y,omitempty"` // incarnations that drain although their entries do not say so, or since shortly, see rlbdeployment.Endpoint.IncarnationKey
--- a/rlb-node/pkg/rlbscheduler/scheduler.go
+++ b/rlb-node/pkg/rlbscheduler/scheduler.go
@@ -67,6 +67,8 @@
 	// Settled reports whether this instance knows which others there are, and may contend
 	// for the lease.
 	Settled func() bool
+	// CutOff reports whether this instance reaches no endpoint while others do; nil: never.
+	CutOff func() bool
 	// APIAvailable reports whether the object API answers this instance, as far as it calls it
 	// for other reasons.
 	APIAvailable func() bool
@@ -120,6 +122,9 @@
 
 // New returns a scheduler.
 func New(opts Opts) *Scheduler {
+	if opts.CutOff == nil {
+		opts.CutOff = func() bool { return false }
+	}
 	s := &Scheduler{
 		Opts: opts, log: opts.Log, name: opts.Name, now: opts.Now, engines: opts.Engines,
 		leaseManager:  newLeaseManager(opts.Log, opts.API, opts.Incarnation, opts.LeaseTTL, opts.Now),
@@ -246,7 +251,7 @@
 // lease holder is live or the domain is among the first contendingDomains by name.
 func (s *Scheduler) contendsForLease() bool {
 	now := s.now()
-	if s.shuttingDown.Load() || s.View.Snapshot().Config == nil || now.UnixNano() < s.backOffUntil.Load() {
+	if s.shuttingDown.Load() || s.CutOff() || s.View.Snapshot().Config == nil || now.UnixNano() < s.backOffUntil.Load() {
 		return false
 	}
 	if _, held := s.orderFence(); held {
@@ -271,14 +276,14 @@
 // contends: the first one that the object API answers. If it answers none, it is the first one
 // that it does not turn away, as far as is known: most instances do not call it.
 func (s *Scheduler) contendsForDomain(now time.Time) bool {
-	answered := func(peer rlbpeer.Digest) bool { return !peer.Draining && peer.APIAvailable }
+	answered := func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.CutOff && peer.APIAvailable }
 	switch {
 	case s.APIAvailable():
 		return s.Fleet.IsDelegate(now, answered)
 	case slices.ContainsFunc(s.Fleet.LiveDigests(now), answered):
 		return false
 	default:
-		return s.Fleet.IsDelegate(now, func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.APIUnavailable })
+		return s.Fleet.IsDelegate(now, func(peer rlbpeer.Digest) bool { return !peer.Draining && !peer.CutOff && !peer.APIUnavailable })
 	}
 }
 
