Endpoints that crash from refusing get no more than they can refuse

Cause: after a refusal an instance avoids the endpoint for 0.3 s only while others fit, and no instance counts what the others cause. Ruled out: one hold-off for all refusals, which at limits of 16 keeps good endpoints away for a second. Change: each instance has an equal share of the limit (docs/design/routing.md).

--- a/lib/pkg/rlbbalancer/endpoint_stats.go
+++ b/lib/pkg/rlbbalancer/endpoint_stats.go
@@ -43,6 +43,7 @@
 	mismatched    *rlbdeployment.Endpoint // entry that the endpoint did not match
 	mismatchUntil time.Time
 	holdOff       holdOff
+	refusalLimit  refusalLimit
 	unanswered    int       // requests in flight whose answer has not begun
 	unknownSince  time.Time // since when the endpoint has no entry; zero: it has one
 }
@@ -56,7 +57,7 @@
 		b.stats[e.ID] = s
 	}
 	if e.StartedAt.After(s.startedAt) {
-		s.startedAt, s.slowShare, s.failures, s.backoffUntil, s.noAnswerUntil, s.refusedUntil, s.holdOff = e.StartedAt, 0, 0, time.Time{}, time.Time{}, nil, holdOff{}
+		s.startedAt, s.slowShare, s.failures, s.backoffUntil, s.noAnswerUntil, s.refusedUntil, s.holdOff, s.refusalLimit = e.StartedAt, 0, 0, time.Time{}, time.Time{}, nil, holdOff{}, refusalLimit{}
 	}
 	if s.mismatched != nil && s.mismatched != e {
 		s.mismatched = nil // the entry has changed
--- a/lib/pkg/rlbbalancer/pick.go
+++ b/lib/pkg/rlbbalancer/pick.go
@@ -36,6 +36,7 @@
 	Late      bool                               // misses its target: the endpoint with the shortest wait for it is chosen
 	Fits      func(*rlbdeployment.Endpoint) bool // whether the endpoint can run it
 	OtherLoad func(id string) Load               // load from the other instances
+	Instances int                                // number of instances that send requests to the endpoints
 	ExtraCost func(id string) time.Duration      // added to the cost of an endpoint; nil: nothing
 	// CrossDomainCost is the cost of an endpoint in another failure domain; nil: CrossDomainCost.
 	CrossDomainCost func(domain string) time.Duration
@@ -77,7 +78,7 @@
 
 // Pick returns the endpoint with the lowest cost of those that fit. An endpoint that
 // is unhealthy, or recently refused a request for the model, is used only if no other
-// fits; one that is held off is not used at all.
+// fits; one that is held off, or could crash from refusing the request, is not used at all.
 func (b *Balancer) Pick(now time.Time, all []*rlbdeployment.Endpoint, req Requirements) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -94,6 +95,10 @@
 			continue
 		}
 		load := stats.load().Add(req.OtherLoad(e.ID))
+		if until, ruledOut := stats.refusalLimit.rulesOut(now, stats.usage(e, load, &req)); ruledOut {
+			heldOffUntil = earliest(heldOffUntil, until)
+			continue
+		}
 		capacity := b.capacity(e, req.Model != "")
 		wait, cost := req.waitAndCost(load, capacity)
 		c := Choice{Endpoint: e, Wait: wait, Ahead: load.UnreadTokens, Queued: load.InFlight >= e.Slots, Unhealthy: stats.unhealthy(now) || load.FailureReports >= minFailureReports || now.Before(stats.refusedUntil[req.Model])}
@@ -111,6 +116,11 @@
 	return best
 }
 
+// usage returns what is known of the use of an endpoint, given the load of all instances.
+func (s *endpointStats) usage(e *rlbdeployment.Endpoint, load Load, req *Requirements) usage {
+	return usage{engine: req.Model != "", slots: e.Slots, inFlight: load.InFlight, own: s.inFlight, unanswered: s.unanswered, instances: max(req.Instances, 1)}
+}
+
 // earliest returns the earlier of two times; a zero one does not count.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || b.Before(a) {
--- a/rlb-node/pkg/rlbproxy/attempt.go
+++ b/rlb-node/pkg/rlbproxy/attempt.go
@@ -143,7 +143,7 @@
 		}
 		return s.Limiter.Cost(id)
 	}
-	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Late: req.class == rlbadmission.Late, Fits: fits, OtherLoad: s.PeerLoad, ExtraCost: cost, CrossDomainCost: s.crossDomainCosts(req)})
+	return s.Balancer.Pick(s.Now(), all, rlbbalancer.Requirements{Domain: s.Domain, Model: req.modelKey(), Urgent: req.load().Urgent, Late: req.class == rlbadmission.Late, Fits: fits, OtherLoad: s.PeerLoad, Instances: s.Instances(), ExtraCost: cost, CrossDomainCost: s.crossDomainCosts(req)})
 }
 
 // endpointsWithAdapter returns the endpoints on which the request's adapter is loaded.
--- a/rlb-node/pkg/rlbproxy/endpoint_statement.go
+++ b/rlb-node/pkg/rlbproxy/endpoint_statement.go
@@ -18,6 +18,7 @@
 	if !answeredBy(e, in) {
 		return
 	}
+	s.recordRefusalLimit(req, e, in.Header)
 	if rlbplatform.Draining(in.Header) {
 		s.recordDraining(req, e)
 	}
@@ -37,6 +38,15 @@
 	return signed && (id == "" || id == e.ID)
 }
 
+// recordRefusalLimit records how many requests the endpoint can refuse without a crash, or that it
+// states no such limit, and logs a change.
+func (s *Server) recordRefusalLimit(req *request, e *rlbdeployment.Endpoint, header http.Header) {
+	perSecond, stated := rlbplatform.RefusalLimit(header)
+	if s.Balancer.RecordRefusalLimit(e, perSecond, stated) {
+		s.Log.WithFields(log.Fields{"request": req.id, "endpoint": e.ID, "stated": stated, "per_second": perSecond}).Info("endpoint changed how many requests it can refuse without a crash")
+	}
+}
+
 // recordDraining records that the endpoint drains: it gets no new request from now on.
 func (s *Server) recordDraining(req *request, e *rlbdeployment.Endpoint) {
 	if s.View.MarkDraining(e, "answer of the endpoint") {
--- a/rlb-node/pkg/rlbproxy/endpoint_statement_test.go
+++ b/rlb-node/pkg/rlbproxy/endpoint_statement_test.go
@@ -142,3 +142,41 @@
 		So(seconds, ShouldBeBetween, 2.5, 3.6) // the rest of 4 s, and a part of them at random
 	})
 }
+
+func TestEndpointThatCrashesFromRefusingIsLeftAloneAfterARefusal(t *testing.T) {
+	for name, test := range map[string]struct {
+		statement string
+		refusals  int // of three requests within a second
+	}{
+		"one refusal a second":  {"1", 1},
+		"two refusals a second": {"2", 2},
+		"no number":             {"many", 3},
+		"nothing":               {"", 3},
+	} {
+		Convey("Given an endpoint without room that states "+name, t, func() {
+			f := newFixture(t)
+			refusals := 0
+			f.add(t, "e1", "llm", "a").Intercept = func(w http.ResponseWriter, q *http.Request, _ int) bool {
+				refusals++
+				w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Not-Executed", "1")
+				if test.statement != "" {
+					w.Header().Set("Server-Brittle", test.statement)
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			}
+			for range 3 {
+				got := f.sendPrompt("/plan/x")
+				So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+				So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+			}
+			So(refusals, ShouldEqual, test.refusals)
+			Convey("it is tried again later", func() {
+				f.advance(2 * time.Second)
+				f.sendPrompt("/plan/x")
+				So(refusals, ShouldEqual, test.refusals+1)
+			})
+		})
+	}
+}
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -88,7 +88,9 @@
 	switch {
 	case fault == rlbroute.FaultRefused:
 		s.Balancer.RecordRefusal(s.Now(), e, req.modelKey())
-		if req.misdirected && req.adapter == "" {
+		if !req.misdirected {
+			s.Balancer.RecordFull(s.Now(), e)
+		} else if req.adapter == "" {
 			s.Balancer.RecordMismatch(s.Now(), e)
 		}
 	case fault == rlbroute.FaultNotSent:
