--- a/rlb-node/pkg/rlbapp/app.go
+++ b/rlb-node/pkg/rlbapp/app.go
@@ -170,7 +170,7 @@
 	a.origins = newStreamOrigins(a)
 	linkOpts := a.linkOpts()
 	linkOpts.Listen, linkOpts.Intake, linkOpts.Crashes, linkOpts.Learn, linkOpts.Quotas, linkOpts.Digest = listen, a.acceptPeers, a.crashes, a.origins.learn, a.quotas, a.nextDigest
-	linkOpts.Connect = a.dialer.dialFor
+	linkOpts.Connect, linkOpts.MaxTunnels = a.dialer.dialFor, a.machine.Connections(rlbintake.ControlShare)/2
 	linkOpts.Changes = func() uint64 { return a.balancer.LoadVersion() + a.origins.BegunCount() + a.view.LeavingCount() }
 	link, closeLink, err := rlbpeer.NewLink(linkOpts)
 	if err != nil {
--- a/rlb-node/pkg/rlbapp/endpoint_dialer.go
+++ b/rlb-node/pkg/rlbapp/endpoint_dialer.go
@@ -21,7 +21,8 @@
 const (
 	throughTimeout = 250 * time.Millisecond // for all instances that are asked
 	askStagger     = 60 * time.Millisecond  // until the next instance is asked beside one that does not answer
-	maxAsked       = 3                      // instances for one connection
+	maxAsked       = 4                      // instances for one connection
+	maxOwnAsked    = 2                      // the one that helped last and those of the own domain, before others
 	// leaseCutOff is how long an instance that is cut off from the endpoints keeps the lease for
 	// orders, which would not reach them.
 	leaseCutOff = 500 * time.Millisecond
@@ -201,23 +202,35 @@
 	}
 }
 
-// candidates returns the addresses of the instances to ask: the one that helped last, those of
-// the own domain and others, at random within these.
+// candidates returns the addresses of the instances to ask: the one that helped last, and then at
+// random one of the own domain, whose links may all have failed, and others.
 func (d *endpointDialer) candidates() []string {
 	own, others := d.addresses()
-	var peers []string
+	shuffle(own)
+	shuffle(others)
+	var ordered []string
 	if helper := d.helper.Load(); helper != nil {
-		peers = append(peers, *helper)
+		ordered = append(ordered, *helper)
 	}
-	for _, group := range [][]string{own, others} {
-		rand.Shuffle(len(group), func(i, k int) { group[i], group[k] = group[k], group[i] })
-		for _, address := range group {
-			if address != d.self && !slices.Contains(peers, address) {
-				peers = append(peers, address)
-			}
+	ordered = append(ordered, without(own, d.self)...)
+	if firstOther := min(len(ordered), maxOwnAsked); len(others) > 0 {
+		ordered = slices.Insert(ordered, firstOther, others...)
+	}
+	var peers []string
+	for _, address := range ordered {
+		if !slices.Contains(peers, address) && len(peers) < maxAsked {
+			peers = append(peers, address)
 		}
 	}
-	return peers[:min(len(peers), maxAsked)]
+	return peers
+}
+
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, k int) { addresses[i], addresses[k] = addresses[k], addresses[i] })
+}
+
+func without(addresses []string, except string) []string {
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == except })
 }
 
 // logChange logs whether the instance is cut off from the endpoints. Connections of before are
--- a/rlb-node/pkg/rlbapp/endpoint_dialer_test.go
+++ b/rlb-node/pkg/rlbapp/endpoint_dialer_test.go
@@ -132,6 +132,20 @@
 	})
 }
 
+func TestInstancesOfOtherDomainsAreAskedWhileAllOfTheOwnDomainAreCutOff(t *testing.T) {
+	withDialer(t, func(t *testing.T, d *dialerFixture) {
+		d.addresses = func() (own, others []string) {
+			return []string{"self", "near", "near2", "near3", "near4", "near5"}, []string{"far", "far2"}
+		}
+		for _, instance := range []string{"", "near", "near2", "near3", "near4", "near5"} {
+			d.cut[instance] = true
+		}
+		for _, address := range []string{"e1", "e2", "e3"} {
+			expectDial(t, d, address, true, connectTimeout)
+		}
+	})
+}
+
 func TestInstancesThatDoNotHelpCostLittle(t *testing.T) {
 	t.Run("one that is cut off too, or does not answer", func(t *testing.T) {
 		withDialer(t, func(t *testing.T, d *dialerFixture) {
--- a/rlb-node/pkg/rlbpeer/link.go
+++ b/rlb-node/pkg/rlbpeer/link.go
@@ -113,7 +113,8 @@
 	Now      func() time.Time
 	Handler  Handler
 	// Connect opens a connection to an endpoint for another instance; nil: none is opened.
-	Connect func(ctx context.Context, address string) (net.Conn, error)
+	Connect    func(ctx context.Context, address string) (net.Conn, error)
+	MaxTunnels int // open for other instances at a time
 	// Digest returns the digest to publish. It is called once for each publication.
 	Digest func() Digest
 	// Changes returns a number that increases with each change of the instance's load, each
@@ -136,9 +137,11 @@
 	handler  Handler
 	connect  func(ctx context.Context, address string) (net.Conn, error)
 	tunnels  atomic.Int64 // open for other instances
-	digest   func() Digest
-	changes  func() uint64
-	limiter  digestLimiter
+	// maxTunnels is the limit of tunnels: other queries need connections too.
+	maxTunnels int64
+	digest     func() Digest
+	changes    func() uint64
+	limiter    digestLimiter
 }
 
 // NewLink listens for datagrams and connections. It returns the link and a function
@@ -155,7 +158,7 @@
 	if opts.Intake != nil {
 		listener = opts.Intake(listener)
 	}
-	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, connect: opts.Connect, digest: opts.Digest, changes: opts.Changes}
+	l := &Link{log: opts.Log, address: opts.Address, fleet: opts.Fleet, crashes: opts.Crashes, learn: opts.Learn, quotas: opts.Quotas, leavings: opts.Leavings, now: opts.Now, packets: packets, listener: listener, handler: opts.Handler, connect: opts.Connect, maxTunnels: int64(opts.MaxTunnels), digest: opts.Digest, changes: opts.Changes}
 	go l.receive()
 	return l, func() {
 		_ = packets.Close()
--- a/rlb-node/pkg/rlbpeer/tunnel.go
+++ b/rlb-node/pkg/rlbpeer/tunnel.go
@@ -180,12 +180,9 @@
 
 // serveTunnel connects another instance to an endpoint until one of the two ends that.
 func (l *Link) serveTunnel(ctx context.Context, raw net.Conn, conn *rlbwire.Conn, call uint64, q ConnectQuery) {
-	if l.connect == nil {
-		return
-	}
-	l.tunnels.Add(1)
+	count := l.tunnels.Add(1)
 	defer l.tunnels.Add(-1)
-	endpoint, err := l.connect(ctx, q.Address)
+	endpoint, err := l.connectFor(ctx, count, q.Address)
 	if err != nil {
 		_ = conn.Send(frameReply, call, Reply{Reason: err.Error()}) // the other instance asks another one if it gets none
 		return
@@ -209,6 +206,14 @@
 	}
 }
 
+// connectFor connects to an endpoint for another instance, given how many tunnels that makes.
+func (l *Link) connectFor(ctx context.Context, tunnels int64, address string) (net.Conn, error) {
+	if l.connect == nil || tunnels > l.maxTunnels {
+		return nil, errors.New("the instance opens no further connections for others")
+	}
+	return l.connect(ctx, address)
+}
+
 // sendPieces sends what comes from an endpoint as pieces, until it ends. It reports whether the
 // receiver was told how it ended.
 func sendPieces(to io.Writer, endpoint io.Reader) bool {
--- a/rlb-node/pkg/rlbpeer/tunnel_test.go
+++ b/rlb-node/pkg/rlbpeer/tunnel_test.go
@@ -32,7 +32,7 @@
 	So(err, ShouldBeNil)
 	f := &tunnelFixture{peer: listener.Addr().String(), endpoint: endpoint, accepted: make(chan net.Conn, 1)}
 	f.link = &Link{
-		log: &log.Logger{Handler: discard.New()}, listener: listener,
+		log: &log.Logger{Handler: discard.New()}, listener: listener, maxTunnels: 1,
 		connect: func(ctx context.Context, address string) (net.Conn, error) {
 			if address != endpoint.Addr().String() {
 				return nil, errors.New("no endpoint has the address")
@@ -116,6 +116,13 @@
 			So(err, ShouldBeNil)
 			So(string(got), ShouldEqual, "next")
 		})
+		Convey("no more are opened than the limit, until one is closed", func() {
+			_, err := Tunnel(context.Background(), f.peer, f.endpoint.Addr().String())
+			So(err, ShouldNotBeNil)
+			So(user.Close(), ShouldBeNil)
+			So(closedWithin(endpoint, 5*time.Second), ShouldBeTrue)
+			So(f.link.Tunnels(), ShouldBeLessThanOrEqualTo, 1)
+		})
 		Convey("the endpoint sees that the user has closed it", func() {
 			So(user.Close(), ShouldBeNil)
 			So(closedWithin(endpoint, 5*time.Second), ShouldBeTrue)
