An answer that ends with its endpoint's process is incomplete

Cause: the kernel closes the connections of a killed process as those of one that has answered. Without a length and chunks, that is the end of the answer; between two events nothing else tells them apart. Ruled out: taking all such answers for broken off, as most are whole. Change: if such an answer ends and its endpoint, which does not leave, refuses connections, it was broken off: resumed where that is allowed, else no success.

--- a/rlb-gateway/pkg/rlbdispatch/dispatcher.go
+++ b/rlb-gateway/pkg/rlbdispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rhubarblb/rhubarblb/lib/pkg/rlberror"
@@ -212,6 +213,15 @@
 	return true
 }
 
+// Refuses reports whether address refuses new connections, as that of a process that has ended.
+func (d *Dispatcher) Refuses(ctx context.Context, address string) bool {
+	c, err := d.dial(ctx, address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (d *Dispatcher) connection(ctx context.Context, address string, out *Outgoing) (*conn, error) {
 	if !out.NewConnection {
 		if c := d.pool.get(address, out.ID, time.Now()); c != nil {
--- a/rlb-node/pkg/rlbproxy/fixture_test.go
+++ b/rlb-node/pkg/rlbproxy/fixture_test.go
@@ -86,6 +86,7 @@
 	proxy      *httptest.Server
 	view       *rlbdiscovery.View
 	replicas   map[string]*rlbfakedeployment.Replica
+	listeners  map[string]net.Listener // of the replicas
 	entries    []rlbobject.Object
 	changes    rlbpeer.ModelChanges
 	origins    *fakeOrigins
@@ -97,7 +98,7 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	f := &fixture{replicas: map[string]*rlbfakedeployment.Replica{}}
+	f := &fixture{replicas: map[string]*rlbfakedeployment.Replica{}, listeners: map[string]net.Listener{}}
 	f.view = rlbdiscovery.New(quiet, decoder{}, f.now, time.Second)
 	dispatcher, closeDispatcher := rlbdispatch.New(rlbdispatch.Opts{
 		IDHeader: rlbplatform.HeaderRequestID, RequireID: true,
@@ -142,7 +143,7 @@
 		ID: id, Service: service, Domain: domain, Slots: 4, Adapters: 2, Loaded: []string{"m"}, Version: version,
 		Address: strings.TrimPrefix(server.URL, "http://"),
 	})
-	f.replicas[id] = replica
+	f.replicas[id], f.listeners[id] = replica, server.Listener
 	store := rlbfakedeployment.NewStore()
 	store.Set("servers", id, replica.Entry("ready"))
 	f.entries = append(f.entries, rlbobject.Object{Name: id, Version: rlbobject.Version(len(f.entries) + 1), Value: encodeEntry(replica)})
--- a/rlb-node/pkg/rlbproxy/send.go
+++ b/rlb-node/pkg/rlbproxy/send.go
@@ -267,6 +267,9 @@
 // may be retried is kept as failedAnswer instead.
 func (s *Server) relayWhole(w http.ResponseWriter, req *request, in *rlbdispatch.Incoming) (rlbroute.Fault, bool, error) {
 	body, err := in.ReadAll(maxAnswerBytes)
+	if err == nil && s.endedByCrash(req, in) {
+		err = rlberror.New("read answer", rlbroute.FaultCut, errEndpointEnded)
+	}
 	if err != nil {
 		in.Abort()
 		fault, _ := rlberror.KindOf[rlbroute.Fault](err)
--- a/rlb-node/pkg/rlbproxy/stream.go
+++ b/rlb-node/pkg/rlbproxy/stream.go
@@ -28,6 +28,9 @@
 	flusher := http.NewResponseController(w)
 	for {
 		event, err := reader.Next()
+		if errors.Is(err, io.EOF) && s.endedByCrash(req, in) {
+			err = errEndpointEnded
+		}
 		if errors.Is(err, io.EOF) {
 			return s.finishStream(w, req, in)
 		}
@@ -63,6 +66,20 @@
 	}
 }
 
+// errEndpointEnded is returned for an answer whose end is that of its endpoint's process.
+var errEndpointEnded = errors.New("the endpoint ended the answer and takes no connections any more")
+
+// endedByCrash reports whether an answer ended because its endpoint did. Where the end of the
+// connection is that of the answer, the kernel ends those of a killed process as if they were
+// whole. An endpoint that leaves may end once it has answered.
+func (s *Server) endedByCrash(req *request, in *rlbdispatch.Incoming) bool {
+	if in.Framing() != rlbdispatch.FramingConnection {
+		return false
+	}
+	e := s.View.Snapshot().ByID[req.tried[len(req.tried)-1]]
+	return e != nil && !e.Draining && s.Dispatcher.Refuses(req.inbound.Context(), e.Address)
+}
+
 // startStream sends the caller the status and header of the first endpoint that answers.
 // It does nothing once the stream has started.
 func (s *Server) startStream(w http.ResponseWriter, req *request, in *rlbdispatch.Incoming) {
--- a/rlb-node/pkg/rlbproxy/unframed_test.go
+++ b/rlb-node/pkg/rlbproxy/unframed_test.go
@@ -67,6 +67,46 @@
 	})
 }
 
+func TestAnswerThatEndsWithItsEndpointIsIncomplete(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	Convey("Given an engine and a plain endpoint whose processes end", t, func() {
+		f := newFixture(t)
+		engine, plain := f.add(t, "e1", "llm", "a"), f.add(t, "p1", "plain", "a")
+		ends := func(id, contentType, body string) func(http.ResponseWriter, *http.Request, int) bool {
+			answer := answerUnframed(contentType, body, false)
+			return func(w http.ResponseWriter, q *http.Request, n int) bool {
+				_ = f.listeners[id].Close()
+				return answer(w, q, n)
+			}
+		}
+		engine.Intercept, plain.Intercept = ends("e1", "text/event-stream", first), ends("p1", "text/plain", "body")
+		Convey("a stream that ends between events is broken off", func() {
+			got := f.sendPrompt("/plan/x")
+			So(got.err, ShouldNotBeNil)
+			So(got.body, ShouldEqual, first)
+		})
+		Convey("one that may be resumed goes on at another endpoint", func() {
+			f.add(t, "e2", "llm", "b").Intercept = answerUnframed("text/event-stream", second, false)
+			got := f.sendPrompt("/talk/x")
+			So(got.err, ShouldBeNil)
+			So(got.body, ShouldEqual, first+second)
+		})
+		Convey("a whole answer is not a success", func() {
+			So(f.send(http.MethodPost, "/write/x", "b", nil).status, ShouldEqual, http.StatusBadGateway)
+		})
+		Convey("one that drains may end once it has answered", func() {
+			ended := plain.Intercept
+			plain.Intercept = func(w http.ResponseWriter, q *http.Request, n int) bool {
+				f.drain("p1")
+				return ended(w, q, n)
+			}
+			got := f.send(http.MethodPost, "/write/x", "b", nil)
+			So(got.err, ShouldBeNil)
+			So(got.body, ShouldEqual, "body")
+		})
+	})
+}
+
 func TestEndlessAnswersAreGivenUp(t *testing.T) {
 	Convey("Given an engine and a plain endpoint whose answers never end", t, func() {
 		f := newFixture(t)
