--- a/rlb-load/pkg/rlbsoak/caller.go
+++ b/rlb-load/pkg/rlbsoak/caller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -52,7 +53,7 @@
 	ended       time.Time
 	status      int    // 0: no answer
 	cut         bool   // the connection ended before the answer was complete
-	abandoned   bool   // sent with a short time limit, after which the caller disconnects
+	abandoned   bool   // after a short time the caller disconnects, or closes its side and reads on
 	problem     string // difference from the answer that the endpoint must send; empty: none, or no answer
 	model       string // MODEL or MODEL/ADAPTER
 	connRefused bool   // no process was listening
@@ -63,6 +64,7 @@
 type caller struct {
 	name   string
 	rng    *rand.Rand
+	halves *rand.Rand // decides which callers close only their side
 	client *http.Client
 	soak   *soak
 	sent   int
@@ -74,6 +76,7 @@
 func newCaller(s *soak, n int) *caller {
 	return &caller{
 		name: fmt.Sprintf("s%d-c%d", s.opts.Seed, n), soak: s, rng: rand.New(rand.NewPCG(s.opts.Seed, uint64(1000+n))),
+		halves: rand.New(rand.NewPCG(s.opts.Seed, uint64(2000+n))),
 		client: &http.Client{Transport: &http.Transport{
 			IdleConnTimeout: idleConnTimeout, DisableCompression: true, ResponseHeaderTimeout: 0,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -101,15 +104,21 @@
 	if c.limited {
 		x.kind = kindRead
 	}
-	timeout := x.kind.timeout() + timeoutSlack
+	timeout, closesSide := x.kind.timeout()+timeoutSlack, false
 	if c.rng.Float64() < abandonShare {
 		x.abandoned = true
-		timeout = time.Duration(c.rng.Int64N(int64(300 * time.Millisecond)))
+		leaves := time.Duration(c.rng.Int64N(int64(300 * time.Millisecond)))
+		if closesSide = c.halves.IntN(2) == 0; closesSide {
+			ctx = closeSideAfter(ctx, leaves)
+		} else {
+			timeout = leaves
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	events := 0
 	req := c.newRequest(ctx, &x, &events)
+	req.Close = closesSide
 	x.began = time.Now()
 	answer, err := c.client.Do(req)
 	if err != nil {
@@ -131,6 +140,16 @@
 	return x
 }
 
+// closeSideAfter makes the caller of a request close its side of the connection after a time and
+// read on.
+func closeSideAfter(ctx context.Context, after time.Duration) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if tcp, ok := info.Conn.(*net.TCPConn); ok {
+			time.AfterFunc(after, func() { _ = tcp.CloseWrite() }) // fails if the instance has closed it
+		}
+	}})
+}
+
 // newRequest builds the HTTP request of an exchange; for a stream it also sets the
 // number of expected events and the model.
 func (c *caller) newRequest(ctx context.Context, x *exchange, events *int) *http.Request {
