The model of a broken connection waits for its writer without a poll

What callers saw: nothing; a test only. Cause: the test slept until the write had taken the error. Change: it waits for a channel.

--- a/rlb-gateway/pkg/rlbdispatch/error_once_test.go
+++ b/rlb-gateway/pkg/rlbdispatch/error_once_test.go
@@ -28,12 +28,12 @@
 	failure syscall.Errno
 	brings  []string // one read each
 
-	mu       sync.Mutex
-	broken   bool          // brings was read, and the peer broke the connection
-	reported bool          // a call has returned the error
-	writes   chan struct{} // closed once the connection is broken, which ends writes beyond their first bytes
-	uploads  bool          // a write takes the error
-	written  int           // bytes
+	mu      sync.Mutex
+	broken  bool          // brings was read, and the peer broke the connection
+	taken   chan struct{} // closed once a call has returned the error
+	writes  chan struct{} // closed once the connection is broken, which ends writes beyond their first bytes
+	uploads bool          // a write takes the error
+	written int           // bytes
 }
 
 func (c *errorOnceConn) Read(p []byte) (int, error) {
@@ -50,8 +50,8 @@
 	}
 	uploads := c.uploads
 	c.mu.Unlock()
-	for uploads && !c.isReported() {
-		time.Sleep(time.Millisecond)
+	if uploads {
+		<-c.taken
 	}
 	return 0, c.report("read", io.EOF)
 }
@@ -69,19 +69,15 @@
 func (c *errorOnceConn) report(op string, later error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reported {
+	select {
+	case <-c.taken:
 		return later
+	default:
 	}
-	c.reported = true
+	close(c.taken)
 	return &net.OpError{Op: op, Net: "tcp", Err: os.NewSyscallError(op, c.failure)}
 }
 
-func (c *errorOnceConn) isReported() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.reported
-}
-
 func (c *errorOnceConn) Close() error                     { return nil }
 func (c *errorOnceConn) SetReadDeadline(time.Time) error  { return nil }
 func (c *errorOnceConn) SetWriteDeadline(time.Time) error { return nil }
@@ -89,7 +85,7 @@
 // receive sends a request with a body over a connection that breaks, and reads the answer.
 func receive(t *testing.T, c *errorOnceConn, bodyBytes int) (rlbroute.Fault, error) {
 	t.Helper()
-	c.writes = make(chan struct{})
+	c.writes, c.taken = make(chan struct{}), make(chan struct{})
 	d, closeDispatcher := New(Opts{
 		Dial:             func(context.Context, string) (net.Conn, error) { return c, nil },
 		FirstByteTimeout: time.Minute, ReusedFirstByteTimeout: time.Minute, IdleTimeout: time.Minute, SweepInterval: time.Hour,
