A caller that leaves blames no endpoint for it

What callers saw: nothing yet; found in the review. After a caller had left while its request was being connected through another instance, the next request for that endpoint waited 0.4 s for the direct way and was then sent elsewhere. Cause: the end of the caller's context counted as the answer of all instances that they do not reach the endpoint. Evidence: TestCallerThatLeavesBlamesNoEndpoint fails before: "cut after 400ms". Ruled out: the timeout for the instances' answers, which is a verdict. Change: no verdict if the caller's context has ended. Measured result: that test and the others of the dialer pass with the race detector.

--- a/rlb-node/pkg/rlbapp/endpoint_dialer.go
+++ b/rlb-node/pkg/rlbapp/endpoint_dialer.go
@@ -137,12 +137,15 @@
 
 // through connects to an address through another instance. It asks further ones if one does not
 // answer soon.
-func (d *endpointDialer) through(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, throughTimeout)
+func (d *endpointDialer) through(caller context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(caller, throughTimeout)
 	peers := d.candidates()
 	results := make(chan tunnelResult, len(peers))
 	conn, err := d.firstTunnel(ctx, peers, address, results)
 	cancel() // ends the others
+	if conn == nil && caller.Err() != nil {
+		return nil, err // nothing was learnt of the endpoint
+	}
 	if conn == nil {
 		d.paths.ThroughFailed(address)
 		return nil, err
--- a/rlb-node/pkg/rlbapp/endpoint_dialer_test.go
+++ b/rlb-node/pkg/rlbapp/endpoint_dialer_test.go
@@ -146,6 +146,21 @@
 	})
 }
 
+func TestCallerThatLeavesBlamesNoEndpoint(t *testing.T) {
+	withDialer(t, func(t *testing.T, d *dialerFixture) {
+		d.cut[""] = true
+		expectDial(t, d, "e1", true, connectTimeout)
+		d.silent["near"], d.silent["far"] = true, true
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		if _, err := d.dial(ctx, "e1"); err == nil {
+			t.Error("connected although no instance answers")
+		}
+		d.silent["near"], d.silent["far"] = false, false
+		expectDial(t, d, "e1", true, 0)
+	})
+}
+
 func TestInstancesThatDoNotHelpCostLittle(t *testing.T) {
 	t.Run("one that is cut off too, or does not answer", func(t *testing.T) {
 		withDialer(t, func(t *testing.T, d *dialerFixture) {
